--- /dev/null
+++ b/Makefile
@@ -0,0 +1,130 @@
+# Builds the daemon, the command-line tool, the stand-ins and the tests.
+#
+#   make            everything
+#   make test       all tests; closes with "N passed, N failed"
+#   make demo       one deployment in separate processes, for a look
+#   make measure    figures as JSON lines
+#   make check      formatter, linters, documentation
+#   make ASAN=1 ... the same with AddressSanitizer and UBSan
+#
+# A file's name says what it is:
+#   src/fescuesaddled.c, src/fescuesaddle.c   the two programs
+#   src/*.c                                   the library both link
+#   tests/fleet*.c                            helpers for process tests
+#   tests/standin_*.c                         stand-in programs
+#   tests/unit_*.c                            GLib tests of one module
+#   tests/prop_*.cpp                          property tests (RapidCheck)
+#   tests/run_*.c                             GLib tests over real processes
+#   tests/tool_*.c                            demo, measure, soak
+#   examples/*.c                              one feature each
+
+ASAN ?=
+BUILD := build$(if $(ASAN),-asan)
+SAN := $(if $(ASAN),-fsanitize=address$(comma)undefined -fno-sanitize-recover=all)
+comma := ,
+
+PKGS := msgpack libmicrohttpd libcurl argtable2 glib-2.0 libcyaml \
+	json-glib-1.0 libxxhash
+PKG_CFLAGS := $(patsubst -I%,-isystem %,$(shell pkg-config --cflags $(PKGS)))
+LIBS := $(shell pkg-config --libs $(PKGS)) -lev -lm
+
+WARN := -Wall -Wextra -Werror -Wshadow -Wvla -Wpointer-arith -Wformat=2
+CWARN := $(WARN) -Wstrict-prototypes -Wmissing-prototypes -Wold-style-definition
+CFLAGS := -std=gnu11 -O2 -g -fno-omit-frame-pointer -fno-strict-aliasing \
+	-D_GNU_SOURCE -DG_LOG_USE_STRUCTURED -Isrc -Itests $(PKG_CFLAGS) $(SAN)
+CXXFLAGS := -std=c++17 -O1 -g -D_GNU_SOURCE -Isrc -Itests $(PKG_CFLAGS) $(SAN)
+
+MAINS := src/fescuesaddled.c src/fescuesaddle.c
+LIB_SRC := $(filter-out $(MAINS),$(wildcard src/*.c))
+FLEET_SRC := $(wildcard tests/fleet*.c)
+PROG_SRC := $(wildcard tests/standin_*.c tests/unit_*.c tests/run_*.c \
+	tests/tool_*.c)
+EXAMPLE_SRC := $(wildcard examples/*.c)
+PROP_SRC := $(wildcard tests/prop_*.cpp)
+
+obj = $(patsubst %,$(BUILD)/%.o,$(1))
+LIB := $(BUILD)/libfescuesaddle.a
+FLEET := $(BUILD)/libfleet.a
+PROGS := $(patsubst src/%.c,$(BUILD)/%,$(wildcard $(MAINS))) \
+	$(patsubst tests/%.c,$(BUILD)/%,$(PROG_SRC)) \
+	$(patsubst examples/%.c,$(BUILD)/example_%,$(EXAMPLE_SRC)) \
+	$(patsubst tests/%.cpp,$(BUILD)/%,$(PROP_SRC))
+
+.PHONY: all test demo measure soak check format format-check lint doc clean
+.SECONDARY:
+all: $(PROGS)
+
+$(BUILD)/%.c.o: %.c
+	@mkdir -p $(@D)
+	@echo "  CC   $<"
+	@$(CC) $(CFLAGS) $(CWARN) -MMD -MP -c $< -o $@
+
+$(BUILD)/%.cpp.o: %.cpp
+	@mkdir -p $(@D)
+	@echo "  CXX  $<"
+	@$(CXX) $(CXXFLAGS) $(WARN) -MMD -MP -c $< -o $@
+
+$(LIB): $(call obj,$(LIB_SRC))
+	@rm -f $@
+	@$(AR) rcs $@ $^
+
+$(FLEET): $(call obj,$(FLEET_SRC))
+	@rm -f $@
+	@$(AR) rcs $@ $^
+
+$(BUILD)/%: $(BUILD)/src/%.c.o $(LIB)
+	@$(CC) $(SAN) -o $@ $^ $(LIBS)
+
+$(BUILD)/%: $(BUILD)/tests/%.c.o $(FLEET) $(LIB)
+	@$(CC) $(SAN) -o $@ $< $(FLEET) $(LIB) $(LIBS)
+
+$(BUILD)/example_%: $(BUILD)/examples/%.c.o $(LIB)
+	@$(CC) $(SAN) -o $@ $^ $(LIBS)
+
+$(BUILD)/%: $(BUILD)/tests/%.cpp.o $(LIB)
+	@$(CXX) $(SAN) -o $@ $^ -lrapidcheck $(LIBS)
+
+test: all
+	tests/run_all.sh $(BUILD)
+
+demo: all
+	$(BUILD)/tool_demo $(BUILD)
+
+measure: all
+	$(BUILD)/tool_measure $(BUILD)
+
+soak: all
+	$(BUILD)/tool_soak $(BUILD)
+
+SOURCES := $(wildcard src/*.[ch] tests/*.[ch] tests/*.cpp examples/*.c)
+
+check: format-check lint doc
+
+format:
+	clang-format -i $(SOURCES)
+
+format-check:
+	@clang-format --dry-run -Werror $(SOURCES)
+
+TIDY := $(patsubst %,$(BUILD)/%.tidy,$(wildcard src/*.c tests/*.c examples/*.c))
+
+$(BUILD)/%.tidy: % .clang-tidy $(wildcard src/*.h tests/*.h)
+	@mkdir -p $(@D)
+	@echo "  TIDY $<"
+	@clang-tidy --quiet $< -- $(CFLAGS) -Wno-unknown-warning-option \
+		2>$@.log || { cat $@.log; exit 1; }
+	@touch $@
+
+lint: $(TIDY)
+	cppcheck --quiet --error-exitcode=1 --std=c11 --inline-suppr -j 8 \
+		--enable=warning,performance,portability \
+		--library=gtk --suppress=missingInclude -Isrc -Itests src tests examples
+
+doc:
+	@mkdir -p $(BUILD)
+	doxygen docs/Doxyfile
+
+clean:
+	rm -rf build build-asan
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/src/bus.c
@@ -0,0 +1,132 @@
+#include "bus.h"
+
+/** A message that waits for the next turn of the loop. */
+struct bus_slot {
+	const struct bus_task_ops *ops;
+	void *object;
+};
+
+struct bus {
+	struct ev_loop *loop;
+	node_id self;
+	struct bus_slot tasks[MSG_TASK_COUNT];
+	bus_remote_fn remote;
+	void *remote_arg;
+	GQueue waiting; /* struct msg */
+	ev_async wake;
+	ev_check check;
+};
+
+static void deliver(struct bus *bus, struct msg *m)
+{
+	const struct bus_slot *slot = &bus->tasks[m->task];
+
+	if (slot->ops)
+		slot->ops->receive(slot->object, m, fs_now_us());
+	msg_free(m);
+}
+
+/* Delivers what was queued before this turn; later messages wait a turn. */
+static void on_check(struct ev_loop *loop, ev_check *watcher, int events)
+{
+	struct bus *bus = watcher->data;
+	guint n = g_queue_get_length(&bus->waiting);
+
+	(void)loop;
+	(void)events;
+	while (n--)
+		deliver(bus, g_queue_pop_head(&bus->waiting));
+	if (!g_queue_is_empty(&bus->waiting))
+		ev_async_send(bus->loop, &bus->wake);
+}
+
+static void on_wake(struct ev_loop *loop, ev_async *watcher, int events)
+{
+	(void)loop;
+	(void)watcher;
+	(void)events;
+}
+
+struct bus *bus_new(struct ev_loop *loop, node_id self)
+{
+	struct bus *bus = g_new0(struct bus, 1);
+
+	bus->loop = loop;
+	bus->self = self;
+	g_queue_init(&bus->waiting);
+	ev_async_init(&bus->wake, on_wake);
+	ev_async_start(loop, &bus->wake);
+	ev_check_init(&bus->check, on_check);
+	bus->check.data = bus;
+	ev_check_start(loop, &bus->check);
+	return bus;
+}
+
+void bus_free(struct bus *bus)
+{
+	struct msg *m;
+
+	if (!bus)
+		return;
+	ev_async_stop(bus->loop, &bus->wake);
+	ev_check_stop(bus->loop, &bus->check);
+	while ((m = g_queue_pop_head(&bus->waiting)))
+		msg_free(m);
+	g_free(bus);
+}
+
+node_id bus_self(const struct bus *bus)
+{
+	return bus->self;
+}
+
+void bus_attach(struct bus *bus, enum msg_task task,
+		const struct bus_task_ops *ops, void *object)
+{
+	bus->tasks[task].ops = ops;
+	bus->tasks[task].object = object;
+}
+
+void bus_attach_remote(struct bus *bus, bus_remote_fn send, void *arg)
+{
+	bus->remote = send;
+	bus->remote_arg = arg;
+}
+
+void bus_send(struct bus *bus, struct msg *m)
+{
+	if (m->to == bus->self) {
+		m->from = bus->self;
+		bus_deliver(bus, m);
+	} else if (bus->remote) {
+		bus->remote(bus->remote_arg, m, fs_now_us());
+	} else {
+		msg_free(m);
+	}
+}
+
+void bus_deliver(struct bus *bus, struct msg *m)
+{
+	if (m->task <= 0 || m->task >= MSG_TASK_COUNT) {
+		msg_free(m);
+		return;
+	}
+	g_queue_push_tail(&bus->waiting, m);
+	ev_async_send(bus->loop, &bus->wake);
+}
+
+void bus_send_all(struct bus *bus, enum msg_type type, void *payload)
+{
+	for (int task = 1; task < MSG_TASK_COUNT; task++) {
+		struct msg *m;
+
+		if (!bus->tasks[task].ops)
+			continue;
+		m = msg_new(type, bus->self, (enum msg_task)task);
+		if (type == MSG_CONFIG)
+			m->config.cfg = cfg_ref(payload);
+		else if (type == MSG_VIEW)
+			m->view.view = mem_view_ref(payload);
+		bus_send(bus, m);
+	}
+}
--- /dev/null
+++ b/src/htd.c
@@ -0,0 +1,134 @@
+#include "htd.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+struct htd {
+	struct ev_loop *loop;
+	struct MHD_Daemon *daemon;
+	int listen_fd;
+	bool listening;
+	ev_io io;
+	ev_timer timer;
+};
+
+/* Runs the library, then waits as long as it says: without that timer idle
+ * connections would never be closed. */
+static void run(struct htd *htd)
+{
+	MHD_UNSIGNED_LONG_LONG wait_ms;
+
+	MHD_run(htd->daemon);
+	ev_timer_stop(htd->loop, &htd->timer);
+	if (MHD_get_timeout(htd->daemon, &wait_ms) == MHD_YES) {
+		ev_timer_set(&htd->timer, (double)wait_ms / 1000.0, 0.0);
+		ev_timer_start(htd->loop, &htd->timer);
+	}
+}
+
+static void on_io(struct ev_loop *loop, ev_io *io, int events)
+{
+	(void)loop;
+	(void)events;
+	run(io->data);
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	run(timer->data);
+}
+
+static int listen_on(const struct sockaddr_in *bind_to,
+		     struct sockaddr_in *bound)
+{
+	socklen_t size = sizeof(*bound);
+	int one = 1;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (const struct sockaddr *)bind_to, sizeof(*bind_to)) ||
+	    listen(fd, SOMAXCONN) ||
+	    getsockname(fd, (struct sockaddr *)bound, &size)) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+struct htd *htd_start(struct ev_loop *loop, const struct sockaddr_in *bind,
+		      const struct htd_limits *limits,
+		      const struct htd_ops *ops, void *arg,
+		      struct sockaddr_in *bound)
+{
+	struct htd *htd = g_new0(struct htd, 1);
+	const union MHD_DaemonInfo *info;
+
+	htd->loop = loop;
+	htd->listen_fd = listen_on(bind, bound);
+	if (htd->listen_fd < 0) {
+		g_free(htd);
+		return NULL;
+	}
+	htd->daemon = MHD_start_daemon(
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+		ops->access, arg, MHD_OPTION_LISTEN_SOCKET, htd->listen_fd,
+		MHD_OPTION_NOTIFY_COMPLETED, ops->completed, arg,
+		MHD_OPTION_CONNECTION_LIMIT, limits->connections,
+		MHD_OPTION_CONNECTION_TIMEOUT, limits->idle_s,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, limits->connection_memory,
+		MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
+	if (!htd->daemon) {
+		close(htd->listen_fd);
+		g_free(htd);
+		return NULL;
+	}
+	htd->listening = true;
+	info = MHD_get_daemon_info(htd->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	ev_io_init(&htd->io, on_io, info->epoll_fd, EV_READ);
+	htd->io.data = htd;
+	ev_io_start(loop, &htd->io);
+	ev_init(&htd->timer, on_timer);
+	htd->timer.data = htd;
+	run(htd);
+	return htd;
+}
+
+void htd_quiesce(struct htd *htd)
+{
+	if (!htd->listening)
+		return;
+	MHD_quiesce_daemon(htd->daemon);
+	close(htd->listen_fd);
+	htd->listening = false;
+}
+
+void htd_stop(struct htd *htd)
+{
+	if (!htd)
+		return;
+	ev_io_stop(htd->loop, &htd->io);
+	ev_timer_stop(htd->loop, &htd->timer);
+	MHD_stop_daemon(htd->daemon);
+	g_free(htd);
+}
+
+void htd_kick(struct htd *htd)
+{
+	ev_timer_stop(htd->loop, &htd->timer);
+	ev_timer_set(&htd->timer, 0.0, 0.0);
+	ev_timer_start(htd->loop, &htd->timer);
+}
+
+unsigned int htd_connections(struct htd *htd)
+{
+	const union MHD_DaemonInfo *info = MHD_get_daemon_info(
+		htd->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+
+	return info ? info->num_connections : 0;
+}
--- /dev/null
+++ b/src/htd.h
@@ -0,0 +1,51 @@
+/**
+ * @file htd.h
+ * @brief Runs libmicrohttpd inside a libev loop, without threads.
+ */
+#ifndef HTD_H
+#define HTD_H
+
+#include <ev.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <stdbool.h>
+
+struct htd;
+
+/** What an interface does with requests; see MHD_AccessHandlerCallback. */
+struct htd_ops {
+	MHD_AccessHandlerCallback access;
+	MHD_RequestCompletedCallback completed; /* may be NULL */
+};
+
+/** Limits of one interface. */
+struct htd_limits {
+	unsigned int connections;
+	unsigned int idle_s;	  /* idle and slow connections are closed */
+	size_t connection_memory; /* bytes, bounds the header fields */
+};
+
+/**
+ * Starts an HTTP server.
+ * @param bind   address; port 0 lets the kernel choose
+ * @param bound  out: the address in use
+ * @return NULL if the address cannot be bound
+ */
+struct htd *htd_start(struct ev_loop *loop, const struct sockaddr_in *bind,
+		      const struct htd_limits *limits,
+		      const struct htd_ops *ops, void *arg,
+		      struct sockaddr_in *bound);
+
+/** Accepts no more connections; those that are open go on. */
+void htd_quiesce(struct htd *htd);
+
+/** Stops at once. */
+void htd_stop(struct htd *htd);
+
+/** Looks at suspended connections again after MHD_resume_connection(). */
+void htd_kick(struct htd *htd);
+
+/** Returns how many connections are open. */
+unsigned int htd_connections(struct htd *htd);
+
+#endif
--- /dev/null
+++ b/src/node.h
@@ -0,0 +1,77 @@
+/**
+ * @file node.h
+ * @brief One daemon: the loop and what its tasks are made with.
+ */
+#ifndef NODE_H
+#define NODE_H
+
+#include <ev.h>
+
+#include "aud.h"
+#include "brn.h"
+#include "bus.h"
+#include "ctr.h"
+#include "plt.h"
+#include "set.h"
+
+#define NODE_STATUS_MAX 12
+
+/** A part of the operator interface's status page. */
+struct node_status {
+	const char *name; /* member of the JSON object */
+	/** Appends one JSON value. */
+	void (*write)(const void *task, GString *out, int64_t now_us);
+	const void *task;
+};
+
+/** Shared by the tasks of one process; set up once, before they start. */
+struct node {
+	struct ev_loop *loop;
+	struct set set;
+	node_id self;
+	uint64_t incarnation; /* start of the process, wall clock in us */
+	struct bus *bus;
+	struct ctr *ctr;
+	struct aud *aud;
+	struct plt *platform;
+	struct sockaddr_in caller; /* bound addresses */
+	struct sockaddr_in peer;
+	struct sockaddr_in operator;
+};
+
+/** Adds a part to the status page. */
+void node_add_status(struct node *node, const char *name,
+		     void (*write)(const void *task, GString *out,
+				   int64_t now_us),
+		     const void *task);
+
+/** Begins a planned stop, as SIGTERM does; may be called again. */
+void node_begin_stop(struct node *node);
+
+/*
+ * Tasks. Each is made with its sockets bound and its bus address attached,
+ * and freed after the loop has ended. A NULL result means that it could not
+ * start; the reason is in the log.
+ *
+ * A task that has work in flight answers MSG_STOP by MSG_STOPPED to
+ * MSG_TASK_NODE once nothing is left (entry, dispatch); the others go on until
+ * the node ends.
+ */
+struct ent *ent_new(struct node *node); /* callers; binds node->caller */
+void ent_free(struct ent *ent);
+struct dsp *dsp_new(struct node *node); /* slots, queues, targets */
+void dsp_free(struct dsp *dsp);
+struct lnk *lnk_new(struct node *node); /* peer links; binds node->peer */
+void lnk_free(struct lnk *lnk);
+struct mem *mem_new(struct node *node); /* gossip; uses node->peer, UDP */
+void mem_free(struct mem *mem);
+struct prb *prb_new(struct node *node); /* probes of targets */
+void prb_free(struct prb *prb);
+struct ejc *ejc_new(struct node *node); /* ejection records */
+void ejc_free(struct ejc *ejc);
+struct cnf *cnf_new(struct node *node); /* configuration, VM list */
+void cnf_free(struct cnf *cnf);
+struct opi *opi_new(struct node *node); /* operators; binds node->operator */
+void opi_free(struct opi *opi);
+
+#endif
--- /dev/null
+++ b/src/set.h
@@ -0,0 +1,48 @@
+/**
+ * @file set.h
+ * @brief Local settings of one daemon: its name, place and addresses.
+ *
+ * A small YAML file, separate from the operators' configuration. Read once at
+ * start; every error names the line, the setting and what would be right.
+ */
+#ifndef SET_H
+#define SET_H
+
+#include <netinet/in.h>
+
+#include "fs_err.h"
+#include "fs_types.h"
+
+struct set {
+	char name[FS_NAME_MAX];
+	char region[FS_DOMAIN_MAX];
+	char domain[FS_DOMAIN_MAX];
+	struct sockaddr_in caller_listen; /* port 0: the kernel chooses */
+	struct sockaddr_in peer_listen;	  /* TCP and UDP, same port */
+	struct sockaddr_in operator_listen;
+	struct sockaddr_in peer_advertise; /* where peers reach this node; all
+					     * zero: the address listened on */
+	char platform[FS_ADDRESS_MAX];	   /* "ip:port" of the platform */
+	char fleet_key[128];		   /* shared secret between the nodes */
+	struct sockaddr_in seeds[16];	   /* peers to join through */
+	uint32_t seed_count;
+	int64_t answer_ttl_us; /* entry addresses may be kept this
+					     * long; default 30 s */
+};
+
+/**
+ * Loads the settings of a daemon.
+ * @param path   file name
+ * @param out    out: the settings
+ * @param error  out: place and reason, owned by the caller; NULL if none
+ * @return 0, FS_E_NOT_FOUND or FS_E_INVALID
+ */
+int set_load(const char *path, struct set *out, char **error);
+
+/** Parses "ip:port". @return 0 or FS_E_INVALID */
+int set_parse_address(const char *text, struct sockaddr_in *out);
+
+/** Writes "ip:port" into @p out, FS_ADDRESS_MAX bytes. */
+void set_format_address(const struct sockaddr_in *address, char *out);
+
+#endif
