--- a/src/msg.h
+++ b/src/msg.h
@@ -45,6 +45,21 @@
 	MSG_LINK_DOWN, /* the link to a node broke or fell silent */
 };
 
+/** Tasks that take messages. */
+enum msg_task {
+	MSG_TASK_ENTRY = 1,
+	MSG_TASK_DISPATCH,
+	MSG_TASK_PROBE,
+	MSG_TASK_EJECT,
+	MSG_TASK_CONFIG,
+	MSG_TASK_MEMBERS,
+	MSG_TASK_PLATFORM,
+	MSG_TASK_OPERATOR,
+	MSG_TASK_LINK,
+	MSG_TASK_NODE, /* the daemon itself */
+	MSG_TASK_COUNT,
+};
+
 /** A header field of a request or an answer. */
 struct msg_header {
 	char *name;
@@ -195,19 +210,9 @@
 	node_id node;
 };
 
-/** Tasks that take messages. */
-enum msg_task {
-	MSG_TASK_ENTRY = 1,
-	MSG_TASK_DISPATCH,
-	MSG_TASK_PROBE,
-	MSG_TASK_EJECT,
-	MSG_TASK_CONFIG,
-	MSG_TASK_MEMBERS,
-	MSG_TASK_PLATFORM,
-	MSG_TASK_OPERATOR,
-	MSG_TASK_LINK,
-	MSG_TASK_NODE, /* the daemon itself */
-	MSG_TASK_COUNT,
+/** MSG_STOPPED. */
+struct msg_stopped {
+	enum msg_task task; /* that has nothing left in flight */
 };
 
 /** One message. */
@@ -234,6 +239,7 @@
 		struct msg_eject_ask eject_ask;
 		struct msg_record record;
 		struct msg_link_down link_down;
+		struct msg_stopped stopped;
 	};
 };
 
