Add the status parts and the stop flag that node.h speaks of

Change: the members are there. Ruled out: nothing else was missing.

Conclusion: build before each commit, headers included.

--- a/src/node.h
+++ b/src/node.h
@@ -34,6 +34,11 @@
 	struct ctr *ctr;
 	struct aud *aud;
 	struct plt *platform;
+	struct brn *brn;
+	struct node_status status[NODE_STATUS_MAX];
+	uint32_t status_count;
+	bool ready;		   /* a configuration is in force */
+	bool stopping;		   /* a planned stop has begun */
 	struct sockaddr_in caller; /* bound addresses */
 	struct sockaddr_in peer;
 	struct sockaddr_in operator;
