--- /dev/null
+++ b/src/rte.c
@@ -0,0 +1,90 @@
+#include "rte.h"
+
+#include <string.h>
+
+uint32_t rte_method(const char *method)
+{
+	static const struct {
+		const char *name;
+		uint32_t bit;
+	} methods[] = {
+		{"GET", CFG_GET},	  {"HEAD", CFG_HEAD},
+		{"POST", CFG_POST},	  {"PUT", CFG_PUT},
+		{"PATCH", CFG_PATCH},	  {"DELETE", CFG_DELETE},
+		{"OPTIONS", CFG_OPTIONS},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(methods); i++) {
+		if (!strcmp(methods[i].name, method))
+			return methods[i].bit;
+	}
+	return 0;
+}
+
+bool rte_path_match(const char *prefix, const char *path)
+{
+	size_t size = strlen(prefix);
+
+	if (strncmp(prefix, path, size) != 0)
+		return false;
+	return size == 0 || prefix[size - 1] == '/' || path[size] == '\0' ||
+	       path[size] == '/';
+}
+
+/* Returns 2 for the exact host, 1 for any host, 0 for no match. */
+static int host_rank(const char *pattern, const char *host)
+{
+	size_t size = strcspn(host, ":");
+
+	if (!strcmp(pattern, "*"))
+		return 1;
+	return strlen(pattern) == size &&
+			       !g_ascii_strncasecmp(pattern, host, size) ?
+		       2 :
+		       0;
+}
+
+/** The best match so far. */
+struct best {
+	handle route;
+	int host;
+	size_t path;
+};
+
+static void consider(const struct cfg *cfg, handle i, const char *host,
+		     const char *path, struct best *best)
+{
+	const struct cfg_route *route = &cfg->routes[i];
+	int rank = host_rank(route->host, host);
+	size_t size = strlen(route->path);
+
+	if (!rank || !rte_path_match(route->path, path))
+		return;
+	if (best->route == FS_NONE || rank > best->host ||
+	    (rank == best->host && size > best->path))
+		*best = (struct best){i, rank, size};
+}
+
+int rte_find(const struct cfg *cfg, const char *host, const char *path,
+	     uint32_t method, handle *route)
+{
+	struct best any = {.route = FS_NONE};
+	struct best fit = {.route = FS_NONE};
+
+	for (handle i = 0; i < cfg->route_count; i++) {
+		consider(cfg, i, host, path, &any);
+		if (cfg->routes[i].methods & method)
+			consider(cfg, i, host, path, &fit);
+	}
+	*route = fit.route;
+	if (any.route == FS_NONE)
+		return FS_E_NO_ROUTE;
+	/* A longer prefix or an exact host takes the request also when it
+	 * refuses its method: the shorter one has other rules. */
+	if (fit.route == FS_NONE || fit.host != any.host ||
+	    fit.path != any.path) {
+		*route = FS_NONE;
+		return FS_E_METHOD;
+	}
+	return 0;
+}
