--- a/src/msg_codec.h
+++ b/src/msg_codec.h
@@ -37,6 +37,37 @@
 /** Returns the reader of a type, or NULL. */
 msg_read_fn msg_reader_of(enum msg_type type);
 
+/* Members, one function for each kind. */
+void msg_put_u64(struct msg_writer *w, uint64_t value);
+void msg_put_i64(struct msg_writer *w, int64_t value);
+void msg_put_bool(struct msg_writer *w, bool value);
+void msg_put_text(struct msg_writer *w, const char *text);
+void msg_put_text_or_nil(struct msg_writer *w, const char *text);
+void msg_put_bytes(struct msg_writer *w, GBytes *bytes);
+void msg_put_id(struct msg_writer *w, const struct req_id *id);
+void msg_put_load(struct msg_writer *w, const struct msg_load *load);
+void msg_put_headers(struct msg_writer *w, const GArray *headers);
+
+/* The same on the way in; results are owned by the caller and are zero or
+ * NULL once the reader is bad. */
+uint64_t msg_get_u64(struct msg_reader *r, uint64_t max);
+uint32_t msg_get_u32(struct msg_reader *r);
+int64_t msg_get_i64(struct msg_reader *r);
+bool msg_get_bool(struct msg_reader *r);
+char *msg_get_text(struct msg_reader *r);
+char *msg_get_text_or_nil(struct msg_reader *r);
+GBytes *msg_get_bytes(struct msg_reader *r);
+void msg_get_id(struct msg_reader *r, struct req_id *id);
+void msg_get_load(struct msg_reader *r, struct msg_load *load);
+GArray *msg_get_headers(struct msg_reader *r);
+enum fs_outcome msg_get_outcome(struct msg_reader *r);
+
+/** Enters an array whose count must be a multiple of @p step. */
+struct msg_reader msg_get_array(struct msg_reader *r, uint32_t step);
+
+/** Leaves an array: what is wrong or left inside makes @p r bad. */
+void msg_end_array(struct msg_reader *r, const struct msg_reader *inner);
+
 /**
  * Checks that @p data is one complete msgpack object whose containers hold no
  * more elements than the data has bytes, at most MSG_DEPTH_MAX deep. The
