Add thin health, audit, probe and eject tasks and the floor's record

All servers are fit and no record is read yet; the audit emits, keeps and parses records, and the floor's record has its places, hold and lapse.

--- a/src/aud.h
+++ b/src/aud.h
@@ -43,9 +43,10 @@
 struct aud_record {
 	enum aud_kind kind;
 	enum aud_rule rule;
-	uint64_t serial; /* set by aud_emit() */
-	int64_t wall_us; /* set by aud_emit() */
-	int64_t now_us;	 /* monotonic, as the rule saw it */
+	uint64_t incarnation; /* of the node; set by aud_emit() */
+	uint64_t serial;      /* from 1 without gaps; set by aud_emit() */
+	int64_t wall_us;      /* set by aud_emit() */
+	int64_t now_us;	      /* monotonic, as the rule saw it */
 	uint64_t config_version;
 	char service[FS_NAME_MAX];
 	char server[FS_NAME_MAX]; /* or empty */
@@ -72,6 +73,19 @@
 /** Logs the record and keeps it in the ring. */
 void aud_emit(struct aud *aud, struct aud_record *rec);
 
+/** Returns the number @p name of a record in @p out, or false. */
+bool aud_number_of(const struct aud_record *rec, const char *name,
+		   int64_t *out);
+
+/** Returns the stable word of a kind, such as "refusal". */
+const char *aud_kind_name(enum aud_kind kind);
+
+/** Returns the kind whose word is @p name, or AUD_KIND_COUNT. */
+enum aud_kind aud_kind_by_name(const char *name);
+
+/** Returns the kind that the records of a rule have. */
+enum aud_kind aud_rule_kind(enum aud_rule rule);
+
 /** Appends a record as one JSON object. */
 void aud_record_json(const struct aud_record *rec, GString *out);
 
--- a/src/hlt.h
+++ b/src/hlt.h
@@ -19,6 +19,7 @@
 
 #include "aud.h"
 #include "cfg.h"
+#include "flr.h"
 #include "fs_types.h"
 
 enum hlt_level {
@@ -88,6 +89,17 @@
 void hlt_set_ejected(struct hlt_shard *shard, uint32_t i, bool ejected,
 		     int64_t now_us);
 
+/**
+ * The service's record has come or lapsed (MSG_RECORD): ejects and gives back
+ * the shard's servers by it, keeps their numbers of ejections, and lapses by
+ * itself FS_RECORD_LAPSE_US after @p confirmed_us. Call it for every shard of
+ * the service; it takes the place of hlt_set_ejected().
+ * @param record  NULL: lapsed, nothing is ejected
+ */
+void hlt_set_record(struct hlt_shard *shard, const struct cfg *cfg,
+		    const struct flr_record *record, int64_t confirmed_us,
+		    int64_t now_us);
+
 /** Another failure domain reaches server @p i, or does not. */
 void hlt_set_path(struct hlt_shard *shard, uint32_t i, bool others_reach,
 		  int64_t now_us);
