--- a/src/cfg.h
+++ b/src/cfg.h
@@ -108,6 +108,10 @@
 	uint32_t server_count;
 	struct cfg_route *routes;
 	uint32_t route_count;
+	GStringChunk *strings;	   /* holds all names, addresses and paths */
+	GHashTable *service_index; /* name to handle + 1; NULL: none */
+	GHashTable *server_index;
+	GHashTable *route_index;
 };
 
 /** One finding of a check; a text with any is refused. */
--- /dev/null
+++ b/src/cfg_load.c
@@ -0,0 +1,77 @@
+#include <string.h>
+
+#include "cfg_build.h"
+
+static struct cfg *cfg_new(const char *text, uint64_t version)
+{
+	struct cfg *cfg = g_new0(struct cfg, 1);
+
+	cfg->refs = 1;
+	cfg->version = version;
+	cfg->text = g_strdup(text);
+	cfg->strings = g_string_chunk_new(4096);
+	cfg->service_index = g_hash_table_new(g_str_hash, g_str_equal);
+	cfg->server_index = g_hash_table_new(g_str_hash, g_str_equal);
+	cfg->route_index = g_hash_table_new(g_str_hash, g_str_equal);
+	return cfg;
+}
+
+static void build(struct cfg *cfg, const struct cfg_raw *raw,
+		  GPtrArray *problems)
+{
+	struct cfg_build b = {
+		.raw = raw,
+		.cfg = cfg,
+		.r.problems = problems,
+		.domains = g_hash_table_new(g_str_hash, g_str_equal),
+		.addresses = g_hash_table_new(g_str_hash, g_str_equal),
+	};
+
+	cfg_read_name(&b.r, "deployment", raw->deployment, FS_NAME_MAX);
+	cfg->deployment = cfg_build_keep(&b, raw->deployment);
+	if (!raw->failure_domains_count)
+		cfg_problem(&b.r, "failure_domains",
+			    "no failure domain; list at least one");
+	if (!raw->services_count)
+		cfg_problem(&b.r, "services", "no service; list at least one");
+	cfg_build_domains(&b);
+	cfg_build_services(&b);
+	cfg_build_dependencies(&b);
+	cfg_build_routes(&b);
+	g_hash_table_unref(b.domains);
+	g_hash_table_unref(b.addresses);
+}
+
+int cfg_load(const char *text, uint64_t version, GPtrArray **problems,
+	     struct cfg **out)
+{
+	struct cfg_reader top = {.problems = cfg_problems_new()};
+	size_t size = strlen(text);
+	g_autofree char *reason = NULL;
+	void *raw = NULL;
+
+	*problems = top.problems;
+	*out = NULL;
+	if (size > FS_CONFIG_MAX) {
+		cfg_problem(&top, NULL,
+			    "the text has %zu bytes; at most %d are allowed",
+			    size, FS_CONFIG_MAX);
+		return FS_E_CONFIG;
+	}
+	if (cfg_raw_load(text, size, &cfg_raw_schema, &raw, &reason)) {
+		cfg_problem(&top, NULL, "%s", reason);
+		return FS_E_CONFIG;
+	}
+	if (!raw) {
+		cfg_problem(&top, NULL, "the text is empty");
+		return FS_E_CONFIG;
+	}
+	*out = cfg_new(text, version);
+	build(*out, raw, top.problems);
+	cfg_raw_free(&cfg_raw_schema, raw);
+	if (!top.problems->len)
+		return 0;
+	cfg_unref(*out);
+	*out = NULL;
+	return FS_E_CONFIG;
+}
