--- a/src/cfg_build_route.c
+++ b/src/cfg_build_route.c
@@ -60,8 +60,7 @@
 		      G_N_ELEMENTS(repeats), &repeat);
 	to->repeatable = repeat;
 	to->tries = 1;
-	cfg_read_u32(&b->r, "tries", from->tries, 1, TRIES_MAX, "",
-		     &to->tries);
+	cfg_read_u32(&b->r, "tries", from->tries, 1, TRIES_MAX, "", &to->tries);
 	if (to->tries > 1 && !to->repeatable)
 		cfg_problem(&b->r, "tries",
 			    "%u tries of requests that are never repeated; "
--- a/src/cfg_build_server.c
+++ b/src/cfg_build_server.c
@@ -93,8 +93,8 @@
 	right = cfg_read_name(&b->r, "name", from->name, FS_NAME_MAX);
 	right &= cfg_read_address(&b->r, "address", from->address, &entry.ip,
 				  &entry.port);
-	right &= cfg_read_present(&b->r, "failure_domain",
-				  from->failure_domain);
+	right &=
+		cfg_read_present(&b->r, "failure_domain", from->failure_domain);
 	cfg_read_bool(&b->r, "leaving", from->leaving, &entry.leaving);
 	if (right)
 		add_server(b, service, &entry, "name");
--- a/src/cfg_raw.c
+++ b/src/cfg_raw.c
@@ -2,13 +2,13 @@
 
 #include "fs_err.h"
 
-#define TEXT(key, type)                                                        \
-	CYAML_FIELD_STRING_PTR(#key, CYAML_FLAG_OPTIONAL, type, key, 0,        \
+#define TEXT(key, type)                                                 \
+	CYAML_FIELD_STRING_PTR(#key, CYAML_FLAG_OPTIONAL, type, key, 0, \
 			       CYAML_UNLIMITED)
-#define LIST(key, type, entry)                                                 \
-	CYAML_FIELD_SEQUENCE(#key, CYAML_FLAG_OPTIONAL | CYAML_FLAG_POINTER,   \
+#define LIST(key, type, entry)                                               \
+	CYAML_FIELD_SEQUENCE(#key, CYAML_FLAG_OPTIONAL | CYAML_FLAG_POINTER, \
 			     type, key, entry, 0, CYAML_UNLIMITED)
-#define GROUP(key, type, fields)                                               \
+#define GROUP(key, type, fields) \
 	CYAML_FIELD_MAPPING_PTR(#key, CYAML_FLAG_OPTIONAL, type, key, fields)
 
 static const cyaml_schema_value_t text_entry = {
@@ -120,8 +120,8 @@
 	CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, struct cfg_raw, top_fields),
 };
 
-static void G_GNUC_PRINTF(3, 0)
-	keep_message(cyaml_log_t level, void *ctx, const char *fmt, va_list args)
+static void G_GNUC_PRINTF(3, 0) keep_message(cyaml_log_t level, void *ctx,
+					     const char *fmt, va_list args)
 {
 	GString *messages = ctx;
 
--- a/src/cfg_read.c
+++ b/src/cfg_read.c
@@ -1,6 +1,7 @@
 #include "cfg_read.h"
 
 #include <errno.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
--- /dev/null
+++ b/src/set.c
@@ -0,0 +1,189 @@
+#include "set.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "cfg_raw.h"
+#include "cfg_read.h"
+
+#define TTL_DEFAULT_MS 30000
+#define TTL_MIN_MS 1000
+#define TTL_MAX_MS 3600000
+#define FLEET_KEY_MIN 16 /* bytes */
+
+/** The file as libcyaml reads it; see set.h for the meaning. */
+struct set_raw {
+	char *name;
+	char *region;
+	char *failure_domain;
+	char *caller_listen;
+	char *peer_listen;
+	char *operator_listen;
+	char *peer_advertise;
+	char *platform;
+	char *fleet_key;
+	char **seeds;
+	unsigned int seeds_count;
+	char *answer_ttl_ms;
+};
+
+#define TEXT(key)                                                              \
+	CYAML_FIELD_STRING_PTR(#key, CYAML_FLAG_OPTIONAL, struct set_raw, key, \
+			       0, CYAML_UNLIMITED)
+
+static const cyaml_schema_value_t seed_entry = {
+	CYAML_VALUE_STRING(CYAML_FLAG_POINTER, char *, 0, CYAML_UNLIMITED),
+};
+
+static const cyaml_schema_field_t set_fields[] = {
+	TEXT(name),
+	TEXT(region),
+	TEXT(failure_domain),
+	TEXT(caller_listen),
+	TEXT(peer_listen),
+	TEXT(operator_listen),
+	TEXT(peer_advertise),
+	TEXT(platform),
+	TEXT(fleet_key),
+	CYAML_FIELD_SEQUENCE("seeds", CYAML_FLAG_OPTIONAL | CYAML_FLAG_POINTER,
+			     struct set_raw, seeds, &seed_entry, 0,
+			     CYAML_UNLIMITED),
+	TEXT(answer_ttl_ms),
+	CYAML_FIELD_END,
+};
+
+static const cyaml_schema_value_t set_schema = {
+	CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, struct set_raw, set_fields),
+};
+
+static void read_address(struct cfg_reader *r, const char *key,
+			 const char *text, struct sockaddr_in *out)
+{
+	if (set_parse_address(text, out))
+		cfg_problem(r, key,
+			    "\"%.64s\" is not an address: an IP number and a "
+			    "port, such as 10.0.0.1:7000",
+			    text);
+}
+
+static void read_names(struct cfg_reader *r, const struct set_raw *raw,
+		       struct set *out)
+{
+	if (cfg_read_name(r, "name", raw->name, FS_NAME_MAX))
+		g_strlcpy(out->name, raw->name, FS_NAME_MAX);
+	if (cfg_read_name(r, "region", raw->region, FS_DOMAIN_MAX))
+		g_strlcpy(out->region, raw->region, FS_DOMAIN_MAX);
+	if (cfg_read_name(r, "failure_domain", raw->failure_domain,
+			  FS_DOMAIN_MAX))
+		g_strlcpy(out->domain, raw->failure_domain, FS_DOMAIN_MAX);
+	if (!cfg_read_present(r, "fleet_key", raw->fleet_key))
+		return;
+	if (strlen(raw->fleet_key) < FLEET_KEY_MIN ||
+	    strlen(raw->fleet_key) >= sizeof(out->fleet_key))
+		cfg_problem(r, "fleet_key",
+			    "%zu bytes; it takes %d to %zu, the same on all "
+			    "nodes",
+			    strlen(raw->fleet_key), FLEET_KEY_MIN,
+			    sizeof(out->fleet_key) - 1);
+	else
+		g_strlcpy(out->fleet_key, raw->fleet_key,
+			  sizeof(out->fleet_key));
+}
+
+static void read_addresses(struct cfg_reader *r, const struct set_raw *raw,
+			   struct set *out)
+{
+	struct sockaddr_in platform;
+
+	if (cfg_read_present(r, "caller_listen", raw->caller_listen))
+		read_address(r, "caller_listen", raw->caller_listen,
+			     &out->caller_listen);
+	if (cfg_read_present(r, "peer_listen", raw->peer_listen))
+		read_address(r, "peer_listen", raw->peer_listen,
+			     &out->peer_listen);
+	if (cfg_read_present(r, "operator_listen", raw->operator_listen))
+		read_address(r, "operator_listen", raw->operator_listen,
+			     &out->operator_listen);
+	if (raw->peer_advertise)
+		read_address(r, "peer_advertise", raw->peer_advertise,
+			     &out->peer_advertise);
+	if (!cfg_read_present(r, "platform", raw->platform))
+		return;
+	read_address(r, "platform", raw->platform, &platform);
+	g_strlcpy(out->platform, raw->platform, sizeof(out->platform));
+}
+
+static void read_seeds(struct cfg_reader *r, const struct set_raw *raw,
+		       struct set *out)
+{
+	if (raw->seeds_count > G_N_ELEMENTS(out->seeds)) {
+		cfg_problem(r, "seeds", "%u seeds; at most %zu are allowed",
+			    raw->seeds_count, G_N_ELEMENTS(out->seeds));
+		return;
+	}
+	for (uint32_t i = 0; i < raw->seeds_count; i++) {
+		char key[32];
+
+		g_snprintf(key, sizeof(key), "seeds[%u]", i);
+		read_address(r, key, raw->seeds[i], &out->seeds[i]);
+	}
+	out->seed_count = raw->seeds_count;
+}
+
+static char *join_problems(const char *path, const GPtrArray *problems)
+{
+	GString *all = g_string_new(NULL);
+
+	for (guint i = 0; i < problems->len; i++) {
+		const struct cfg_problem *p = g_ptr_array_index(problems, i);
+
+		g_string_append_printf(all, "%s%s:%d: %s%s%s", i ? "\n" : "",
+				       path, p->line, p->path,
+				       *p->path ? ": " : "", p->text);
+	}
+	return g_string_free(all, FALSE);
+}
+
+static void read_all(struct cfg_reader *r, const char *text, size_t size,
+		     struct set *out)
+{
+	g_autofree char *reason = NULL;
+	struct set_raw *raw = NULL;
+
+	if (cfg_raw_load(text, size, &set_schema, (void **)&raw, &reason)) {
+		cfg_problem(r, NULL, "%s", reason);
+		return;
+	}
+	if (!raw) {
+		cfg_problem(r, NULL, "the file is empty");
+		return;
+	}
+	read_names(r, raw, out);
+	read_addresses(r, raw, out);
+	read_seeds(r, raw, out);
+	out->answer_ttl_us = TTL_DEFAULT_MS * FS_US_PER_MS;
+	cfg_read_ms(r, "answer_ttl_ms", raw->answer_ttl_ms, TTL_MIN_MS,
+		    TTL_MAX_MS, &out->answer_ttl_us);
+	cfg_raw_free(&set_schema, raw);
+}
+
+int set_load(const char *path, struct set *out, char **error)
+{
+	g_autoptr(GPtrArray) problems = cfg_problems_new();
+	struct cfg_reader r = {.problems = problems};
+	g_autoptr(GError) failed = NULL;
+	g_autofree char *text = NULL;
+	gsize size;
+
+	memset(out, 0, sizeof(*out));
+	*error = NULL;
+	if (!g_file_get_contents(path, &text, &size, &failed)) {
+		*error = g_strdup(failed->message);
+		return FS_E_NOT_FOUND;
+	}
+	read_all(&r, text, size, out);
+	if (!problems->len)
+		return 0;
+	*error = join_problems(path, problems);
+	return FS_E_INVALID;
+}
