--- /dev/null
+++ b/src/mem_table.h
@@ -0,0 +1,66 @@
+/**
+ * @file mem_table.h
+ * @brief Table of all members that a node knows, the dead ones included.
+ *
+ * A present member is one that is not dead.
+ *
+ * Limits: FS_NODES_MAX members; the longest dead make room for new ones.
+ */
+#ifndef MEM_TABLE_H
+#define MEM_TABLE_H
+
+#include "mem_wire.h"
+
+/** One member and what the protocol keeps of it. */
+struct mem_node {
+	struct mem_member m;
+	uint32_t refutation;
+	uint32_t sends_left; /* datagrams that still carry its update */
+	bool send_full;	     /* the update is sent in full */
+	int64_t suspect_until_us;
+	int64_t died_us;
+	uint32_t direct_failures; /* own pings in a row without an answer */
+	bool recheck;		  /* to be pinged again soon */
+	bool recontact;		  /* dead, but another node holds it alive */
+};
+
+struct mem_table {
+	GHashTable *by_id; /* node_id to struct mem_node, owned */
+	GPtrArray *nodes;  /* struct mem_node, in a stable order */
+	uint64_t digest;   /* of the present members */
+	bool digest_stale;
+	uint32_t present;
+	uint32_t suspects;
+	uint32_t recontacts;
+};
+
+void mem_table_init(struct mem_table *table);
+void mem_table_clear(struct mem_table *table);
+
+struct mem_node *mem_table_find(const struct mem_table *table, node_id id);
+
+/** Adds a member. @return NULL if the table is full */
+struct mem_node *mem_table_add(struct mem_table *table,
+			       const struct mem_member *member);
+
+void mem_table_remove(struct mem_table *table, struct mem_node *node);
+
+/** Counts anew what the table holds; after any change of a state. */
+void mem_table_recount(struct mem_table *table);
+
+/** Returns the digest of the present members and their incarnations. */
+uint64_t mem_table_digest(struct mem_table *table);
+
+/** Returns what is known of a member as an update. */
+struct mem_update mem_node_update(const struct mem_node *node, bool full);
+
+static inline bool mem_node_present(const struct mem_node *node)
+{
+	return node->m.state != MEM_DEAD;
+}
+
+/** Makes a view of all members. */
+struct mem_view *mem_table_view(const struct mem_table *table, node_id self,
+				uint64_t serial);
+
+#endif
--- a/src/shd.h
+++ b/src/shd.h
@@ -14,6 +14,8 @@
 #include "cfg.h"
 #include "mem.h"
 
+#define SHD_RANKS_MAX 8 /* choices that shd_owner() knows */
+
 /** One shard; the table of all of them belongs to a configuration. */
 struct shd_shard {
 	handle service;
@@ -39,12 +41,16 @@
  * Returns the node that dispatches a shard.
  * @param shard  the shard
  * @param view   members; leaving, dead and suspect ones are passed over
- * @param rank   0 for the dispatcher, 1 for the second choice, and so on
+ * @param rank   0 for the dispatcher, 1 for the second choice, and so on,
+ *               below SHD_RANKS_MAX
  * @return the node, or 0 if there are not so many
  */
 node_id shd_owner(const struct shd_shard *shard, const struct mem_view *view,
 		  uint32_t rank);
 
+/** Returns the weight of a node for a key; the heaviest is the first choice. */
+uint64_t shd_weight(uint64_t key, node_id node);
+
 /** Returns the handle of a shard by service name, region and index. */
 handle shd_find(const struct shd_map *map, const struct cfg *cfg,
 		const char *service, const char *region, uint32_t index);
