--- a/src/crl.c
+++ b/src/crl.c
@@ -158,6 +158,11 @@
 	g_free(crl);
 }
 
+struct ev_loop *crl_loop(const struct crl *crl)
+{
+	return crl->loop;
+}
+
 int crl_start(struct crl *crl, CURL *easy, crl_done_fn done, void *arg)
 {
 	struct crl_transfer *t = g_new0(struct crl_transfer, 1);
--- a/src/crl.h
+++ b/src/crl.h
@@ -26,6 +26,9 @@
 struct crl *crl_new(struct ev_loop *loop, long connections);
 void crl_free(struct crl *crl);
 
+/** Returns the loop it runs on. */
+struct ev_loop *crl_loop(const struct crl *crl);
+
 /** Starts a transfer. @return 0 or FS_E_NO_MEMORY */
 int crl_start(struct crl *crl, CURL *easy, crl_done_fn done, void *arg);
 
--- /dev/null
+++ b/src/key.h
@@ -0,0 +1,83 @@
+/**
+ * @file key.h
+ * @brief Idempotency keys that a dispatcher has seen, per service.
+ *
+ * A key is taken when its request is admitted and stays in flight until the
+ * request ends. If it ended "not run" the key is free again; else it is spent
+ * for FS_KEY_WINDOW_US after it was taken. A second request with a key that is
+ * in flight or spent is refused without being run.
+ *
+ * What holds: two requests with the same key that reach the same dispatcher
+ * within the window never run both, also over a change of the configuration
+ * and over a planned stop or a change of owner that the old owner lives to
+ * tell (MSG_HANDOVER). Entries send all requests of one key to one shard.
+ *
+ * What does not hold yet: the table lives in memory. When a dispatcher is lost
+ * without a planned stop, the keys it had are lost, and a second request with
+ * one of them may run at the next owner. The same is true between a change of
+ * owner and the arrival of the hand-over, while two nodes believe that they
+ * own the shard, and after a change of a service's servers that changes the
+ * number of its shards. A key that was handed over in flight and then ended
+ * "not run" stays refused until the window has passed.
+ *
+ * Limits: FS_KEYS_MAX keys. When the table is full, requests with a new key
+ * are refused; a key is never forgotten before its window has passed.
+ */
+#ifndef KEY_H
+#define KEY_H
+
+#include "fs_err.h"
+#include "fs_types.h"
+
+struct key_table;
+
+/** One key, as key_each() shows it. */
+struct key_entry {
+	const char *service;
+	const char *key;
+	uint32_t shard;
+	bool in_flight;
+	bool local; /* its request is this node's: its end will be told */
+	int64_t taken_us;
+};
+
+typedef void (*key_each_fn)(void *arg, const struct key_entry *entry);
+
+/** Makes a table. @param max  keys at most */
+struct key_table *key_table_new(uint32_t max);
+void key_table_free(struct key_table *table);
+
+/**
+ * Returns whether a request with this key may run.
+ * @return 0, FS_E_KEY_IN_FLIGHT, FS_E_KEY_SPENT, or FS_E_NO_MEMORY if the
+ *         table is full
+ */
+int key_check(struct key_table *table, const char *service, const char *key,
+	      int64_t now_us);
+
+/** Takes a key for a request. @return as key_check() */
+int key_begin(struct key_table *table, const char *service, const char *key,
+	      uint32_t shard, int64_t now_us);
+
+/** The request of a taken key ended. @param not_run  the key is free again */
+void key_end(struct key_table *table, const char *service, const char *key,
+	     bool not_run);
+
+/**
+ * Takes over a key from the former dispatcher of its shard. What is known
+ * here goes before it, but for a key in flight there that is spent now.
+ * @return 0 or FS_E_NO_MEMORY
+ */
+int key_merge(struct key_table *table, const struct key_entry *entry,
+	      int64_t now_us);
+
+/** Calls @p fn for all keys that are remembered. */
+void key_each(const struct key_table *table, key_each_fn fn, void *arg);
+
+/** Drops keys whose window has passed. */
+void key_expire(struct key_table *table, int64_t now_us);
+
+/** Returns how many keys are remembered. */
+uint32_t key_count(const struct key_table *table);
+
+#endif
--- /dev/null
+++ b/src/tgt.c
@@ -0,0 +1,283 @@
+#include "tgt_impl.h"
+
+#include <sys/socket.h>
+
+/* Tells the owner, once; the exchange may be freed by it. */
+static void end(struct tgt *tgt, int err)
+{
+	struct tgt_end e = {
+		.err = err,
+		.written = tgt->written > 0,
+		.headed = tgt->headed,
+	};
+	int64_t until = tgt->headed ? tgt->headed_us : fs_now_us();
+	long connects = 0;
+
+	curl_easy_getinfo(tgt->easy, CURLINFO_NUM_CONNECTS, &connects);
+	e.reused = e.written && connects == 0;
+	e.took_us = until - tgt->started_us;
+	tgt->ended = true;
+	ev_timer_stop(crl_loop(tgt->crl), &tgt->timer);
+	tgt->ops->done(tgt->arg, tgt, &e);
+}
+
+/* Bytes behind the end of an answer show that it was longer than it said. */
+static bool has_surplus(struct tgt *tgt)
+{
+	curl_socket_t fd = CURL_SOCKET_BAD;
+	char byte;
+
+	if (!tgt->chunked && tgt->raw > tgt->received)
+		return true;
+	curl_easy_getinfo(tgt->easy, CURLINFO_ACTIVESOCKET, &fd);
+	return fd != CURL_SOCKET_BAD &&
+	       recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+static int check_whole(struct tgt *tgt)
+{
+	if (tgt->invalid || !tgt->headed)
+		return FS_E_ANSWER_INVALID;
+	if (tgt_has_body(tgt) && !tgt->chunked && tgt->received < tgt->length)
+		return FS_E_TRUNCATED;
+	return has_surplus(tgt) ? FS_E_ANSWER_INVALID : 0;
+}
+
+static int error_of(const struct tgt *tgt, CURLcode code)
+{
+	if (!tgt->written)
+		return tgt->late ? FS_E_DEADLINE : FS_E_CONNECT;
+	if (tgt->invalid)
+		return FS_E_ANSWER_INVALID;
+	switch (code) {
+	case CURLE_PARTIAL_FILE:
+		return FS_E_TRUNCATED;
+	case CURLE_WEIRD_SERVER_REPLY:
+	case CURLE_UNSUPPORTED_PROTOCOL:
+	case CURLE_BAD_CONTENT_ENCODING:
+		return FS_E_ANSWER_INVALID;
+	case CURLE_OPERATION_TIMEDOUT:
+		return FS_E_DEADLINE;
+	default:
+		return tgt->headed ? FS_E_TRUNCATED : FS_E_TARGET_RESET;
+	}
+}
+
+static void on_done(void *arg, CURL *easy, CURLcode code)
+{
+	struct tgt *tgt = arg;
+
+	(void)easy;
+	end(tgt, code == CURLE_OK ? check_whole(tgt) : error_of(tgt, code));
+}
+
+/* The last moment before the request is written. */
+static int on_write(void *arg, char *ip, char *local_ip, int port,
+		    int local_port)
+{
+	struct tgt *tgt = arg;
+
+	(void)ip;
+	(void)local_ip;
+	(void)port;
+	(void)local_port;
+	if (tgt->written)
+		return CURL_PREREQFUNC_ABORT;
+	if (fs_now_us() >= tgt->deadline_us) {
+		tgt->late = true;
+		return CURL_PREREQFUNC_ABORT;
+	}
+	tgt->written++;
+	return CURL_PREREQFUNC_OK;
+}
+
+static size_t on_body(char *data, size_t size, size_t n, void *arg)
+{
+	struct tgt *tgt = arg;
+	size_t bytes = size * n;
+
+	if (tgt->begun && tgt->buffer->len + bytes > FS_ANSWER_WINDOW) {
+		tgt->paused = true;
+		return CURL_WRITEFUNC_PAUSE;
+	}
+	tgt->received += (int64_t)bytes;
+	g_byte_array_append(tgt->buffer, (const guint8 *)data, (guint)bytes);
+	if (tgt->begun) {
+		tgt->ops->more(tgt->arg, tgt);
+	} else if (tgt->buffer->len > FS_ANSWER_WHOLE_MAX) {
+		tgt->begun = true;
+		tgt->ops->begun(tgt->arg, tgt);
+	}
+	return bytes;
+}
+
+/* Counts every byte behind the header fields, also those libcurl drops. */
+static int on_debug(CURL *easy, curl_infotype type, char *data, size_t size,
+		    void *arg)
+{
+	struct tgt *tgt = arg;
+
+	(void)easy;
+	(void)data;
+	if (type == CURLINFO_DATA_IN)
+		tgt->raw += (int64_t)size;
+	return 0;
+}
+
+/* One timer serves both limits: the header fields, then the deadline. */
+static void set_timer(struct tgt *tgt, int64_t now_us)
+{
+	struct ev_loop *loop = crl_loop(tgt->crl);
+	int64_t until = tgt->headed ? tgt->deadline_us :
+				      MIN(tgt->head_us, tgt->deadline_us);
+
+	ev_timer_stop(loop, &tgt->timer);
+	ev_timer_set(&tgt->timer, (double)MAX(until - now_us, 0) / 1e6, 0.0);
+	ev_timer_start(loop, &tgt->timer);
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct tgt *tgt = timer->data;
+	int64_t now_us = fs_now_us();
+
+	(void)loop;
+	(void)events;
+	if (now_us < tgt->deadline_us &&
+	    (tgt->headed || now_us < tgt->head_us)) {
+		set_timer(tgt, now_us);
+		return;
+	}
+	crl_stop(tgt->crl, tgt->easy);
+	end(tgt, tgt->written || now_us >= tgt->deadline_us ? FS_E_DEADLINE :
+							      FS_E_CONNECT);
+}
+
+static void set_options(struct tgt *tgt, const struct tgt_request *request,
+			int64_t now_us)
+{
+	CURL *easy = tgt->easy;
+	int64_t left_us = request->deadline_us - now_us;
+	int64_t connect_us = MIN(TGT_CONNECT_MAX_US, left_us / 2);
+	bool fresh = !request->repeatable || request->fresh;
+
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+			 (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
+	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
+	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE,
+			 request->repeatable ? 0L : 1L);
+	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, (long)FS_POOL_IDLE_AGE_S);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)MAX(connect_us / FS_US_PER_MS, 1));
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_write);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, tgt);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, tgt_read_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, tgt);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, tgt);
+	curl_easy_setopt(easy, CURLOPT_DEBUGFUNCTION, on_debug);
+	curl_easy_setopt(easy, CURLOPT_DEBUGDATA, tgt);
+	curl_easy_setopt(easy, CURLOPT_VERBOSE, 1L);
+}
+
+struct tgt *tgt_start(struct crl *crl, const struct tgt_request *request,
+		      const struct tgt_ops *ops, void *arg, int64_t now_us)
+{
+	struct tgt *tgt = g_new0(struct tgt, 1);
+
+	tgt->crl = crl;
+	tgt->easy = curl_easy_init();
+	tgt->id = g_strdup(request->id);
+	tgt->ops = ops;
+	tgt->arg = arg;
+	tgt->started_us = now_us;
+	tgt->deadline_us = request->deadline_us;
+	tgt->head_us = request->head_us;
+	tgt->length = -1;
+	tgt->headers = msg_headers_new();
+	tgt->buffer = g_byte_array_new();
+	ev_init(&tgt->timer, on_timer);
+	tgt->timer.data = tgt;
+	set_options(tgt, request, now_us);
+	tgt_write_request(tgt, request, now_us);
+	if (crl_start(crl, tgt->easy, on_done, tgt)) {
+		tgt->ended = true;
+		tgt_free(tgt);
+		return NULL;
+	}
+	set_timer(tgt, now_us);
+	return tgt;
+}
+
+bool tgt_free(struct tgt *tgt)
+{
+	bool written = tgt->written > 0;
+
+	if (!tgt->ended)
+		crl_stop(tgt->crl, tgt->easy);
+	ev_timer_stop(crl_loop(tgt->crl), &tgt->timer);
+	curl_easy_cleanup(tgt->easy);
+	curl_slist_free_all(tgt->fields);
+	g_clear_pointer(&tgt->headers, g_array_unref);
+	g_byte_array_unref(tgt->buffer);
+	g_bytes_unref(tgt->body);
+	g_free(tgt->id);
+	g_free(tgt);
+	return written;
+}
+
+bool tgt_written(const struct tgt *tgt)
+{
+	return tgt->written > 0;
+}
+
+uint32_t tgt_status(const struct tgt *tgt)
+{
+	return tgt->status;
+}
+
+GArray *tgt_take_headers(struct tgt *tgt)
+{
+	GArray *headers = tgt->headers;
+
+	tgt->headers = msg_headers_new();
+	return headers;
+}
+
+bool tgt_draining(const struct tgt *tgt)
+{
+	return tgt->draining;
+}
+
+int64_t tgt_length(const struct tgt *tgt)
+{
+	return tgt->length;
+}
+
+GBytes *tgt_take(struct tgt *tgt, size_t max)
+{
+	guint n = (guint)MIN(max, tgt->buffer->len);
+	GBytes *bytes = g_bytes_new(tgt->buffer->data, n);
+
+	if (n)
+		g_byte_array_remove_range(tgt->buffer, 0, n);
+	return bytes;
+}
+
+size_t tgt_waiting(const struct tgt *tgt)
+{
+	return tgt->buffer->len;
+}
+
+void tgt_resume(struct tgt *tgt)
+{
+	if (tgt->ended || !tgt->paused)
+		return;
+	tgt->paused = false;
+	curl_easy_pause(tgt->easy, CURLPAUSE_CONT);
+	crl_kick(tgt->crl);
+}
--- /dev/null
+++ b/src/tgt.h
@@ -0,0 +1,106 @@
+/**
+ * @file tgt.h
+ * @brief One exchange with a target: a request written once, its answer read.
+ *
+ * An exchange writes its request at most once, to one connection. libcurl
+ * sends a request again by itself when a kept connection closes under it; two
+ * guards prevent that, and each is enough alone: a request that may not be
+ * repeated always opens its own connection, which no other request uses, and
+ * CURLOPT_PREREQFUNCTION aborts the second writing of any request.
+ *
+ * The answer is taken as whole only if its end can be told from a cut: by
+ * Content-Length, by chunks, or because it has no body. A body that ends with
+ * its connection, is short, or is followed by more bytes is an error, and so
+ * is an answer that names another request in Fescuesaddle-Request.
+ *
+ * Limits: an answer's header fields as in TGT_HEADERS_MAX and
+ * TGT_HEADER_BYTES_MAX. A body is buffered up to FS_ANSWER_WHOLE_MAX; a longer
+ * one is streamed, with at most FS_ANSWER_WINDOW bytes waiting here.
+ */
+#ifndef TGT_H
+#define TGT_H
+
+#include "crl.h"
+#include "msg.h"
+
+#define TGT_HEADERS_MAX 128		 /* header fields of an answer */
+#define TGT_HEADER_BYTES_MAX (64 * 1024) /* bytes of all of them */
+#define TGT_CONNECT_MAX_US 1000000LL	 /* longest time to connect */
+#define TGT_POOL_CONNECTIONS 512	 /* kept idle at most */
+
+struct tgt;
+
+/** How an exchange ended. */
+struct tgt_end {
+	int err;	 /* 0: a whole answer; FS_E_CONNECT, FS_E_DEADLINE,
+			  * FS_E_TARGET_RESET, FS_E_TRUNCATED or
+			  * FS_E_ANSWER_INVALID */
+	bool written;	 /* a byte of the request may have reached the target */
+	bool reused;	 /* the connection came from the pool */
+	bool headed;	 /* the header fields of an answer were read */
+	int64_t took_us; /* until the header fields, or until the end */
+};
+
+/** What the owner of an exchange is told; never from inside tgt_start(). */
+struct tgt_ops {
+	/** The body is too long to be buffered: its first part is here. */
+	void (*begun)(void *arg, struct tgt *tgt);
+	/** After begun(): there are bytes to take. */
+	void (*more)(void *arg, struct tgt *tgt);
+	/** The end, told once; not after tgt_free(). */
+	void (*done)(void *arg, struct tgt *tgt, const struct tgt_end *end);
+};
+
+/** What an exchange is started with; all of it is copied or referenced. */
+struct tgt_request {
+	const char *address;	     /* "ip:port" of the target */
+	const struct msg_request *m; /* method, header fields, body */
+	const char *id;		     /* the request id as text */
+	bool repeatable;	     /* pooled connections may be used */
+	bool fresh;		     /* use no pooled connection all the same */
+	int64_t deadline_us;	     /* when the whole answer must be here */
+	int64_t head_us;	     /* when its header fields must be here */
+};
+
+/** Returns whether a request can be written as it is: no control bytes. */
+bool tgt_request_valid(const struct msg_request *m);
+
+/**
+ * Starts an exchange.
+ * @return NULL if libcurl has no room; nothing was written then
+ */
+struct tgt *tgt_start(struct crl *crl, const struct tgt_request *request,
+		      const struct tgt_ops *ops, void *arg, int64_t now_us);
+
+/**
+ * Stops an exchange that has not ended, and frees it. The connection is
+ * closed, which cancels the request at the target.
+ * @return whether a byte of the request may have reached the target
+ */
+bool tgt_free(struct tgt *tgt);
+
+/** Returns whether a byte of the request may have reached the target. */
+bool tgt_written(const struct tgt *tgt);
+
+/** Returns the status of the answer. */
+uint32_t tgt_status(const struct tgt *tgt);
+
+/** Takes the header fields, hop-by-hop ones removed. */
+GArray *tgt_take_headers(struct tgt *tgt);
+
+/** Returns whether the answer says that the target is leaving. */
+bool tgt_draining(const struct tgt *tgt);
+
+/** Returns the length of the whole body, or -1 if it was not told. */
+int64_t tgt_length(const struct tgt *tgt);
+
+/** Takes up to @p max bytes of the body. */
+GBytes *tgt_take(struct tgt *tgt, size_t max);
+
+/** Returns how many bytes can be taken. */
+size_t tgt_waiting(const struct tgt *tgt);
+
+/** Reads on after bytes were taken; not from inside the functions of ops. */
+void tgt_resume(struct tgt *tgt);
+
+#endif
--- /dev/null
+++ b/src/tgt_answer.c
@@ -0,0 +1,93 @@
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "tgt_impl.h"
+
+bool tgt_has_body(const struct tgt *tgt)
+{
+	return !tgt->no_body && tgt->status != 204 && tgt->status != 304;
+}
+
+/* Digits only: a list, a sign or two different lengths are refused. */
+static void read_length(struct tgt *tgt, const char *value)
+{
+	char *end;
+	int64_t length;
+
+	errno = 0;
+	length = g_ascii_strtoll(value, &end, 10);
+	if (!g_ascii_isdigit(*value) || *end || errno ||
+	    (tgt->length >= 0 && tgt->length != length))
+		tgt->invalid = true;
+	tgt->length = length;
+}
+
+static void read_field(struct tgt *tgt, const char *name, const char *value)
+{
+	if (!g_ascii_strcasecmp(name, "Content-Length"))
+		read_length(tgt, value);
+	else if (!g_ascii_strcasecmp(name, "Transfer-Encoding"))
+		tgt->chunked = true;
+	else if (!g_ascii_strcasecmp(name, "Draining"))
+		tgt->draining = !strcmp(value, "1");
+	else if (!g_ascii_strcasecmp(name, "Fescuesaddle-Request") &&
+		 strcmp(value, tgt->id))
+		tgt->invalid = true;
+	if (tgt_hop_by_hop(name))
+		return;
+	if (tgt->headers->len >= TGT_HEADERS_MAX)
+		tgt->invalid = true;
+	else
+		msg_headers_add(tgt->headers, name, value);
+}
+
+/* An informational answer may come before the final one. */
+static void begin_answer(struct tgt *tgt, const char *line)
+{
+	const char *space = strchr(line, ' ');
+
+	tgt->status = space ? (uint32_t)strtoul(space + 1, NULL, 10) : 0;
+	tgt->length = -1;
+	tgt->chunked = false;
+	g_array_set_size(tgt->headers, 0);
+}
+
+static void end_header(struct tgt *tgt)
+{
+	if (tgt->status >= 100 && tgt->status < 200)
+		return;
+	tgt->headed = true;
+	tgt->headed_us = fs_now_us();
+	if (tgt->chunked && tgt->length >= 0)
+		tgt->invalid = true;
+	if (tgt_has_body(tgt) && !tgt->chunked && tgt->length < 0)
+		tgt->invalid = true;
+}
+
+size_t tgt_read_header(char *data, size_t size, size_t n, void *arg)
+{
+	struct tgt *tgt = arg;
+	size_t bytes = size * n;
+	g_autofree char *line = g_strndup(data, bytes);
+	char *colon;
+
+	tgt->header_bytes += bytes;
+	if (tgt->header_bytes > TGT_HEADER_BYTES_MAX || strlen(line) != bytes)
+		tgt->invalid = true;
+	g_strchomp(line);
+	if (tgt->headed) /* trailer fields are dropped */
+		return tgt->invalid ? 0 : bytes;
+	colon = strchr(line, ':');
+	if (!strncmp(line, "HTTP/", 5)) {
+		begin_answer(tgt, line);
+	} else if (!*line) {
+		end_header(tgt);
+	} else if (colon) {
+		*colon = '\0';
+		read_field(tgt, line, g_strstrip(colon + 1));
+	} else {
+		tgt->invalid = true;
+	}
+	return tgt->invalid ? 0 : bytes;
+}
--- /dev/null
+++ b/src/tgt_impl.h
@@ -0,0 +1,58 @@
+/**
+ * @file tgt_impl.h
+ * @brief Parts of an exchange that the files of tgt share.
+ */
+#ifndef TGT_IMPL_H
+#define TGT_IMPL_H
+
+#include "tgt.h"
+
+struct tgt {
+	struct crl *crl;
+	CURL *easy;
+	struct curl_slist *fields;
+	GBytes *body;
+	char *id;
+	const struct tgt_ops *ops;
+	void *arg;
+	int64_t started_us;
+	int64_t deadline_us;
+	int64_t head_us;
+	ev_timer timer;
+	bool no_body; /* the method was HEAD */
+
+	uint32_t written; /* how often the request was to be written */
+	bool late;	  /* not written, since the deadline had passed */
+	bool ended;
+	bool begun;
+	bool paused;
+
+	/* The answer */
+	bool headed;
+	bool invalid;
+	bool chunked;
+	bool draining;
+	uint32_t status;
+	int64_t length; /* -1: not told */
+	int64_t headed_us;
+	size_t header_bytes;
+	GArray *headers;
+	GByteArray *buffer; /* body not taken yet */
+	int64_t received;   /* bytes of the body */
+	int64_t raw;	    /* bytes read after the header fields */
+};
+
+/** Sets up method, header fields and body of the request. */
+void tgt_write_request(struct tgt *tgt, const struct tgt_request *request,
+		       int64_t now_us);
+
+/** Takes one line of the answer's header; CURLOPT_HEADERFUNCTION. */
+size_t tgt_read_header(char *data, size_t size, size_t n, void *arg);
+
+/** Returns whether the answer has a body by its method and status. */
+bool tgt_has_body(const struct tgt *tgt);
+
+/** Returns whether a header field is for one connection only. */
+bool tgt_hop_by_hop(const char *name);
+
+#endif
