--- /dev/null
+++ b/src/dsp_judge.c
@@ -0,0 +1,78 @@
+#include "dsp_impl.h"
+
+static void ask(struct dsp_shard *shard, uint32_t i, enum hlt_action action,
+		enum aud_rule rule)
+{
+	struct dsp *dsp = shard->dsp;
+	struct msg *m = msg_new(MSG_EJECT_ASK, dsp->node->self, MSG_TASK_EJECT);
+
+	m->eject_ask.service = g_strdup(dsp_shard_service(shard)->name);
+	m->eject_ask.server = g_strdup(shard->servers[i]->name);
+	m->eject_ask.rule = g_strdup(aud_rule_name(rule));
+	m->eject_ask.give_back = action == HLT_ACT_ASK_RETURN;
+	bus_send(dsp->node->bus, m);
+}
+
+void dsp_judge_tick(struct dsp_shard *shard, int64_t now_us)
+{
+	enum hlt_action actions[FS_SHARD_SERVERS_MAX] = {HLT_ACT_NONE};
+	enum aud_rule rules[FS_SHARD_SERVERS_MAX];
+
+	hlt_tick(shard->hlt, shard->dsp->node->aud, now_us, actions, rules);
+	for (uint32_t i = 0; i < shard->count; i++) {
+		if (actions[i] != HLT_ACT_NONE)
+			ask(shard, i, actions[i], rules[i]);
+	}
+}
+
+static void apply(struct dsp_shard *shard, const struct msg_record *record,
+		  int64_t now_us)
+{
+	hlt_set_record(shard->hlt, shard->cfg, record->record,
+		       record->confirmed_us, now_us);
+}
+
+void dsp_judge_apply(struct dsp_shard *shard, int64_t now_us)
+{
+	const struct msg *m = g_hash_table_lookup(
+		shard->dsp->records, dsp_shard_service(shard)->name);
+
+	if (m)
+		apply(shard, &m->record, now_us);
+}
+
+/* Keeps the record for shard objects that are made later. */
+void dsp_judge_record(struct dsp *dsp, struct msg *m, int64_t now_us)
+{
+	struct msg *kept = msg_new(MSG_RECORD, m->to, m->task);
+	GHashTableIter iter;
+	struct dsp_shard *shard;
+
+	kept->record = m->record;
+	m->record.service = NULL;
+	m->record.record = NULL;
+	g_hash_table_replace(dsp->records, g_strdup(kept->record.service),
+			     kept);
+	g_hash_table_iter_init(&iter, dsp->shards);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&shard)) {
+		if (g_str_equal(dsp_shard_service(shard)->name,
+				kept->record.service))
+			apply(shard, &kept->record, now_us);
+	}
+}
+
+void dsp_judge_probe(struct dsp *dsp, const struct msg *m, int64_t now_us)
+{
+	GHashTableIter iter;
+	struct dsp_shard *shard;
+
+	g_hash_table_iter_init(&iter, dsp->shards);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&shard)) {
+		for (uint32_t i = 0; i < shard->count; i++) {
+			if (g_str_equal(shard->servers[i]->name,
+					m->probe_told.server))
+				hlt_probed(shard->hlt, i,
+					   m->probe_told.reachable, now_us);
+		}
+	}
+}
--- a/src/tgt.c
+++ b/src/tgt.c
@@ -2,6 +2,19 @@
 
 #include <sys/socket.h>
 
+bool tgt_written(const struct tgt *tgt)
+{
+	return tgt->written > 0;
+}
+
+bool tgt_reused(const struct tgt *tgt)
+{
+	long connects = 0;
+
+	curl_easy_getinfo(tgt->easy, CURLINFO_NUM_CONNECTS, &connects);
+	return tgt->written && connects == 0;
+}
+
 /* Tells the owner, once; the exchange may be freed by it. */
 static void end(struct tgt *tgt, int err)
 {
@@ -11,10 +24,8 @@
 		.headed = tgt->headed,
 	};
 	int64_t until = tgt->headed ? tgt->headed_us : fs_now_us();
-	long connects = 0;
 
-	curl_easy_getinfo(tgt->easy, CURLINFO_NUM_CONNECTS, &connects);
-	e.reused = e.written && connects == 0;
+	e.reused = tgt_reused(tgt);
 	e.took_us = until - tgt->started_us;
 	tgt->ended = true;
 	ev_timer_stop(crl_loop(tgt->crl), &tgt->timer);
@@ -143,6 +154,9 @@
 
 	(void)loop;
 	(void)events;
+	if (now_us < tgt->deadline_us && !tgt->headed &&
+	    now_us >= tgt->head_us && !tgt->ops->silent(tgt->arg, tgt))
+		tgt->head_us = tgt->deadline_us;
 	if (now_us < tgt->deadline_us &&
 	    (tgt->headed || now_us < tgt->head_us)) {
 		set_timer(tgt, now_us);
@@ -230,11 +244,6 @@
 	return written;
 }
 
-bool tgt_written(const struct tgt *tgt)
-{
-	return tgt->written > 0;
-}
-
 uint32_t tgt_status(const struct tgt *tgt)
 {
 	return tgt->status;
--- a/src/tgt.h
+++ b/src/tgt.h
@@ -47,6 +47,9 @@
 	void (*begun)(void *arg, struct tgt *tgt);
 	/** After begun(): there are bytes to take. */
 	void (*more)(void *arg, struct tgt *tgt);
+	/** The header fields did not come in time. @return whether to give
+	 *  the exchange up; else it goes on until its deadline */
+	bool (*silent)(void *arg, struct tgt *tgt);
 	/** The end, told once; not after tgt_free(). */
 	void (*done)(void *arg, struct tgt *tgt, const struct tgt_end *end);
 };
@@ -82,6 +85,9 @@
 /** Returns whether a byte of the request may have reached the target. */
 bool tgt_written(const struct tgt *tgt);
 
+/** Returns whether it runs on a connection that was kept from before. */
+bool tgt_reused(const struct tgt *tgt);
+
 /** Returns the status of the answer. */
 uint32_t tgt_status(const struct tgt *tgt);
 
