--- a/src/aud_rules.h
+++ b/src/aud_rules.h
@@ -33,6 +33,8 @@
 	  "written == 1 or cancel_confirmed == 0: it may have run")            \
 	X(AUD_R_CANCEL_CONFIRMED, "cancel_confirmed", AUD_REFUSAL,             \
 	  "the dispatcher confirmed that the request never left its queue")    \
+	X(AUD_R_NO_DISPATCHER, "no_dispatcher", AUD_REFUSAL,                   \
+	  "reachable == 0: no live dispatcher of the shard took it")           \
 	X(AUD_R_NOT_OWNER, "not_owner", AUD_REFUSAL,                           \
 	  "another live node dispatches the shard")                            \
 	X(AUD_R_SERVICE_LEAVING, "service_leaving", AUD_REFUSAL,               \
--- /dev/null
+++ b/src/ent_record.c
@@ -0,0 +1,50 @@
+#include "ent.h"
+
+static void begin(const struct ent_request *req, struct aud_record *rec,
+		  enum aud_kind kind, enum aud_rule rule, int64_t now_us)
+{
+	const struct cfg *cfg = req->cfg ? req->cfg : req->ent->cfg;
+
+	aud_begin(rec, kind, rule, cfg ? cfg->version : 0, now_us);
+	aud_request_text(&req->id, rec->request, sizeof(rec->request));
+	if (req->service == FS_NONE)
+		return;
+	g_strlcpy(rec->service, cfg->services[req->service].name, FS_NAME_MAX);
+	g_strlcpy(rec->route, cfg->routes[req->route].name, FS_NAME_MAX);
+}
+
+void ent_record_refusal(const struct ent_request *req, enum aud_rule rule,
+			int err, const char *name1, int64_t value1,
+			const char *name2, int64_t value2, int64_t now_us)
+{
+	struct aud_record rec;
+
+	begin(req, &rec, AUD_REFUSAL, rule, now_us);
+	g_strlcpy(rec.choice, fs_err_name(err), sizeof(rec.choice));
+	aud_add(&rec, "err", err);
+	if (name1)
+		aud_add(&rec, name1, value1);
+	if (name1 && name2)
+		aud_add(&rec, name2, value2);
+	aud_emit(req->ent->node->aud, &rec);
+}
+
+void ent_record_retry(const struct ent_request *req, bool allowed,
+		      const struct rty_numbers *n, int64_t now_us)
+{
+	struct aud_record rec;
+
+	begin(req, &rec, AUD_RETRY, allowed ? AUD_R_RETRY : AUD_R_NO_RETRY,
+	      now_us);
+	g_strlcpy(rec.choice, allowed ? "retry" : "no_retry",
+		  sizeof(rec.choice));
+	aud_add(&rec, "repeatable", n->repeatable);
+	aud_add(&rec, "written", n->written);
+	aud_add(&rec, "begun", n->begun);
+	aud_add(&rec, "tries", n->tries);
+	aud_add(&rec, "tries_max", n->tries_max);
+	aud_add(&rec, "budget_milli", n->budget_milli);
+	aud_add(&rec, "remaining_us", n->remaining_us);
+	aud_add(&rec, "usable", n->usable);
+	aud_emit(req->ent->node->aud, &rec);
+}
--- /dev/null
+++ b/src/ent_request.c
@@ -0,0 +1,137 @@
+#include <errno.h>
+#include <sys/socket.h>
+
+#include "ent.h"
+
+static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	ent_lost_time(timer->data, fs_now_us());
+}
+
+/* MHD does not look at the socket of a suspended connection. Bytes there are
+ * a next request; an end or an error means that the caller is gone. */
+static void on_gone(struct ev_loop *loop, ev_io *io, int events)
+{
+	char byte;
+	ssize_t got = recv(io->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	(void)events;
+	if (got < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	ev_io_stop(loop, io);
+	if (got <= 0)
+		ent_lost_caller(io->data);
+}
+
+struct ent_request *ent_request_new(struct ent *ent, const char *target,
+				    struct MHD_Connection *connection)
+{
+	struct ent_request *req = g_new0(struct ent_request, 1);
+
+	req->ent = ent;
+	req->connection = connection;
+	req->id.node = ent->node->self;
+	req->id.incarnation = ent->node->incarnation;
+	req->id.counter = ++ent->counter;
+	req->started_us = fs_now_us();
+	req->target = g_strdup(target);
+	req->body = g_byte_array_new();
+	req->route = req->service = req->shard = FS_NONE;
+	ev_init(&req->timer, on_timer);
+	req->timer.data = req;
+	ev_init(&req->gone, on_gone);
+	req->gone.data = req;
+	g_queue_init(&req->stream.pieces);
+	ent->open++;
+	return req;
+}
+
+void ent_request_free(struct ent_request *req)
+{
+	struct ent *ent = req->ent;
+
+	ent_request_end(req);
+	ev_io_stop(ent->node->loop, &req->gone);
+	ent->open--;
+	ent->body_bytes -= req->body->len;
+	g_byte_array_unref(req->body);
+	g_clear_pointer(&req->headers, g_array_unref);
+	g_clear_pointer(&req->response, MHD_destroy_response);
+	ent_stream_clear(&req->stream);
+	cfg_unref(req->cfg);
+	g_free(req->target);
+	g_free(req->path);
+	g_free(req->method);
+	g_free(req->server);
+	g_free(req);
+}
+
+void ent_request_suspend(struct ent_request *req)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		req->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	if (req->suspended)
+		return;
+	req->suspended = true;
+	MHD_suspend_connection(req->connection);
+	if (!info)
+		return;
+	ev_io_set(&req->gone, info->connect_fd, EV_READ);
+	ev_io_start(req->ent->node->loop, &req->gone);
+}
+
+void ent_request_resume(struct ent_request *req)
+{
+	if (!req->suspended)
+		return;
+	req->suspended = false;
+	ev_io_stop(req->ent->node->loop, &req->gone);
+	MHD_resume_connection(req->connection);
+	htd_kick(req->ent->htd);
+}
+
+void ent_request_timer(struct ent_request *req, int64_t after_us)
+{
+	struct ev_loop *loop = req->ent->node->loop;
+
+	ev_timer_stop(loop, &req->timer);
+	ev_timer_set(&req->timer, (double)MAX(after_us, 0) / FS_US_PER_S, 0.0);
+	ev_timer_start(loop, &req->timer);
+}
+
+void ent_request_note(struct ent_request *req, const char *cause,
+		      int64_t now_us)
+{
+	struct node *node = req->ent->node;
+	const struct cfg_service *service;
+	int64_t took_us = now_us - req->started_us;
+	g_autofree char *name = NULL;
+
+	if (req->noted || req->service == FS_NONE)
+		return;
+	req->noted = true;
+	service = &req->cfg->services[req->service];
+	if (!cause) {
+		name = g_strdup_printf("ent_answer{service=%s}", service->name);
+		ctr_observe(node->ctr, ctr_histogram(node->ctr, name), took_us);
+		if (!req->good)
+			cause = "server_error";
+		else if (took_us > service->objective_us)
+			cause = "slow";
+	}
+	brn_note(node->brn, service->name, !cause, cause, req->server,
+		 req->targets > 1, now_us);
+}
+
+void ent_request_end(struct ent_request *req)
+{
+	uint64_t counter = req->id.counter;
+
+	ev_timer_stop(req->ent->node->loop, &req->timer);
+	if (g_hash_table_lookup(req->ent->requests, &counter) == req)
+		g_hash_table_remove(req->ent->requests, &counter);
+	req->state = ENT_ENDED;
+}
--- a/src/htd.h
+++ b/src/htd.h
@@ -16,6 +16,10 @@
 struct htd_ops {
 	MHD_AccessHandlerCallback access;
 	MHD_RequestCompletedCallback completed; /* may be NULL */
+	/** Sees the request target as received, before all else, and makes the
+	 *  first value of the request's context; may be NULL. */
+	void *(*target)(void *arg, const char *target,
+			struct MHD_Connection *connection);
 };
 
 /** Limits of one interface. */
