--- a/tests/fleet_load.c
+++ b/tests/fleet_load.c
@@ -19,7 +19,6 @@
 	GArray *results;
 	unsigned int started;
 	unsigned int in_flight;
-	unsigned int address_count;
 	unsigned int weights;
 	int64_t start_us;
 	GRand *rand;
@@ -167,7 +166,9 @@
 	call->seed = fleet_body_seed(r->token);
 	call->url = g_strdup_printf(
 		"http://%s%s",
-		plan->addresses[load->started % load->address_count],
+		plan->addresses[load->started %
+				g_strv_length(
+					(char **)(uintptr_t)plan->addresses)],
 		kind->path);
 	bytes = g_strdup_printf("%zu", kind->bytes);
 	add_header(call, "X-Token", r->token);
@@ -218,7 +219,6 @@
 	load.results = g_array_new(FALSE, TRUE, sizeof(struct fleet_result));
 	load.rand = g_rand_new_with_seed(plan->seed);
 	g_snprintf(load.prefix, sizeof(load.prefix), "t%u", serial++);
-	load.address_count = g_strv_length((char **)(uintptr_t)plan->addresses);
 	for (unsigned int i = 0; i < plan->kind_count; i++)
 		load.weights += plan->kinds[i].weight;
 	load.start_us = fs_now_us();
--- a/tests/fleet_load.h
+++ b/tests/fleet_load.h
@@ -19,7 +19,7 @@
 
 /* What to run. */
 struct fleet_plan {
-	const char *const *addresses; /* of entries, NULL-ended */
+	const char *const *addresses; /* of entries, NULL-ended; may change */
 	const struct fleet_kind *kinds;
 	unsigned int kind_count;
 	unsigned int concurrency; /* requests in flight at most */
--- a/tests/fleet_scene.c
+++ b/tests/fleet_scene.c
@@ -82,15 +82,16 @@
 		act(scene->f, &scene->events[scene->next++]);
 }
 
-GArray *fleet_scene_run(struct fleet *f, struct fleet_plan *plan,
+GArray *fleet_scene_run(struct fleet *f, const struct fleet_plan *plan,
 			const struct fleet_event *events, unsigned int count)
 {
 	struct scene scene = {f, events, count, 0};
+	struct fleet_plan with_tick = *plan;
 	GArray *results;
 
-	plan->tick = on_tick;
-	plan->arg = &scene;
-	results = fleet_load_run(plan);
+	with_tick.tick = on_tick;
+	with_tick.arg = &scene;
+	results = fleet_load_run(&with_tick);
 	while (scene.next < scene.count)
 		act(f, &events[scene.next++]);
 	return results;
--- a/tests/fleet_scene.h
+++ b/tests/fleet_scene.h
@@ -49,8 +49,8 @@
 	unsigned int unrun_good;    /* good, but no target ran it: a fault */
 };
 
-/* Runs the plan with the events (in order of time); plan->tick is used. */
-GArray *fleet_scene_run(struct fleet *f, struct fleet_plan *plan,
+/* Runs the plan with the events (in order of time); plan->tick is replaced. */
+GArray *fleet_scene_run(struct fleet *f, const struct fleet_plan *plan,
 			const struct fleet_event *events, unsigned int count);
 
 /* Compares the results with the targets' own run logs. Kinds other than GET
