--- /dev/null
+++ b/src/msg_codec_out.c
@@ -0,0 +1,150 @@
+#include "msg_codec.h"
+
+static void write_request(struct msg_writer *w, const struct msg *m)
+{
+	const struct msg_request *request = &m->request;
+
+	msg_put_id(w, &request->id);
+	msg_put_u64(w, request->config_version);
+	msg_put_text(w, request->service);
+	msg_put_text(w, request->region);
+	msg_put_u64(w, request->shard);
+	msg_put_text(w, request->route);
+	msg_put_bool(w, request->forced);
+	msg_put_i64(w, request->remaining_us);
+	msg_put_text_or_nil(w, request->key);
+	msg_put_text(w, request->method);
+	msg_put_text(w, request->host);
+	msg_put_text(w, request->target);
+	msg_put_headers(w, request->headers);
+	msg_put_bytes(w, request->body);
+}
+
+static void write_cancel(struct msg_writer *w, const struct msg *m)
+{
+	msg_put_id(w, &m->cancel.id);
+}
+
+static void write_credit(struct msg_writer *w, const struct msg *m)
+{
+	msg_put_id(w, &m->credit.id);
+	msg_put_u64(w, m->credit.bytes);
+}
+
+static void write_answer(struct msg_writer *w, const struct msg *m)
+{
+	const struct msg_answer *answer = &m->answer;
+
+	msg_put_id(w, &answer->id);
+	msg_put_u64(w, answer->status);
+	msg_put_u64(w, answer->outcome);
+	msg_put_headers(w, answer->headers);
+	msg_put_i64(w, answer->length);
+	msg_put_bytes(w, answer->data);
+	msg_put_bool(w, answer->last);
+	msg_put_load(w, &answer->load);
+	msg_put_text(w, answer->server);
+	msg_put_u64(w, answer->tries);
+}
+
+static void write_piece(struct msg_writer *w, const struct msg *m)
+{
+	msg_put_id(w, &m->piece.id);
+	msg_put_u64(w, m->piece.offset);
+	msg_put_bytes(w, m->piece.data);
+	msg_put_bool(w, m->piece.last);
+}
+
+static void write_refusal(struct msg_writer *w, const struct msg *m)
+{
+	const struct msg_refusal *refusal = &m->refusal;
+
+	msg_put_id(w, &refusal->id);
+	msg_put_i64(w, refusal->err);
+	msg_put_u64(w, refusal->outcome);
+	msg_put_i64(w, refusal->retry_after_us);
+	msg_put_load(w, &refusal->load);
+	msg_put_u64(w, refusal->tries);
+}
+
+static void write_handover(struct msg_writer *w, const struct msg *m)
+{
+	const struct msg_handover *handover = &m->handover;
+
+	msg_put_text(w, handover->service);
+	msg_put_text(w, handover->region);
+	msg_put_u64(w, handover->shard);
+	msgpack_pack_array(&w->packer, (size_t)3 * handover->keys->len);
+	for (guint i = 0; i < handover->keys->len; i++) {
+		const struct msg_key *key =
+			&g_array_index(handover->keys, struct msg_key, i);
+
+		msg_put_text(w, key->key);
+		msg_put_bool(w, key->in_flight);
+		msg_put_i64(w, key->age_us);
+	}
+}
+
+static void write_probe_ask(struct msg_writer *w, const struct msg *m)
+{
+	msg_put_u64(w, m->probe_ask.serial);
+	msg_put_text(w, m->probe_ask.server);
+}
+
+static void write_probe_told(struct msg_writer *w, const struct msg *m)
+{
+	msg_put_u64(w, m->probe_told.serial);
+	msg_put_text(w, m->probe_told.server);
+	msg_put_bool(w, m->probe_told.reachable);
+	msg_put_i64(w, m->probe_told.took_us);
+}
+
+static void write_config_ask(struct msg_writer *w, const struct msg *m)
+{
+	msg_put_u64(w, m->config_ask.known);
+}
+
+static void write_config_text(struct msg_writer *w, const struct msg *m)
+{
+	msg_put_u64(w, m->config_text.version);
+	msg_put_text(w, m->config_text.text);
+}
+
+static void write_targets_leaving(struct msg_writer *w, const struct msg *m)
+{
+	const GPtrArray *servers = m->targets_leaving.servers;
+	guint count = servers ? servers->len : 0;
+
+	msgpack_pack_array(&w->packer, count);
+	for (guint i = 0; i < count; i++)
+		msg_put_text(w, g_ptr_array_index(servers, i));
+}
+
+/** Writer of one type. */
+struct writer_row {
+	uint32_t members;
+	msg_write_fn write;
+};
+
+static const struct writer_row rows[MSG_REMOTE_COUNT] = {
+	[MSG_REQUEST] = {14, write_request},
+	[MSG_CANCEL] = {1, write_cancel},
+	[MSG_CREDIT] = {2, write_credit},
+	[MSG_ANSWER] = {10, write_answer},
+	[MSG_PIECE] = {4, write_piece},
+	[MSG_REFUSAL] = {6, write_refusal},
+	[MSG_HANDOVER] = {4, write_handover},
+	[MSG_PROBE_ASK] = {2, write_probe_ask},
+	[MSG_PROBE_TOLD] = {4, write_probe_told},
+	[MSG_CONFIG_ASK] = {1, write_config_ask},
+	[MSG_CONFIG_TEXT] = {2, write_config_text},
+	[MSG_TARGETS_LEAVING] = {1, write_targets_leaving},
+};
+
+msg_write_fn msg_writer_of(enum msg_type type, uint32_t *members)
+{
+	if (type >= MSG_REMOTE_COUNT)
+		return NULL;
+	*members = rows[type].members;
+	return rows[type].write;
+}
