--- a/tests/fleet_http.h
+++ b/tests/fleet_http.h
@@ -25,8 +25,10 @@
 				const char *body, double seconds);
 void fleet_answer_free(struct fleet_answer *a);
 
-/* Gets a path and parses its JSON; NULL if there is none. */
+/* Gets a path and parses its JSON; NULL if there is none in time. */
 JsonNode *fleet_json(const char *address, const char *path);
+JsonNode *fleet_json_within(const char *address, const char *path,
+			    double seconds);
 
 /* Returns the value at a dotted path of members, such as "config.version". */
 gint64 fleet_json_int(JsonNode *root, const char *path, gint64 fallback);
--- a/tests/fleet_scene.c
+++ b/tests/fleet_scene.c
@@ -54,7 +54,7 @@
 	}
 }
 
-static void act(struct fleet *f, const struct fleet_event *e)
+void fleet_scene_act(struct fleet *f, const struct fleet_event *e)
 {
 	if (e->action == FLEET_PLATFORM_FAULT) {
 		fleet_platform_fault(f, e->text);
@@ -79,7 +79,7 @@
 
 	while (scene->next < scene->count &&
 	       scene->events[scene->next].at_s <= elapsed_s)
-		act(scene->f, &scene->events[scene->next++]);
+		fleet_scene_act(scene->f, &scene->events[scene->next++]);
 }
 
 GArray *fleet_scene_run(struct fleet *f, const struct fleet_plan *plan,
@@ -93,7 +93,7 @@
 	with_tick.arg = &scene;
 	results = fleet_load_run(&with_tick);
 	while (scene.next < scene.count)
-		act(f, &events[scene.next++]);
+		fleet_scene_act(f, &events[scene.next++]);
 	return results;
 }
 
--- a/tests/fleet_scene.h
+++ b/tests/fleet_scene.h
@@ -49,6 +49,9 @@
 	unsigned int unrun_good;    /* good, but no target ran it: a fault */
 };
 
+/* Does what one event says, now. */
+void fleet_scene_act(struct fleet *f, const struct fleet_event *e);
+
 /* Runs the plan with the events (in order of time); plan->tick is replaced. */
 GArray *fleet_scene_run(struct fleet *f, const struct fleet_plan *plan,
 			const struct fleet_event *events, unsigned int count);
