--- a/src/flr.c
+++ b/src/flr.c
@@ -81,16 +81,19 @@
 	return places;
 }
 
-/* How many entries stand before @p server in the order of ejections; those
- * that are leaving or gone from the text keep theirs, so that all nodes count
- * alike whichever text they have. */
-static int64_t place_of(const struct flr_record *record,
-			const struct flr_entry *entry)
+int64_t flr_place(const struct flr_record *record, const char *server)
 {
 	int64_t place = 0;
 
-	for (guint i = 0; entry_at(record, i) != entry; i++)
-		place += entry_at(record, i)->state != FLR_PAST;
+	for (guint i = 0; i < record->entries->len; i++) {
+		const struct flr_entry *entry = entry_at(record, i);
+
+		if (entry->state == FLR_PAST)
+			continue;
+		if (!strcmp(entry->server, server))
+			break;
+		place++;
+	}
 	return place;
 }
 
@@ -115,14 +118,13 @@
 {
 	struct flr_entry *entry = find(record, server);
 	bool has_place = entry && entry->state != FLR_PAST;
-	int64_t before = has_place ? place_of(record, entry) :
-				     flr_places(record);
 
 	if (counted_server(scope, server) == FS_NONE)
 		return FS_E_NOT_FOUND;
 	if (entry && entry->state == FLR_OUT)
 		return FS_E_CONFLICT;
-	if (!flr_room(flr_count(scope), before, flr_floor(scope)))
+	if (!flr_room(flr_count(scope), flr_place(record, server),
+		      flr_floor(scope)))
 		return FS_E_FLOOR;
 	if (!has_place) {
 		uint32_t ejections = entry ? entry->ejections : 0;
@@ -188,6 +190,6 @@
 	if (!entry || entry->state != FLR_OUT)
 		return false;
 	return counted_server(scope, server) != FS_NONE &&
-	       flr_room(flr_count(scope), place_of(record, entry),
+	       flr_room(flr_count(scope), flr_place(record, server),
 			flr_floor(scope));
 }
--- a/src/flr.h
+++ b/src/flr.h
@@ -100,6 +100,11 @@
 /** Returns how many entries have a place. */
 int64_t flr_places(const struct flr_record *record);
 
+/** Returns how many places stand before that of @p server; all of them if it
+ *  has none. Entries that have left the text keep theirs, so that all nodes
+ *  count alike whichever text they have. */
+int64_t flr_place(const struct flr_record *record, const char *server);
+
 /**
  * Ejects @p server: takes the next place, or its old one if it is returning.
  * @return 0; FS_E_NOT_FOUND if the text has no such server that is not
