Add the membership state machine

Cause: nodes need to know each other without the platform. Ruled out: declaring a member dead on own evidence alone (one-way cuts); gossiping deaths of old into a healed region (they would pass for new ones). Change: pings in shuffled rounds, indirect pings through other domains, suspicion and refutation, pushes of new updates, comparison of tables.

--- /dev/null
+++ b/src/mem_core.c
@@ -0,0 +1,301 @@
+#include "mem_core.h"
+
+#include <string.h>
+
+#include "mem_core_priv.h"
+
+#define PULL_MAX 60 /* members asked for in one datagram */
+#define CONTACTS_MAX FS_NODES_MAX
+
+/* splitmix64 */
+uint64_t mem_random(struct mem_core *core)
+{
+	uint64_t z = core->random += 0x9e3779b97f4a7c15ULL;
+
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+	z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+	return z ^ (z >> 31);
+}
+
+uint32_t mem_random_below(struct mem_core *core, uint32_t limit)
+{
+	return limit ? (uint32_t)(mem_random(core) % limit) : 0;
+}
+
+struct mem_node *mem_random_live(struct mem_core *core)
+{
+	guint n = core->table.nodes->len;
+	guint start = mem_random_below(core, n);
+
+	for (guint i = 0; i < n; i++) {
+		struct mem_node *node =
+			g_ptr_array_index(core->table.nodes, (start + i) % n);
+
+		if (node != core->self && (node->m.state == MEM_ALIVE ||
+					   node->m.state == MEM_LEAVING))
+			return node;
+	}
+	return NULL;
+}
+
+struct mem_core *mem_core_new(const struct mem_member *self, uint64_t seed,
+			      mem_send_fn send, void *arg)
+{
+	struct mem_core *core = g_new0(struct mem_core, 1);
+
+	mem_table_init(&core->table);
+	core->self = mem_table_add(&core->table, self);
+	core->self->m.state = MEM_ALIVE;
+	core->self->m.direct = true;
+	core->send = send;
+	core->send_arg = arg;
+	core->random = seed;
+	core->sequence = (uint32_t)mem_random(core);
+	core->ring = g_array_new(FALSE, FALSE, sizeof(node_id));
+	core->hot = g_ptr_array_new();
+	core->contacts = g_array_new(FALSE, FALSE, sizeof(struct sockaddr_in));
+	core->push_tokens = MEM_PUSH_BURST;
+	core->changed = true;
+	return core;
+}
+
+void mem_core_free(struct mem_core *core)
+{
+	if (!core)
+		return;
+	mem_table_clear(&core->table);
+	g_array_unref(core->ring);
+	g_ptr_array_unref(core->hot);
+	g_array_unref(core->contacts);
+	g_free(core);
+}
+
+static bool same_address(const struct sockaddr_in *a,
+			 const struct sockaddr_in *b)
+{
+	return a->sin_port == b->sin_port &&
+	       a->sin_addr.s_addr == b->sin_addr.s_addr;
+}
+
+static void add_contact(struct mem_core *core,
+			const struct sockaddr_in *address)
+{
+	if (same_address(address, &core->self->m.peer) ||
+	    core->contacts->len >= CONTACTS_MAX)
+		return;
+	for (guint i = 0; i < core->contacts->len; i++)
+		if (same_address(address,
+				 &g_array_index(core->contacts,
+						struct sockaddr_in, i)))
+			return;
+	g_array_append_val(core->contacts, *address);
+}
+
+void mem_core_add_seed(struct mem_core *core, const struct sockaddr_in *address)
+{
+	g_array_set_size(core->contacts, core->contact_seeds);
+	add_contact(core, address);
+	core->contact_seeds = core->contacts->len;
+}
+
+void mem_core_set_listed(struct mem_core *core,
+			 const struct sockaddr_in *addresses, uint32_t count)
+{
+	g_array_set_size(core->contacts, core->contact_seeds);
+	for (uint32_t i = 0; i < count; i++)
+		add_contact(core, &addresses[i]);
+}
+
+void mem_core_tick(struct mem_core *core, int64_t now_us)
+{
+	if (!core->ticked_us) {
+		core->heard_us = now_us;
+		core->push_refilled_us = now_us;
+		core->next_ping_us =
+			now_us + mem_random_below(core, FS_GOSSIP_PERIOD_US);
+	} else if (now_us - core->ticked_us > MEM_PAUSE_US) {
+		mem_check_restart(core, now_us);
+	}
+	core->ticked_us = now_us;
+	mem_check_tick(core, now_us);
+	mem_sync_tick(core, now_us);
+	if (core->leave_repeats) {
+		core->leave_repeats--;
+		mem_send_leaving(core);
+	}
+	mem_send_pushes(core, now_us);
+}
+
+static void send_ack(struct mem_core *core, const struct sockaddr_in *to,
+		     const struct mem_packet *packet)
+{
+	const struct mem_node *node =
+		mem_table_find(&core->table, packet->sender);
+	struct mem_packet ack;
+
+	mem_send_begin(core, &ack, MEM_ACK);
+	ack.sequence = packet->sequence;
+	ack.subject = core->self->m.id;
+	if (node &&
+	    (node->m.state == MEM_SUSPECT || node->m.state == MEM_DEAD)) {
+		struct mem_update update = mem_node_update(node, false);
+
+		g_array_append_val(ack.updates, update);
+	}
+	mem_send_end(core, &ack, to);
+}
+
+static void send_pull(struct mem_core *core, const struct sockaddr_in *to,
+		      const GArray *wanted)
+{
+	struct mem_packet packet;
+
+	if (!wanted->len)
+		return;
+	mem_send_begin(core, &packet, MEM_PULL);
+	g_array_append_vals(packet.updates, wanted->data,
+			    MIN(wanted->len, PULL_MAX));
+	mem_send_bare(core, &packet, to);
+}
+
+static void note_version(struct mem_core *core, const struct mem_packet *packet)
+{
+	struct mem_node *node = mem_table_find(&core->table, packet->sender);
+
+	if (!node || node->m.incarnation != packet->incarnation)
+		return;
+	node->m.config_version =
+		MAX(node->m.config_version, packet->config_version);
+	if (packet->config_version > core->self->m.config_version &&
+	    packet->config_version >= core->hint_version) {
+		core->hint = packet->sender;
+		core->hint_version = packet->config_version;
+	}
+}
+
+/* Merges what the sender tells of itself and of others. */
+static void merge_all(struct mem_core *core, const struct sockaddr_in *from,
+		      const struct mem_packet *packet, int64_t now_us)
+{
+	g_autoptr(GArray)
+		wanted = g_array_new(FALSE, TRUE, sizeof(struct mem_update));
+	struct mem_update sender = {
+		.id = packet->sender,
+		.incarnation = packet->incarnation,
+		.refutation = packet->refutation,
+		.state = packet->state,
+	};
+
+	for (guint i = 0; i < packet->updates->len; i++) {
+		const struct mem_update *update =
+			&g_array_index(packet->updates, struct mem_update, i);
+		struct mem_update ask = {.id = update->id};
+
+		if (packet->type != MEM_PULL && mem_merge(core, update, now_us))
+			g_array_append_val(wanted, ask);
+	}
+	if (mem_merge(core, &sender, now_us))
+		g_array_append_val(wanted, sender);
+	send_pull(core, from, wanted);
+}
+
+static void act(struct mem_core *core, const struct sockaddr_in *from,
+		const struct mem_packet *packet, int64_t now_us)
+{
+	switch (packet->type) {
+	case MEM_PING:
+		send_ack(core, from, packet);
+		break;
+	case MEM_ACK:
+		mem_check_acked(core, packet, now_us);
+		break;
+	case MEM_PING_REQ:
+		mem_check_relay(core, from, packet, now_us);
+		break;
+	case MEM_SYNC:
+		mem_sync_receive(core, from, packet);
+		break;
+	case MEM_PULL:
+		mem_sync_pulled(core, from, packet);
+		break;
+	default:
+		break;
+	}
+	if ((packet->type == MEM_PING || packet->type == MEM_ACK) &&
+	    packet->digest != mem_table_digest(&core->table))
+		mem_sync_differs(core, from, now_us);
+}
+
+int mem_core_receive(struct mem_core *core, const struct sockaddr_in *from,
+		     const uint8_t *data, size_t size, int64_t now_us)
+{
+	struct mem_packet packet;
+	int err = mem_wire_decode(data, size, &packet);
+
+	if (!err && packet.sender != core->self->m.id) {
+		core->heard_us = now_us;
+		merge_all(core, from, &packet, now_us);
+		note_version(core, &packet);
+		act(core, from, &packet, now_us);
+		mem_send_pushes(core, now_us);
+	}
+	mem_packet_clear(&packet);
+	return err;
+}
+
+void mem_core_leave(struct mem_core *core)
+{
+	if (core->self->m.state == MEM_LEAVING)
+		return;
+	core->self->m.state = MEM_LEAVING;
+	core->self->refutation++;
+	core->changed = true;
+	core->leave_repeats = MEM_LEAVE_REPEATS;
+	mem_send_later(core, core->self, false);
+	mem_send_leaving(core);
+}
+
+void mem_core_set_config(struct mem_core *core, uint64_t version,
+			 int64_t now_us)
+{
+	if (version <= core->self->m.config_version)
+		return;
+	core->self->m.config_version = version;
+	core->push = true;
+	mem_send_pushes(core, now_us);
+}
+
+bool mem_core_changed(const struct mem_core *core)
+{
+	return core->changed;
+}
+
+struct mem_view *mem_core_view(struct mem_core *core)
+{
+	core->changed = false;
+	return mem_table_view(&core->table, core->self->m.id,
+			      ++core->view_serial);
+}
+
+node_id mem_core_take_hint(struct mem_core *core, uint64_t *version)
+{
+	node_id hint = core->hint;
+
+	*version = core->hint_version;
+	core->hint = 0;
+	core->hint_version = 0;
+	return *version > core->self->m.config_version ? hint : 0;
+}
+
+uint32_t mem_core_alive(const struct mem_core *core)
+{
+	uint32_t alive = 0;
+
+	for (guint i = 0; i < core->table.nodes->len; i++) {
+		const struct mem_node *node =
+			g_ptr_array_index(core->table.nodes, i);
+
+		alive += node->m.state == MEM_ALIVE;
+	}
+	return alive;
+}
--- a/src/mem_table.c
+++ b/src/mem_table.c
@@ -23,7 +23,7 @@
 	return g_hash_table_lookup(table->by_id, &id);
 }
 
-static struct mem_node *longest_dead(const struct mem_table *table)
+struct mem_node *mem_table_longest_dead(const struct mem_table *table)
 {
 	struct mem_node *oldest = NULL;
 
@@ -42,12 +42,8 @@
 {
 	struct mem_node *node;
 
-	if (table->nodes->len >= FS_NODES_MAX) {
-		node = longest_dead(table);
-		if (!node)
-			return NULL;
-		mem_table_remove(table, node);
-	}
+	if (table->nodes->len >= FS_NODES_MAX)
+		return NULL;
 	node = g_new0(struct mem_node, 1);
 	node->m = *member;
 	g_hash_table_insert(table->by_id, &node->m.id, node);
--- a/src/mem_table.h
+++ b/src/mem_table.h
@@ -4,7 +4,7 @@
  *
  * A present member is one that is not dead.
  *
- * Limits: FS_NODES_MAX members; the longest dead make room for new ones.
+ * Limits: FS_NODES_MAX members.
  */
 #ifndef MEM_TABLE_H
 #define MEM_TABLE_H
@@ -22,6 +22,7 @@
 	uint32_t direct_failures; /* own pings in a row without an answer */
 	bool recheck;		  /* to be pinged again soon */
 	bool recontact;		  /* dead, but another node holds it alive */
+	bool in_ring;		  /* has its turn in the round of pings */
 };
 
 struct mem_table {
@@ -43,6 +44,9 @@
 struct mem_node *mem_table_add(struct mem_table *table,
 			       const struct mem_member *member);
 
+/** Returns the member that has been dead for longest, or NULL. */
+struct mem_node *mem_table_longest_dead(const struct mem_table *table);
+
 void mem_table_remove(struct mem_table *table, struct mem_node *node);
 
 /** Counts anew what the table holds; after any change of a state. */
