--- /dev/null
+++ b/src/cnf_peers.c
@@ -0,0 +1,66 @@
+#include "cnf_priv.h"
+
+uint64_t cnf_peers_newest(const struct cnf *cnf, node_id *id)
+{
+	uint64_t newest = 0;
+
+	*id = 0;
+	for (uint32_t i = 0; cnf->view && i < cnf->view->count; i++) {
+		const struct mem_member *m = &cnf->view->members[i];
+
+		if (m->id == cnf->node->self || m->state != MEM_ALIVE ||
+		    m->config_version <= newest)
+			continue;
+		newest = m->config_version;
+		*id = m->id;
+	}
+	return newest;
+}
+
+static void ask(struct cnf *cnf, node_id id, uint64_t version, int64_t now_us)
+{
+	struct msg *m = msg_new(MSG_CONFIG_ASK, id, MSG_TASK_CONFIG);
+
+	m->config_ask.known = cnf_store_version(&cnf->store);
+	cnf->asked = id;
+	cnf->asked_version = version;
+	cnf->asked_us = now_us;
+	bus_send(cnf->node->bus, m);
+}
+
+void cnf_peers_hint(struct cnf *cnf, node_id id, uint64_t version,
+		    int64_t now_us)
+{
+	bool waiting = cnf->asked && cnf->asked_version >= version &&
+		       now_us - cnf->asked_us < CNF_ASK_US;
+
+	if (cnf_store_wants(&cnf->store, version) && !waiting)
+		ask(cnf, id, version, now_us);
+}
+
+void cnf_peers_tick(struct cnf *cnf, int64_t now_us)
+{
+	node_id id;
+	uint64_t newest;
+
+	if (cnf->asked && now_us - cnf->asked_us < CNF_ASK_US)
+		return;
+	newest = cnf_peers_newest(cnf, &id);
+	if (id && id != cnf->asked)
+		cnf_peers_hint(cnf, id, newest, now_us);
+	else
+		cnf->asked = 0;
+}
+
+void cnf_peers_asked(struct cnf *cnf, const struct msg *m)
+{
+	const struct cfg *cfg = cnf->store.cfg;
+	struct msg *answer;
+
+	if (!cfg || cfg->version <= m->config_ask.known)
+		return;
+	answer = msg_new(MSG_CONFIG_TEXT, m->from, MSG_TASK_CONFIG);
+	answer->config_text.version = cfg->version;
+	answer->config_text.text = g_strdup(cfg->text);
+	bus_send(cnf->node->bus, answer);
+}
--- a/src/mem.h
+++ b/src/mem.h
@@ -35,7 +35,8 @@
 	struct sockaddr_in operator; /* operator interface */
 	enum mem_state state;
 	bool direct; /* answers us directly; false: only others hear it */
-	uint64_t config_version; /* last one it told of */
+	uint64_t config_version; /* it told of when the view was made; a
+				  * new version alone makes no new view */
 };
 
 /** All members, sorted by id. The node itself is one of them. */
--- a/src/mem_check.c
+++ b/src/mem_check.c
@@ -290,8 +290,8 @@
 	set_direct(core, node, true);
 }
 
-void mem_check_relay(struct mem_core *core, const struct sockaddr_in *from,
-		     const struct mem_packet *packet, int64_t now_us)
+void mem_check_relay(struct mem_core *core, const struct mem_packet *packet,
+		     int64_t now_us)
 {
 	struct mem_node *node = mem_table_find(&core->table, packet->subject);
 	struct mem_relay *relay = NULL;
@@ -304,7 +304,7 @@
 		return;
 	relay->target = node->m.id;
 	relay->sequence = ++core->sequence;
-	relay->requester = *from;
+	relay->requester = packet->peer;
 	relay->requester_sequence = packet->sequence;
 	relay->expires_us = now_us + MEM_RELAY_US;
 	mem_send_ping(core, node, relay->sequence);
--- a/src/mem_core.c
+++ b/src/mem_core.c
@@ -126,8 +126,7 @@
 	mem_send_pushes(core, now_us);
 }
 
-static void send_ack(struct mem_core *core, const struct sockaddr_in *to,
-		     const struct mem_packet *packet)
+static void send_ack(struct mem_core *core, const struct mem_packet *packet)
 {
 	const struct mem_node *node =
 		mem_table_find(&core->table, packet->sender);
@@ -142,7 +141,7 @@
 
 		g_array_append_val(ack.updates, update);
 	}
-	mem_send_end(core, &ack, to);
+	mem_send_end(core, &ack, &packet->peer);
 }
 
 static void send_pull(struct mem_core *core, const struct sockaddr_in *to,
@@ -174,8 +173,8 @@
 }
 
 /* Merges what the sender tells of itself and of others. */
-static void merge_all(struct mem_core *core, const struct sockaddr_in *from,
-		      const struct mem_packet *packet, int64_t now_us)
+static void merge_all(struct mem_core *core, const struct mem_packet *packet,
+		      int64_t now_us)
 {
 	g_autoptr(GArray)
 		wanted = g_array_new(FALSE, TRUE, sizeof(struct mem_update));
@@ -196,47 +195,47 @@
 	}
 	if (mem_merge(core, &sender, now_us))
 		g_array_append_val(wanted, sender);
-	send_pull(core, from, wanted);
+	send_pull(core, &packet->peer, wanted);
 }
 
-static void act(struct mem_core *core, const struct sockaddr_in *from,
-		const struct mem_packet *packet, int64_t now_us)
+static void act(struct mem_core *core, const struct mem_packet *packet,
+		int64_t now_us)
 {
 	switch (packet->type) {
 	case MEM_PING:
-		send_ack(core, from, packet);
+		send_ack(core, packet);
 		break;
 	case MEM_ACK:
 		mem_check_acked(core, packet, now_us);
 		break;
 	case MEM_PING_REQ:
-		mem_check_relay(core, from, packet, now_us);
+		mem_check_relay(core, packet, now_us);
 		break;
 	case MEM_SYNC:
-		mem_sync_receive(core, from, packet);
+		mem_sync_receive(core, packet);
 		break;
 	case MEM_PULL:
-		mem_sync_pulled(core, from, packet);
+		mem_sync_pulled(core, packet);
 		break;
 	default:
 		break;
 	}
 	if ((packet->type == MEM_PING || packet->type == MEM_ACK) &&
 	    packet->digest != mem_table_digest(&core->table))
-		mem_sync_differs(core, from, now_us);
+		mem_sync_differs(core, &packet->peer, now_us);
 }
 
-int mem_core_receive(struct mem_core *core, const struct sockaddr_in *from,
-		     const uint8_t *data, size_t size, int64_t now_us)
+int mem_core_receive(struct mem_core *core, const uint8_t *data, size_t size,
+		     int64_t now_us)
 {
 	struct mem_packet packet;
 	int err = mem_wire_decode(data, size, &packet);
 
 	if (!err && packet.sender != core->self->m.id) {
 		core->heard_us = now_us;
-		merge_all(core, from, &packet, now_us);
+		merge_all(core, &packet, now_us);
 		note_version(core, &packet);
-		act(core, from, &packet, now_us);
+		act(core, &packet, now_us);
 		mem_send_pushes(core, now_us);
 	}
 	mem_packet_clear(&packet);
@@ -277,6 +276,11 @@
 			      ++core->view_serial);
 }
 
+struct mem_view *mem_core_peek(const struct mem_core *core)
+{
+	return mem_table_view(&core->table, core->self->m.id, 0);
+}
+
 node_id mem_core_take_hint(struct mem_core *core, uint64_t *version)
 {
 	node_id hint = core->hint;
--- a/src/mem_core.h
+++ b/src/mem_core.h
@@ -48,8 +48,8 @@
 void mem_core_tick(struct mem_core *core, int64_t now_us);
 
 /** Takes one datagram, without its signature. @return 0 or FS_E_PROTOCOL */
-int mem_core_receive(struct mem_core *core, const struct sockaddr_in *from,
-		     const uint8_t *data, size_t size, int64_t now_us);
+int mem_core_receive(struct mem_core *core, const uint8_t *data, size_t size,
+		     int64_t now_us);
 
 /** Announces that this node is leaving. */
 void mem_core_leave(struct mem_core *core);
@@ -61,9 +61,12 @@
 /** Returns whether membership changed since the last view was made. */
 bool mem_core_changed(const struct mem_core *core);
 
-/** Makes a view of the members. */
+/** Makes a view of the members; they count as unchanged from then on. */
 struct mem_view *mem_core_view(struct mem_core *core);
 
+/** Makes a view for a look, without a serial number. */
+struct mem_view *mem_core_peek(const struct mem_core *core);
+
 /**
  * Returns a member whose configuration version is higher than this node's,
  * heard of since the last call, or 0.
--- a/src/mem_core_priv.h
+++ b/src/mem_core_priv.h
@@ -109,8 +109,8 @@
 void mem_check_tick(struct mem_core *core, int64_t now_us);
 void mem_check_acked(struct mem_core *core, const struct mem_packet *packet,
 		     int64_t now_us);
-void mem_check_relay(struct mem_core *core, const struct sockaddr_in *from,
-		     const struct mem_packet *packet, int64_t now_us);
+void mem_check_relay(struct mem_core *core, const struct mem_packet *packet,
+		     int64_t now_us);
 /** Forgets all pings under way and grants suspects a fresh period. */
 void mem_check_restart(struct mem_core *core, int64_t now_us);
 /** Returns how long a suspect has to deny it. */
@@ -133,11 +133,9 @@
 
 /* Comparing tables: mem_sync.c */
 void mem_sync_tick(struct mem_core *core, int64_t now_us);
-void mem_sync_differs(struct mem_core *core, const struct sockaddr_in *from,
+void mem_sync_differs(struct mem_core *core, const struct sockaddr_in *to,
 		      int64_t now_us);
-void mem_sync_receive(struct mem_core *core, const struct sockaddr_in *from,
-		      const struct mem_packet *packet);
-void mem_sync_pulled(struct mem_core *core, const struct sockaddr_in *from,
-		     const struct mem_packet *packet);
+void mem_sync_receive(struct mem_core *core, const struct mem_packet *packet);
+void mem_sync_pulled(struct mem_core *core, const struct mem_packet *packet);
 
 #endif
--- a/src/mem_send.c
+++ b/src/mem_send.c
@@ -1,6 +1,6 @@
 #include "mem_core_priv.h"
 
-#define HEADER_SIZE 80 /* bytes of a packet without updates, at most */
+#define HEADER_SIZE 88 /* bytes of a packet without updates, at most */
 
 void mem_send_begin(struct mem_core *core, struct mem_packet *packet,
 		    enum mem_type type)
@@ -10,6 +10,7 @@
 	packet->incarnation = core->self->m.incarnation;
 	packet->refutation = core->self->refutation;
 	packet->state = core->self->m.state;
+	packet->peer = core->self->m.peer;
 	packet->config_version = core->self->m.config_version;
 	packet->digest = mem_table_digest(&core->table);
 }
--- a/src/mem_sync.c
+++ b/src/mem_sync.c
@@ -100,8 +100,7 @@
 
 /* Sends what the other one lacks of the range, or knows an older state of.
  * What this node lacks was pulled when the updates were merged. */
-void mem_sync_receive(struct mem_core *core, const struct sockaddr_in *from,
-		      const struct mem_packet *packet)
+void mem_sync_receive(struct mem_core *core, const struct mem_packet *packet)
 {
 	g_autoptr(GPtrArray) nodes = present_nodes(core);
 	g_autoptr(GHashTable)
@@ -123,13 +122,12 @@
 		if (node->m.id < packet->low || node->m.id > packet->high)
 			continue;
 		if (!update || mem_update_supersedes(&known, update))
-			bundle_add(core, &bundle, node, from);
+			bundle_add(core, &bundle, node, &packet->peer);
 	}
-	bundle_flush(core, &bundle, from);
+	bundle_flush(core, &bundle, &packet->peer);
 }
 
-void mem_sync_pulled(struct mem_core *core, const struct sockaddr_in *from,
-		     const struct mem_packet *packet)
+void mem_sync_pulled(struct mem_core *core, const struct mem_packet *packet)
 {
 	struct bundle bundle = {0};
 
@@ -140,19 +138,19 @@
 			mem_table_find(&core->table, asked->id);
 
 		if (node && mem_node_present(node))
-			bundle_add(core, &bundle, node, from);
+			bundle_add(core, &bundle, node, &packet->peer);
 	}
-	bundle_flush(core, &bundle, from);
+	bundle_flush(core, &bundle, &packet->peer);
 }
 
-void mem_sync_differs(struct mem_core *core, const struct sockaddr_in *from,
+void mem_sync_differs(struct mem_core *core, const struct sockaddr_in *to,
 		      int64_t now_us)
 {
 	if (now_us < core->next_sync_us ||
 	    now_us - core->changed_us < MEM_SYNC_QUIET_US)
 		return;
 	core->next_sync_us = now_us + MEM_SYNC_US;
-	send_table(core, from);
+	send_table(core, to);
 }
 
 static bool is_present_at(const struct mem_core *core,
--- a/src/mem_wire.c
+++ b/src/mem_wire.c
@@ -3,7 +3,7 @@
 #include <msgpack.h>
 #include <string.h>
 
-#define PACKET_FIELDS 13
+#define PACKET_FIELDS 14
 #define COMPACT_FIELDS 4
 #define FULL_FIELDS 11
 #define ADDRESS_SIZE 6
@@ -113,6 +113,7 @@
 	msgpack_pack_uint64(&pk, packet->incarnation);
 	msgpack_pack_uint32(&pk, packet->refutation);
 	msgpack_pack_uint8(&pk, (uint8_t)packet->state);
+	pack_address(&pk, &packet->peer);
 	msgpack_pack_uint64(&pk, packet->config_version);
 	msgpack_pack_uint64(&pk, packet->digest);
 	msgpack_pack_uint32(&pk, packet->sequence);
@@ -246,6 +247,7 @@
 	packet->incarnation = read_number(r, UINT64_MAX);
 	packet->refutation = (uint32_t)read_number(r, UINT32_MAX);
 	packet->state = (enum mem_state)read_number(r, MEM_LEAVING);
+	read_address(r, &packet->peer);
 	packet->config_version = read_number(r, UINT64_MAX);
 	packet->digest = read_number(r, UINT64_MAX);
 	packet->sequence = (uint32_t)read_number(r, UINT32_MAX);
--- a/src/mem_wire.h
+++ b/src/mem_wire.h
@@ -43,7 +43,8 @@
 	node_id sender;
 	uint64_t incarnation;
 	uint32_t refutation;
-	enum mem_state state; /* MEM_ALIVE or MEM_LEAVING */
+	enum mem_state state;	 /* MEM_ALIVE or MEM_LEAVING */
+	struct sockaddr_in peer; /* where answers go, as advertised */
 	uint64_t config_version;
 	uint64_t digest; /* of the sender's present members */
 	uint32_t sequence;
--- a/src/msg.c
+++ b/src/msg.c
@@ -138,6 +138,9 @@
 		g_free(m->record.service);
 		flr_record_free(m->record.record);
 		break;
+	case MSG_CONTACTS:
+		g_clear_pointer(&m->contacts.addresses, g_array_unref);
+		break;
 	default:
 		break;
 	}
--- a/src/msg.h
+++ b/src/msg.h
@@ -43,6 +43,19 @@
 	MSG_STOP,      /* planned stop: finish what is in flight */
 	MSG_STOPPED,   /* the task has nothing left in flight */
 	MSG_LINK_DOWN, /* the link to a node broke or fell silent */
+	MSG_CONFIG_HINT, /* a member has a newer configuration */
+	MSG_CONTACTS,	 /* entry VMs of the platform's list */
+};
+
+/** MSG_CONFIG_HINT. */
+struct msg_config_hint {
+	node_id node;
+	uint64_t version;
+};
+
+/** MSG_CONTACTS. */
+struct msg_contacts {
+	GArray *addresses; /* struct sockaddr_in */
 };
 
 /** Tasks that take messages. */
@@ -239,6 +252,8 @@
 		struct msg_eject_ask eject_ask;
 		struct msg_record record;
 		struct msg_link_down link_down;
+		struct msg_config_hint config_hint;
+		struct msg_contacts contacts;
 		struct msg_stopped stopped;
 	};
 };
