--- a/src/cfg.h
+++ b/src/cfg.h
@@ -16,6 +16,15 @@
 #include "fs_err.h"
 #include "fs_types.h"
 
+/* Entries of the lists in a text */
+#define CFG_DOMAINS_MAX 64
+#define CFG_SERVICES_MAX 1000
+#define CFG_SERVERS_MAX 20000 /* of all services together */
+#define CFG_ROUTES_MAX 40000
+#define CFG_DEPENDS_MAX 32
+#define CFG_NOT_RUN_MAX 16
+#define CFG_METHODS_MAX 7
+
 /** Which of two errors a service would rather have; see docs/CONFIG.md. */
 enum cfg_detection {
 	CFG_DETECT_CAREFUL,  /* few false ejections, slower detection */
--- a/src/cfg_build_route.c
+++ b/src/cfg_build_route.c
@@ -16,13 +16,10 @@
 static void read_methods(struct cfg_build *b, const struct cfg_raw_route *from,
 			 struct cfg_route *to)
 {
-	if (!from->methods) {
+	if (!from->methods_count) {
 		to->methods = CFG_GET | CFG_HEAD;
 		return;
 	}
-	if (!from->methods_count)
-		cfg_problem(&b->r, "methods",
-			    "the list is empty; name at least one method");
 	for (uint32_t i = 0; i < from->methods_count; i++) {
 		uint32_t bit = 0;
 		char key[32];
--- a/src/cfg_build_server.c
+++ b/src/cfg_build_server.c
@@ -60,9 +60,15 @@
 		       const struct server_entry *entry, const char *name_key)
 {
 	struct cfg *cfg = b->cfg;
-	struct cfg_server *server = server_slot(b);
 	handle domain = cfg_build_find(b->domains, entry->domain);
+	struct cfg_server *server;
 
+	if (cfg->server_count == CFG_SERVERS_MAX) {
+		cfg_problem(&b->r, name_key, "more than %d servers in all",
+			    CFG_SERVERS_MAX);
+		return;
+	}
+	server = server_slot(b);
 	if (domain == FS_NONE) {
 		cfg_problem(&b->r, entry->domain_key,
 			    "unknown failure domain \"%.64s\"; "
--- a/src/cfg_build_service.c
+++ b/src/cfg_build_service.c
@@ -13,7 +13,6 @@
 #define OBJECTIVE_GOOD_DEFAULT 99.9
 #define OBJECTIVE_DEFAULT_US (1 * FS_US_PER_S)
 #define LATENCY_MAX_MS 600000
-#define NOT_RUN_MAX 16
 
 static const char *const detections[] = {"careful", "balanced", "quick"};
 
@@ -63,12 +62,6 @@
 {
 	uint32_t count = from->not_run_status_count;
 
-	if (count > NOT_RUN_MAX) {
-		cfg_problem(&b->r, "not_run_status",
-			    "%u statuses; at most %d are allowed", count,
-			    NOT_RUN_MAX);
-		return;
-	}
 	to->not_run_status = g_new0(uint16_t, count);
 	for (uint32_t i = 0; i < count; i++) {
 		uint32_t status = 0;
--- a/src/cfg_load.c
+++ b/src/cfg_load.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "cfg_build.h"
+#include "cfg_scan.h"
 
 static struct cfg *cfg_new(const char *text, uint64_t version)
 {
@@ -42,13 +43,27 @@
 	g_hash_table_unref(b.addresses);
 }
 
+/* Reads the text; @return the raw structs, or NULL with a problem added. */
+static void *read_raw(struct cfg_reader *top, const char *text, size_t size)
+{
+	g_autofree char *reason = NULL;
+	void *raw = NULL;
+
+	if (cfg_scan(text, size, &cfg_raw_schema, top->problems, NULL))
+		return NULL;
+	if (cfg_raw_load(text, size, &cfg_raw_schema, &raw, &reason))
+		cfg_problem(top, NULL, "%s", reason);
+	else if (!raw)
+		cfg_problem(top, NULL, "the text is empty");
+	return raw;
+}
+
 int cfg_load(const char *text, uint64_t version, GPtrArray **problems,
 	     struct cfg **out)
 {
 	struct cfg_reader top = {.problems = cfg_problems_new()};
 	size_t size = strlen(text);
-	g_autofree char *reason = NULL;
-	void *raw = NULL;
+	void *raw;
 
 	*problems = top.problems;
 	*out = NULL;
@@ -58,19 +73,15 @@
 			    size, FS_CONFIG_MAX);
 		return FS_E_CONFIG;
 	}
-	if (cfg_raw_load(text, size, &cfg_raw_schema, &raw, &reason)) {
-		cfg_problem(&top, NULL, "%s", reason);
+	raw = read_raw(&top, text, size);
+	if (!raw)
 		return FS_E_CONFIG;
-	}
-	if (!raw) {
-		cfg_problem(&top, NULL, "the text is empty");
-		return FS_E_CONFIG;
-	}
 	*out = cfg_new(text, version);
 	build(*out, raw, top.problems);
 	cfg_raw_free(&cfg_raw_schema, raw);
 	if (!top.problems->len)
 		return 0;
+	cfg_scan_lines(text, size, &cfg_raw_schema, top.problems);
 	cfg_unref(*out);
 	*out = NULL;
 	return FS_E_CONFIG;
--- a/src/cfg_raw.c
+++ b/src/cfg_raw.c
@@ -1,13 +1,14 @@
 #include "cfg_raw.h"
 
+#include "cfg.h"
 #include "fs_err.h"
 
 #define TEXT(key, type)                                                 \
 	CYAML_FIELD_STRING_PTR(#key, CYAML_FLAG_OPTIONAL, type, key, 0, \
 			       CYAML_UNLIMITED)
-#define LIST(key, type, entry)                                               \
+#define LIST(key, type, entry, min, max)                                     \
 	CYAML_FIELD_SEQUENCE(#key, CYAML_FLAG_OPTIONAL | CYAML_FLAG_POINTER, \
-			     type, key, entry, 0, CYAML_UNLIMITED)
+			     type, key, entry, min, max)
 #define GROUP(key, type, fields) \
 	CYAML_FIELD_MAPPING_PTR(#key, CYAML_FLAG_OPTIONAL, type, key, fields)
 
@@ -44,7 +45,8 @@
 	TEXT(from, struct cfg_raw_range),
 	TEXT(count, struct cfg_raw_range),
 	TEXT(address, struct cfg_raw_range),
-	LIST(failure_domains, struct cfg_raw_range, &text_entry),
+	LIST(failure_domains, struct cfg_raw_range, &text_entry, 0,
+	     CFG_DOMAINS_MAX),
 	TEXT(leaving, struct cfg_raw_range),
 	CYAML_FIELD_END,
 };
@@ -68,7 +70,8 @@
 
 static const cyaml_schema_field_t service_fields[] = {
 	TEXT(name, struct cfg_raw_service),
-	LIST(depends_on, struct cfg_raw_service, &text_entry),
+	LIST(depends_on, struct cfg_raw_service, &text_entry, 0,
+	     CFG_DEPENDS_MAX),
 	TEXT(floor, struct cfg_raw_service),
 	TEXT(slots, struct cfg_raw_service),
 	TEXT(queue, struct cfg_raw_service),
@@ -76,11 +79,14 @@
 	TEXT(retry_percent, struct cfg_raw_service),
 	TEXT(slow_start_ms, struct cfg_raw_service),
 	GROUP(probe, struct cfg_raw_service, probe_fields),
-	LIST(not_run_status, struct cfg_raw_service, &text_entry),
+	LIST(not_run_status, struct cfg_raw_service, &text_entry, 0,
+	     CFG_NOT_RUN_MAX),
 	GROUP(objective, struct cfg_raw_service, objective_fields),
 	TEXT(leaving, struct cfg_raw_service),
-	LIST(servers, struct cfg_raw_service, &server_entry),
-	LIST(server_ranges, struct cfg_raw_service, &range_entry),
+	LIST(servers, struct cfg_raw_service, &server_entry, 0,
+	     CFG_SERVERS_MAX),
+	LIST(server_ranges, struct cfg_raw_service, &range_entry, 0,
+	     CFG_SERVERS_MAX),
 	CYAML_FIELD_END,
 };
 
@@ -93,7 +99,7 @@
 	TEXT(name, struct cfg_raw_route),
 	TEXT(host, struct cfg_raw_route),
 	TEXT(path, struct cfg_raw_route),
-	LIST(methods, struct cfg_raw_route, &text_entry),
+	LIST(methods, struct cfg_raw_route, &text_entry, 1, CFG_METHODS_MAX),
 	TEXT(service, struct cfg_raw_route),
 	TEXT(deadline_ms, struct cfg_raw_route),
 	TEXT(priority, struct cfg_raw_route),
@@ -110,9 +116,10 @@
 
 static const cyaml_schema_field_t top_fields[] = {
 	TEXT(deployment, struct cfg_raw),
-	LIST(failure_domains, struct cfg_raw, &domain_entry),
-	LIST(services, struct cfg_raw, &service_entry),
-	LIST(routes, struct cfg_raw, &route_entry),
+	LIST(failure_domains, struct cfg_raw, &domain_entry, 0,
+	     CFG_DOMAINS_MAX),
+	LIST(services, struct cfg_raw, &service_entry, 0, CFG_SERVICES_MAX),
+	LIST(routes, struct cfg_raw, &route_entry, 0, CFG_ROUTES_MAX),
 	CYAML_FIELD_END,
 };
 
--- a/src/cfg_raw.h
+++ b/src/cfg_raw.h
@@ -12,12 +12,6 @@
 
 #include "fs_types.h"
 
-/** A list of scalars. */
-struct cfg_raw_list {
-	char **items;
-	unsigned int count;
-};
-
 struct cfg_raw_domain {
 	char *name;
 	char *region;
--- a/src/set.c
+++ b/src/set.c
@@ -5,6 +5,7 @@
 
 #include "cfg_raw.h"
 #include "cfg_read.h"
+#include "cfg_scan.h"
 
 #define TTL_DEFAULT_MS 30000
 #define TTL_MIN_MS 1000
@@ -150,6 +151,8 @@
 	g_autofree char *reason = NULL;
 	struct set_raw *raw = NULL;
 
+	if (cfg_scan(text, size, &set_schema, r->problems, NULL))
+		return;
 	if (cfg_raw_load(text, size, &set_schema, (void **)&raw, &reason)) {
 		cfg_problem(r, NULL, "%s", reason);
 		return;
@@ -165,6 +168,8 @@
 	cfg_read_ms(r, "answer_ttl_ms", raw->answer_ttl_ms, TTL_MIN_MS,
 		    TTL_MAX_MS, &out->answer_ttl_us);
 	cfg_raw_free(&set_schema, raw);
+	if (r->problems->len)
+		cfg_scan_lines(text, size, &set_schema, r->problems);
 }
 
 int set_load(const char *path, struct set *out, char **error)
