Let one entry of routes list several paths

Cause: at 11,000 routes with realistic paths the text with single routes has 1014362 bytes (build/unit_cfg_size), over the limit. Names are name + path, so they stay the same when the list is edited. Ruled out: numbered names (change with the order), a mapping of free keys (libcyaml takes none).

--- a/src/cfg.h
+++ b/src/cfg.h
@@ -20,7 +20,8 @@
 #define CFG_DOMAINS_MAX 64
 #define CFG_SERVICES_MAX 1000
 #define CFG_SERVERS_MAX 20000 /* of all services together */
-#define CFG_ROUTES_MAX 40000
+#define CFG_ROUTES_MAX 40000  /* each path of a list is one */
+#define CFG_PATHS_MAX 1000    /* of one entry of routes */
 #define CFG_DEPENDS_MAX 32
 #define CFG_NOT_RUN_MAX 16
 #define CFG_METHODS_MAX 7
--- a/src/cfg_build_route.c
+++ b/src/cfg_build_route.c
@@ -83,9 +83,6 @@
 	uint32_t priority = CFG_PRIORITY_NORMAL;
 
 	read_host(b, from, to);
-	if (cfg_read_present(&b->r, "path", from->path))
-		cfg_read_path(&b->r, "path", from->path);
-	to->path = cfg_build_keep(b, from->path);
 	read_methods(b, from, to);
 	read_service(b, from, to);
 	if (cfg_read_present(&b->r, "deadline_ms", from->deadline_ms))
@@ -101,59 +98,117 @@
 }
 
 /* Routes with the same host and path form a chain, newest first. */
-struct overlap {
+struct route_table {
 	GHashTable *newest; /* "host path" to handle + 1 */
-	handle *older;	    /* of each route, FS_NONE at the end */
+	GArray *older;	    /* handle of each route, FS_NONE at the end */
+	GArray *routes;	    /* struct cfg_route */
 };
 
-static void check_overlap(struct cfg_build *b, struct overlap *o, handle h)
+static void check_overlap(struct cfg_build *b, struct route_table *t,
+			  const struct cfg_route *route, const char *key)
 {
-	const struct cfg_route *route = &b->cfg->routes[h];
-	char *key = g_strconcat(route->host, " ", route->path, NULL);
-	handle other = cfg_build_find(o->newest, key);
+	char *place = g_strconcat(route->host, " ", route->path, NULL);
+	handle other = cfg_build_find(t->newest, place);
 
-	o->older[h] = other;
-	for (; other != FS_NONE; other = o->older[other]) {
-		const struct cfg_route *first = &b->cfg->routes[other];
+	g_array_append_val(t->older, other);
+	for (; other != FS_NONE;
+	     other = g_array_index(t->older, handle, other)) {
+		const struct cfg_route *first =
+			&g_array_index(t->routes, struct cfg_route, other);
 
 		if (!(first->methods & route->methods))
 			continue;
-		cfg_problem(&b->r, "path",
+		cfg_problem(&b->r, key,
 			    "routes %s and %s overlap: same host, path and a "
 			    "shared method; change one of them",
 			    first->name, route->name);
 		break;
 	}
-	g_hash_table_insert(o->newest, key, GUINT_TO_POINTER(h + 1));
+	g_hash_table_insert(t->newest, place,
+			    GUINT_TO_POINTER(t->routes->len + 1));
+}
+
+/* Adds a copy of @like with its own name and path. */
+static void add_route(struct cfg_build *b, struct route_table *t,
+		      const struct cfg_route *like, const char *name,
+		      const char *path, const char *key)
+{
+	struct cfg_route route = *like;
+
+	if (t->routes->len == CFG_ROUTES_MAX) {
+		cfg_problem(&b->r, key, "more than %d routes in all",
+			    CFG_ROUTES_MAX);
+		return;
+	}
+	route.name = cfg_build_keep(b, name);
+	route.path = cfg_build_keep(b, path);
+	if (!cfg_build_index(b->cfg->route_index, route.name, t->routes->len))
+		cfg_problem(&b->r, "name",
+			    "route %s is there twice; give each its own name",
+			    route.name);
+	check_overlap(b, t, &route, key);
+	g_array_append_val(t->routes, route);
+}
+
+/* One route per path of the list, called by name and path together. */
+static void add_paths(struct cfg_build *b, struct route_table *t,
+		      const struct cfg_route *like,
+		      const struct cfg_raw_route *from)
+{
+	char name[2 * FS_NAME_MAX];
+	char key[32];
+
+	for (uint32_t i = 0; i < from->paths_count; i++) {
+		g_snprintf(key, sizeof(key), "paths[%u]", i);
+		if (!cfg_read_path(&b->r, key, from->paths[i]))
+			continue;
+		g_snprintf(name, sizeof(name), "%s%s", from->name,
+			   from->paths[i]);
+		if (strlen(name) < FS_NAME_MAX)
+			add_route(b, t, like, name, from->paths[i], key);
+		else
+			cfg_problem(&b->r, key,
+				    "name and path together have more than %d "
+				    "bytes; make it a route of its own",
+				    FS_NAME_MAX - 1);
+	}
+}
+
+static void build_route(struct cfg_build *b, struct route_table *t,
+			const struct cfg_raw_route *from)
+{
+	struct cfg_route like = {0};
+	bool named = cfg_read_name(&b->r, "name", from->name, FS_NAME_MAX);
+
+	read_route(b, from, &like);
+	if (from->path && from->paths_count) {
+		cfg_problem(&b->r, "paths",
+			    "path and paths together; keep one of them");
+	} else if (from->paths_count) {
+		if (named)
+			add_paths(b, t, &like, from);
+	} else if (cfg_read_present(&b->r, "path", from->path) &&
+		   cfg_read_path(&b->r, "path", from->path) && named) {
+		add_route(b, t, &like, from->name, from->path, "path");
+	}
 }
 
 void cfg_build_routes(struct cfg_build *b)
 {
-	const struct cfg_raw *raw = b->raw;
-	struct cfg *cfg = b->cfg;
-	struct overlap o = {
+	struct route_table t = {
 		.newest = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 						NULL),
-		.older = g_new0(handle, raw->routes_count),
+		.older = g_array_new(FALSE, FALSE, sizeof(handle)),
+		.routes = g_array_new(FALSE, FALSE, sizeof(struct cfg_route)),
 	};
 
-	cfg->routes = g_new0(struct cfg_route, raw->routes_count);
-	for (handle i = 0; i < raw->routes_count; i++) {
-		const struct cfg_raw_route *from = &raw->routes[i];
-		struct cfg_route *to = &cfg->routes[i];
-
-		cfg->route_count++;
+	for (uint32_t i = 0; i < b->raw->routes_count; i++) {
 		cfg_reader_at(&b->r, "routes[%u]", i);
-		to->name = cfg_build_keep(b, from->name);
-		if (cfg_read_name(&b->r, "name", from->name, FS_NAME_MAX) &&
-		    !cfg_build_index(cfg->route_index, to->name, i))
-			cfg_problem(&b->r, "name",
-				    "route %s is there twice; give each its "
-				    "own name",
-				    to->name);
-		read_route(b, from, to);
-		check_overlap(b, &o, i);
+		build_route(b, &t, &b->raw->routes[i]);
 	}
-	g_hash_table_unref(o.newest);
-	g_free(o.older);
+	b->cfg->route_count = t.routes->len;
+	b->cfg->routes =
+		(struct cfg_route *)(void *)g_array_free(t.routes, FALSE);
+	g_hash_table_unref(t.newest);
+	g_array_unref(t.older);
 }
--- a/src/cfg_raw.c
+++ b/src/cfg_raw.c
@@ -99,6 +99,7 @@
 	TEXT(name, struct cfg_raw_route),
 	TEXT(host, struct cfg_raw_route),
 	TEXT(path, struct cfg_raw_route),
+	LIST(paths, struct cfg_raw_route, &text_entry, 1, CFG_PATHS_MAX),
 	LIST(methods, struct cfg_raw_route, &text_entry, 1, CFG_METHODS_MAX),
 	TEXT(service, struct cfg_raw_route),
 	TEXT(deadline_ms, struct cfg_raw_route),
--- a/src/cfg_raw.h
+++ b/src/cfg_raw.h
@@ -70,6 +70,8 @@
 	char *name;
 	char *host;
 	char *path;
+	char **paths;
+	unsigned int paths_count;
 	char **methods;
 	unsigned int methods_count;
 	char *service;
--- a/tests/unit_cfg.c
+++ b/tests/unit_cfg.c
@@ -171,6 +171,14 @@
 	 "unknown service"},
 	{"/pay, methods: [POST]", "/status, methods: [POST, GET]", 23,
 	 "routes[1].path", "status and pay overlap"},
+	{"path: /pay, methods: [POST]", "paths: [/pay, /status]", 23,
+	 "routes[1].paths[1]", "status and pay/status overlap"},
+	{"path: /pay", "path: /pay, paths: [/a]", 23, "routes[1].paths",
+	 "keep one"},
+	{"path: /pay", "paths: []", 23, "routes[1].paths", "empty"},
+	{"path: /pay", "paths: [a]", 23, "routes[1].paths[0]", "normalised"},
+	{"path: /pay", "paths: [/a-path-of-forty-five-bytes-is-too-long-here1]",
+	 23, "routes[1].paths[0]", "more than 47 bytes"},
 	/* Size */
 	{"    server_ranges:\n", "    server_ranges: []\n    servers:\n", 21,
 	 "services[1].servers[0].prefix", "unknown setting"},
@@ -272,6 +280,19 @@
 	g_assert_cmpuint(cfg->routes[0].methods, ==, CFG_GET | CFG_HEAD);
 }
 
+static void test_path_lists(void)
+{
+	g_autofree char *text = with_part("path: /pay", "paths: [/pay, /bibs]");
+	CFG_AUTO struct cfg *cfg = load(text);
+	handle bibs = cfg_find_route(cfg, "pay/bibs");
+
+	g_assert_cmpuint(cfg->route_count, ==, 3);
+	g_assert_cmpuint(cfg_find_route(cfg, "pay"), ==, FS_NONE);
+	g_assert_cmpstr(cfg->routes[bibs].path, ==, "/bibs");
+	g_assert_cmpuint(cfg->routes[bibs].methods, ==, CFG_POST);
+	g_assert_cmpint(cfg->routes[bibs].deadline_us, ==, 5 * FS_US_PER_S);
+}
+
 static void test_floor_rounds_up(void)
 {
 	CFG_AUTO struct cfg *cfg = load(good_text);
@@ -445,6 +466,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/cfg/good_text", test_good_text);
 	g_test_add_func("/cfg/each_check", test_each_check);
+	g_test_add_func("/cfg/path_lists", test_path_lists);
 	g_test_add_func("/cfg/floor_rounds_up", test_floor_rounds_up);
 	g_test_add_func("/cfg/examples", test_examples);
 	g_test_add_func("/cfg/finds_all_at_once", test_finds_all_at_once);
--- a/tests/unit_cfg_size.c
+++ b/tests/unit_cfg_size.c
@@ -49,18 +49,38 @@
 			i, k, i, k + 1, k % 2 ? "a1" : "b1");
 }
 
-static void add_routes(GString *text)
+/* Routes one by one: about 70 bytes each. */
+static void add_single_routes(GString *text)
 {
 	g_string_append(text, "routes:\n");
 	for (int i = 0; i < SERVICES * ROUTES_EACH; i++)
 		g_string_append_printf(
 			text,
-			"  - {name: r%d, path: /p%d, service: service-%03d, "
-			"deadline_ms: 3000}\n",
-			i, i, i % SERVICES);
+			"  - {name: r%d, path: /section-%d/p%d, service: "
+			"service-%03d, deadline_ms: 3000}\n",
+			i, i % 100, i, i % SERVICES);
 }
 
-static GString *make_text(void (*add)(GString *text, int i))
+/* Routes that differ by their path only share one entry. */
+static void add_path_lists(GString *text)
+{
+	g_string_append(text, "routes:\n");
+	for (int i = 0; i < SERVICES; i++) {
+		g_string_append_printf(text,
+				       "  - name: s%03d\n"
+				       "    service: service-%03d\n"
+				       "    deadline_ms: 3000\n"
+				       "    paths: [",
+				       i, i);
+		for (int k = 0; k < ROUTES_EACH; k++)
+			g_string_append_printf(text, "%s/section-%d/p%d",
+					       k ? ", " : "", k, i);
+		g_string_append(text, "]\n");
+	}
+}
+
+static GString *make_text(void (*servers)(GString *text, int i),
+			  void (*routes)(GString *text))
 {
 	GString *text = g_string_new(
 		"deployment: full\nfailure_domains:\n"
@@ -70,15 +90,15 @@
 
 	for (int i = 0; i < SERVICES; i++) {
 		add_service(text, i);
-		add(text, i);
+		servers(text, i);
 	}
-	add_routes(text);
+	routes(text);
 	return text;
 }
 
-static void load_full(void (*add)(GString *text, int i), const char *what)
+static void test_lists_fit(void)
 {
-	g_autoptr(GString) text = make_text(add);
+	g_autoptr(GString) text = make_text(add_ranges, add_path_lists);
 	g_autoptr(GPtrArray) problems = NULL;
 	size_t before = mallinfo2().uordblks + mallinfo2().hblkhd;
 	int64_t start = g_get_monotonic_time();
@@ -89,8 +109,9 @@
 	cfg_load(text->str, 1, &problems, &cfg);
 	took = g_get_monotonic_time() - start;
 	kept = mallinfo2().uordblks + mallinfo2().hblkhd - before;
-	g_test_message("%s: %zu bytes of text, loaded in %d us, %zu bytes kept",
-		       what, text->len, (int)took, kept);
+	g_test_message("server ranges, path lists: %zu bytes of text, loaded "
+		       "in %d us, %zu bytes kept",
+		       text->len, (int)took, kept);
 	g_assert_nonnull(cfg);
 	g_assert_cmpuint(cfg->server_count, ==, SERVICES * SERVERS_EACH);
 	g_assert_cmpuint(cfg->route_count, ==, SERVICES * ROUTES_EACH);
@@ -99,25 +120,23 @@
 	cfg_unref(cfg);
 }
 
-static void test_ranges_fit(void)
-{
-	load_full(add_ranges, "ranges");
-}
-
-/* Servers written one by one do not fit beside so many routes. */
-static void test_single_servers_are_too_long(void)
+/* Written one by one, neither routes nor servers fit. */
+static void test_single_entries_are_too_long(void)
 {
-	g_autoptr(GString) text = make_text(add_servers);
+	g_autoptr(GString) routes = make_text(add_ranges, add_single_routes);
+	g_autoptr(GString) both = make_text(add_servers, add_single_routes);
 
-	g_test_message("single: %zu bytes of text", text->len);
-	g_assert_cmpuint(text->len, >, FS_CONFIG_MAX);
+	g_test_message("server ranges, single routes: %zu bytes", routes->len);
+	g_test_message("single servers, single routes: %zu bytes", both->len);
+	g_assert_cmpuint(routes->len, >, FS_CONFIG_MAX);
+	g_assert_cmpuint(both->len, >, FS_CONFIG_MAX);
 }
 
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	g_test_add_func("/cfg_size/ranges_fit", test_ranges_fit);
-	g_test_add_func("/cfg_size/single_servers_are_too_long",
-			test_single_servers_are_too_long);
+	g_test_add_func("/cfg_size/lists_fit", test_lists_fit);
+	g_test_add_func("/cfg_size/single_entries_are_too_long",
+			test_single_entries_are_too_long);
 	return g_test_run();
 }
