--- a/src/cfg_raw.h
+++ b/src/cfg_raw.h
@@ -12,12 +12,6 @@
 
 #include "fs_types.h"
 
-/** A list of scalars. */
-struct cfg_raw_list {
-	char **items;
-	unsigned int count;
-};
-
 struct cfg_raw_domain {
 	char *name;
 	char *region;
@@ -76,6 +70,8 @@
 	char *name;
 	char *host;
 	char *path;
+	char **paths;
+	unsigned int paths_count;
 	char **methods;
 	unsigned int methods_count;
 	char *service;
