--- a/src/tgt.c
+++ b/src/tgt.c
@@ -4,15 +4,12 @@
 
 bool tgt_written(const struct tgt *tgt)
 {
-	return tgt->written > 0;
+	return tgt->written;
 }
 
 bool tgt_reused(const struct tgt *tgt)
 {
-	long connects = 0;
-
-	curl_easy_getinfo(tgt->easy, CURLINFO_NUM_CONNECTS, &connects);
-	return tgt->written && connects == 0;
+	return tgt->reused;
 }
 
 /* Tells the owner, once; the exchange may be freed by it. */
@@ -20,7 +17,7 @@
 {
 	struct tgt_end e = {
 		.err = err,
-		.written = tgt->written > 0,
+		.written = tgt->written,
 		.headed = tgt->headed,
 	};
 	int64_t until = tgt->headed ? tgt->headed_us : fs_now_us();
@@ -87,6 +84,7 @@
 		    int local_port)
 {
 	struct tgt *tgt = arg;
+	long connects = 0;
 
 	(void)ip;
 	(void)local_ip;
@@ -98,7 +96,9 @@
 		tgt->late = true;
 		return CURL_PREREQFUNC_ABORT;
 	}
-	tgt->written++;
+	curl_easy_getinfo(tgt->easy, CURLINFO_NUM_CONNECTS, &connects);
+	tgt->reused = connects == 0;
+	tgt->written = true;
 	return CURL_PREREQFUNC_OK;
 }
 
@@ -229,7 +229,7 @@
 
 bool tgt_free(struct tgt *tgt)
 {
-	bool written = tgt->written > 0;
+	bool written = tgt->written;
 
 	if (!tgt->ended)
 		crl_stop(tgt->crl, tgt->easy);
--- a/src/tgt_impl.h
+++ b/src/tgt_impl.h
@@ -21,8 +21,9 @@
 	ev_timer timer;
 	bool no_body; /* the method was HEAD */
 
-	uint32_t written; /* how often the request was to be written */
-	bool late;	  /* not written, since the deadline had passed */
+	bool written; /* a byte of the request may have reached the target */
+	bool reused;  /* by a connection that was kept */
+	bool late;    /* not written, since the deadline had passed */
 	bool ended;
 	bool begun;
 	bool paused;
