Run the whole path in separate processes

Cause: the tasks have landed in a thin form and had not run together.

Change: the harness reads the members' count from the status page, uses a fleet key of the length the settings ask for, and the stand-in platform names the members of its table, which has gained one.

--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -192,10 +192,11 @@
 	if (node->relay.pid)
 		g_string_append_printf(text, "peer_advertise: \"%s\"\n",
 				       node->relay.address);
-	g_string_append_printf(text,
-			       "platform: \"%s\"\nfleet_key: test-key\n"
-			       "answer_ttl_ms: %" G_GINT64_FORMAT "\n",
-			       f->platform.address, f->answer_ttl_ms);
+	g_string_append_printf(
+		text,
+		"platform: \"%s\"\nfleet_key: test-key-of-the-fleet\n"
+		"answer_ttl_ms: %" G_GINT64_FORMAT "\n",
+		f->platform.address, f->answer_ttl_ms);
 	g_string_append(text, "seeds: [");
 	for (unsigned int i = 0, n = 0; i < f->node_count && n < 3; i++) {
 		const struct fleet_node *other = &f->nodes[i];
@@ -387,24 +388,6 @@
 	return n;
 }
 
-static unsigned int members_alive(JsonNode *status)
-{
-	JsonObject *root = json_node_get_object(status);
-	JsonArray *members;
-	unsigned int n = 0;
-
-	if (!json_object_has_member(root, "members"))
-		return 0;
-	members = json_object_get_array_member(root, "members");
-	for (guint i = 0; i < json_array_get_length(members); i++) {
-		JsonObject *m = json_array_get_object_element(members, i);
-
-		n += !strcmp(json_object_get_string_member(m, "state"),
-			     "alive");
-	}
-	return n;
-}
-
 static bool node_ready(const struct fleet *f, const struct fleet_node *node)
 {
 	JsonNode *status = fleet_json(node->operator, "/status");
@@ -414,7 +397,7 @@
 		return false;
 	ready = fleet_json_int(status, "config.version", 0) ==
 			(gint64)f->version &&
-		members_alive(status) == live_nodes(f);
+		fleet_json_int(status, "members.alive", 0) == live_nodes(f);
 	json_node_unref(status);
 	return ready;
 }
--- a/tests/fleet_http.c
+++ b/tests/fleet_http.c
@@ -83,9 +83,15 @@
 }
 
 JsonNode *fleet_json(const char *address, const char *path)
+{
+	return fleet_json_within(address, path, 5.0);
+}
+
+JsonNode *fleet_json_within(const char *address, const char *path,
+			    double seconds)
 {
 	g_autoptr(FleetAnswer)
-		a = fleet_http("GET", address, path, NULL, NULL, 5.0);
+		a = fleet_http("GET", address, path, NULL, NULL, seconds);
 
 	if (a->status != 200)
 		return NULL;
--- a/tests/standin_platform.c
+++ b/tests/standin_platform.c
@@ -422,7 +422,8 @@
 
 static bool start(uint16_t port)
 {
-	const struct htd_ops ops = {on_access, on_completed};
+	const struct htd_ops ops = {.access = on_access,
+				    .completed = on_completed};
 	const struct htd_limits limits = {4096, 120, 32 * 1024};
 	struct sockaddr_in bind = {.sin_family = AF_INET,
 				   .sin_port = htons(port)};
