--- /dev/null
+++ b/tests/prop_msg.cpp
@@ -0,0 +1,252 @@
+// Properties of the codec, the frames and the signatures of links.
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+#include <glib.h>
+#include <netinet/in.h>
+
+extern "C" {
+// A member of mem.h is called by a word that C++ reserves.
+#define operator operator_address
+#include "frm.h"
+#include "msg.h"
+#include "sig.h"
+#undef operator
+}
+
+namespace
+{
+
+std::string text(size_t max)
+{
+	auto bytes = *rc::gen::container<std::string>(
+		rc::gen::inRange<char>(1, 127));
+
+	return bytes.substr(0, max);
+}
+
+GBytes *blob()
+{
+	auto bytes = *rc::gen::arbitrary<std::vector<uint8_t>>();
+
+	return g_bytes_new(bytes.data(), bytes.size());
+}
+
+void fill_id(struct req_id &id)
+{
+	id.node = *rc::gen::arbitrary<uint64_t>();
+	id.incarnation = *rc::gen::arbitrary<uint64_t>();
+	id.counter = *rc::gen::arbitrary<uint64_t>();
+}
+
+GArray *headers()
+{
+	GArray *out = msg_headers_new();
+	int n = *rc::gen::inRange(0, 5);
+
+	while (n--)
+		msg_headers_add(out, text(20).c_str(), text(40).c_str());
+	return out;
+}
+
+struct msg *random_message()
+{
+	int type = *rc::gen::inRange(1, (int)MSG_REMOTE_COUNT);
+	struct msg *m = msg_new((enum msg_type)type, 0, MSG_TASK_DISPATCH);
+
+	switch (type) {
+	case MSG_REQUEST:
+		fill_id(m->request.id);
+		m->request.service = g_strdup(text(30).c_str());
+		m->request.key = *rc::gen::arbitrary<bool>() ?
+					 g_strdup(text(30).c_str()) :
+					 nullptr;
+		m->request.remaining_us = *rc::gen::arbitrary<int64_t>();
+		m->request.forced = *rc::gen::arbitrary<bool>();
+		m->request.headers = headers();
+		m->request.body = blob();
+		break;
+	case MSG_ANSWER:
+		fill_id(m->answer.id);
+		m->answer.status = *rc::gen::arbitrary<uint32_t>();
+		m->answer.length = *rc::gen::inRange<int64_t>(-1, INT64_MAX);
+		m->answer.headers = headers();
+		m->answer.data = blob();
+		m->answer.last = *rc::gen::arbitrary<bool>();
+		break;
+	case MSG_PIECE:
+		fill_id(m->piece.id);
+		m->piece.offset = *rc::gen::inRange<uint64_t>(0, INT64_MAX);
+		m->piece.data = blob();
+		break;
+	case MSG_REFUSAL:
+		fill_id(m->refusal.id);
+		m->refusal.err = *rc::gen::inRange((int)FS_E_AUDIT, 0);
+		m->refusal.outcome = *rc::gen::element(FS_NOT_RUN, FS_UNKNOWN);
+		break;
+	case MSG_HANDOVER: {
+		struct msg_key key = {g_strdup(text(9).c_str()), true, -5};
+
+		g_array_append_val(m->handover.keys, key);
+		break;
+	}
+	case MSG_TARGETS_LEAVING:
+		m->targets_leaving.servers =
+			g_ptr_array_new_with_free_func(g_free);
+		g_ptr_array_add(m->targets_leaving.servers,
+				g_strdup(text(9).c_str()));
+		break;
+	default: // the others have members of these kinds only
+		break;
+	}
+	return m;
+}
+
+std::string encode(const struct msg *m)
+{
+	GByteArray *out = g_byte_array_new();
+
+	RC_ASSERT(msg_encode(m, out) == 0);
+	std::string bytes((const char *)out->data, out->len);
+	g_byte_array_unref(out);
+	return bytes;
+}
+
+int decode(const std::string &bytes, struct msg **m)
+{
+	return msg_decode((const uint8_t *)bytes.data(), bytes.size(), m);
+}
+
+// Decoding gives a message that encodes to the same bytes.
+void round_trip()
+{
+	struct msg *m = random_message();
+	std::string bytes = encode(m);
+	struct msg *back;
+
+	RC_ASSERT(decode(bytes, &back) == 0);
+	RC_ASSERT(back->type == m->type);
+	if (m->type == MSG_REQUEST) {
+		RC_ASSERT(g_strcmp0(back->request.key, m->request.key) == 0);
+		RC_ASSERT(g_bytes_equal(back->request.body, m->request.body));
+		RC_ASSERT(req_id_equal(&back->request.id, &m->request.id));
+		RC_ASSERT(back->request.remaining_us ==
+			  m->request.remaining_us);
+	}
+	RC_ASSERT(encode(back) == bytes);
+	msg_free(m);
+	msg_free(back);
+}
+
+// Cut, changed or lengthened payloads are refused or decode to a message that
+// can be encoded; nothing else happens.
+void mutated()
+{
+	struct msg *m = random_message();
+	std::string bytes = encode(m);
+	struct msg *back;
+
+	msg_free(m);
+	std::string cut =
+		bytes.substr(0, *rc::gen::inRange<size_t>(0, bytes.size()));
+	RC_ASSERT(decode(cut, &back) == FS_E_PROTOCOL && !back);
+	RC_ASSERT(decode(bytes + "\x01", &back) == FS_E_PROTOCOL);
+	for (int i = *rc::gen::inRange(1, 6); i > 0; i--)
+		bytes[*rc::gen::inRange<size_t>(0, bytes.size())] =
+			(char)*rc::gen::arbitrary<uint8_t>();
+	if (decode(bytes, &back) == 0)
+		encode(back);
+	msg_free(back);
+}
+
+void arbitrary_bytes()
+{
+	auto raw = *rc::gen::arbitrary<std::vector<uint8_t>>();
+	struct msg *m;
+
+	if (msg_decode(raw.data(), raw.size(), &m) == 0)
+		encode(m);
+	msg_free(m);
+}
+
+// Payloads come out whole and in order however the stream is cut.
+void frames()
+{
+	auto payloads = *rc::gen::container<std::vector<std::string>>(
+		rc::gen::nonEmpty<std::string>());
+	GByteArray *out = g_byte_array_new();
+	struct frm_reader reader;
+	const uint8_t *data;
+	size_t size;
+	size_t next = 0;
+
+	for (const auto &p : payloads) {
+		size_t start = frm_begin(out);
+
+		g_byte_array_append(out, (const guint8 *)p.data(),
+				    (guint)p.size());
+		RC_ASSERT(frm_end(out, start) == 0);
+	}
+	frm_reader_init(&reader);
+	for (size_t at = 0; at < out->len;) {
+		size_t n = *rc::gen::inRange<size_t>(1, out->len - at + 1);
+
+		frm_push(&reader, out->data + at, n);
+		at += n;
+		while (frm_next(&reader, &data, &size) == 1) {
+			RC_ASSERT(next < payloads.size());
+			RC_ASSERT(payloads[next++] ==
+				  std::string((const char *)data, size));
+		}
+	}
+	RC_ASSERT(next == payloads.size());
+	frm_reader_clear(&reader);
+	g_byte_array_unref(out);
+}
+
+void bad_lengths()
+{
+	uint32_t length = *rc::gen::element<uint32_t>(0, FS_FRAME_MAX + 1,
+						      UINT32_MAX, 0x80000000U);
+	uint32_t wire = GUINT32_TO_BE(length);
+	struct frm_reader reader;
+	const uint8_t *data;
+	size_t size;
+
+	frm_reader_init(&reader);
+	frm_push(&reader, &wire, sizeof(wire));
+	RC_ASSERT(frm_next(&reader, &data, &size) == FS_E_PROTOCOL);
+	frm_push(&reader, "\0\0\0\1x", 5);
+	RC_ASSERT(frm_next(&reader, &data, &size) == FS_E_PROTOCOL);
+	frm_reader_clear(&reader);
+}
+
+void signatures()
+{
+	auto data = *rc::gen::nonEmpty<std::string>();
+	uint8_t code[SIG_SIZE];
+
+	RC_ASSERT(sig_sign("key", data.data(), data.size(), code) == 0);
+	RC_ASSERT(sig_check("key", data.data(), data.size(), code));
+	RC_ASSERT(!sig_check("yek", data.data(), data.size(), code));
+	data[*rc::gen::inRange<size_t>(0, data.size())] ^= 1;
+	RC_ASSERT(!sig_check("key", data.data(), data.size(), code));
+	RC_ASSERT(sig_sign("", data.data(), data.size(), code) != 0);
+}
+
+} // namespace
+
+int main()
+{
+	bool ok = rc::check("a message survives encoding", round_trip);
+
+	ok = rc::check("mutated payloads are refused or whole", mutated) && ok;
+	ok = rc::check("arbitrary bytes do no harm", arbitrary_bytes) && ok;
+	ok = rc::check("frames survive any cut of the stream", frames) && ok;
+	ok = rc::check("lengths out of bounds end the stream", bad_lengths) &&
+	     ok;
+	ok = rc::check("codes fit their key and data", signatures) && ok;
+	return ok ? 0 : 1;
+}
