Hand idempotency keys over with their shard; check servers that drain

A broken link to an entry no longer withdraws its requests: the entry may wait for the answer by the link that this node opens itself. Only streams are cut, and all requests of a node that is dead by the view.

--- a/src/dsp.c
+++ b/src/dsp.c
@@ -55,6 +55,7 @@
 		dsp_judge_tick(shard, now_us);
 	drop_unread(dsp, now_us);
 	run_all(dsp, now_us);
+	dsp_drain_tick(dsp, now_us);
 	dsp_seen_expire(dsp->seen, now_us);
 	key_expire(dsp->keys, now_us);
 	dsp_leave_tick(dsp, now_us);
@@ -70,8 +71,8 @@
 {
 	mem_view_unref(dsp->view);
 	dsp->view = mem_view_ref(m->view.view);
-	if (key_count(dsp->keys))
-		dsp_handover_send(dsp, now_us);
+	dsp_handover_send(dsp, now_us);
+	dsp_cancel_dead(dsp, now_us);
 }
 
 static void take_credit(struct dsp *dsp, const struct msg *m, int64_t now_us)
@@ -116,7 +117,7 @@
 		dsp_handover_take(dsp, m, now_us);
 		break;
 	case MSG_LINK_DOWN:
-		dsp_cancel_node(dsp, m->link_down.node, now_us);
+		dsp_cancel_streams(dsp, m->link_down.node, now_us);
 		break;
 	case MSG_STOP:
 		dsp_leave_stop(dsp, now_us);
@@ -153,6 +154,8 @@
 	dsp->records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     free_msg);
 	dsp->runs = g_hash_table_new(dsp_id_hash, dsp_id_equal);
+	dsp->handed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	dsp->seen = dsp_seen_new(DSP_SEEN_MAX);
 	dsp->keys = key_table_new(FS_KEYS_MAX);
 	ev_timer_init(&dsp->tick, on_tick, DSP_TICK_US / 1e6,
@@ -196,6 +199,7 @@
 	g_hash_table_unref(dsp->routes);
 	g_hash_table_unref(dsp->records);
 	g_hash_table_unref(dsp->runs);
+	g_hash_table_unref(dsp->handed);
 	dsp_seen_free(dsp->seen);
 	key_table_free(dsp->keys);
 	shd_map_free(dsp->map);
--- a/src/dsp_admit.c
+++ b/src/dsp_admit.c
@@ -131,6 +131,7 @@
 	run->repeatable = route->repeatable;
 	run->tries_max = route->repeatable ? MIN(route->tries, DSP_TRIES_MAX) :
 					     1;
+	run->taken_us = now_us;
 	run->allowed_us = route->deadline_us;
 	run->deadline_us =
 		now_us + MIN(run->m->request.remaining_us, route->deadline_us);
@@ -148,6 +149,8 @@
 	err = key_begin(run->dsp->keys, request->service, request->key,
 			request->shard, now_us);
 	run->keyed = !err;
+	if (run->keyed)
+		dsp_handover_key(run, true, now_us);
 	return err == FS_E_NO_MEMORY ? FS_E_ENTRY_FULL : err;
 }
 
@@ -172,6 +175,7 @@
 static int admit(struct dsp_run *run, int64_t now_us)
 {
 	struct slt_numbers n;
+	int key_err;
 	int err;
 
 	dsp_admit_numbers(run, now_us, &n);
@@ -180,8 +184,9 @@
 		return err;
 	if (err && !que_victim(&run->shard->que, run->priority))
 		return err;
-	if (take_key(run, now_us))
-		return take_key(run, now_us);
+	key_err = take_key(run, now_us);
+	if (key_err)
+		return key_err;
 	return err ? shed(run, now_us) : 0;
 }
 
--- a/src/dsp_cancel.c
+++ b/src/dsp_cancel.c
@@ -40,26 +40,69 @@
 		dsp_run_waiting(shard, now_us);
 }
 
-void dsp_cancel_node(struct dsp *dsp, node_id node, int64_t now_us)
+typedef bool (*lost_fn)(const struct dsp_run *run, node_id node);
+
+static GPtrArray *select_runs(struct dsp *dsp, lost_fn lost, node_id node)
 {
-	g_autoptr(GPtrArray) lost = g_ptr_array_new();
+	GPtrArray *runs = g_ptr_array_new();
 	GHashTableIter iter;
 	struct dsp_run *run;
-	struct dsp_shard *shard;
 
 	g_hash_table_iter_init(&iter, dsp->runs);
 	while (g_hash_table_iter_next(&iter, (void **)&run, NULL)) {
-		if (run->from == node)
-			g_ptr_array_add(lost, run);
+		if (lost(run, node))
+			g_ptr_array_add(runs, run);
 	}
-	for (guint i = 0; i < lost->len; i++) {
-		run = lost->pdata[i];
+	return runs;
+}
+
+/* The entry may have lost pieces; whatever still runs without having begun
+ * its answer goes on, since the entry may wait for it on a new link. */
+static bool is_stream(const struct dsp_run *run, node_id node)
+{
+	return run->from == node && run->begun;
+}
+
+static bool is_dead(const struct dsp_run *run, node_id node)
+{
+	const struct mem_member *m = mem_view_find(run->dsp->view, run->from);
+
+	(void)node;
+	return m && m->state == MEM_DEAD;
+}
+
+static void start_waiting(struct dsp *dsp, int64_t now_us)
+{
+	GHashTableIter iter;
+	struct dsp_shard *shard;
+
+	g_hash_table_iter_init(&iter, dsp->shards);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&shard))
+		dsp_run_waiting(shard, now_us);
+}
+
+void dsp_cancel_streams(struct dsp *dsp, node_id node, int64_t now_us)
+{
+	g_autoptr(GPtrArray) runs = select_runs(dsp, is_stream, node);
+
+	for (guint i = 0; i < runs->len; i++) {
+		dsp_count(dsp, "streams_cut", NULL);
+		dsp_run_refuse(runs->pdata[i], FS_E_TRUNCATED, FS_UNKNOWN, 0,
+			       now_us);
+	}
+	start_waiting(dsp, now_us);
+}
+
+void dsp_cancel_dead(struct dsp *dsp, int64_t now_us)
+{
+	g_autoptr(GPtrArray) runs = select_runs(dsp, is_dead, 0);
+
+	for (guint i = 0; i < runs->len; i++) {
+		struct dsp_run *run = runs->pdata[i];
+
 		dsp_exchange_stop(run, now_us);
 		dsp_count(dsp, "entry_lost", run->m->request.service);
 		dsp_run_end(run, dsp_run_outcome(run), now_us);
 	}
-	g_hash_table_iter_init(&iter, dsp->shards);
-	while (lost->len &&
-	       g_hash_table_iter_next(&iter, NULL, (void **)&shard))
-		dsp_run_waiting(shard, now_us);
+	start_waiting(dsp, now_us);
 }
--- a/src/dsp_exchange.c
+++ b/src/dsp_exchange.c
@@ -142,8 +142,9 @@
 		dsp_run_requeue(run, FS_E_TARGET_REFUSED, now_us);
 		return;
 	}
-	if (not_run)
-		outcome = run->written ? FS_UNKNOWN : FS_NOT_RUN;
+	/* An earlier try may have run all the same. */
+	if (not_run && !run->written)
+		outcome = FS_NOT_RUN;
 	dsp_reply_answer(run, outcome, true, now_us);
 	dsp_count(run->dsp, not_run ? "target_refused" : "answers",
 		  run->m->request.service);
--- a/src/dsp_impl.h
+++ b/src/dsp_impl.h
@@ -32,13 +32,16 @@
 #define DSP_TRIES_MAX 8		    /* servers tried for one request */
 #define DSP_SEND_GRACE_US 1000000LL /* past the deadline, for a slow caller */
 
+struct dsp_drain;
+
 /** One server by its name, over changes of the configuration. */
 struct dsp_server {
 	char *name;
 	int refs;
 	uint32_t in_flight;
-	bool told;    /* the list of VMs says that it is leaving */
-	bool drained; /* it said so itself */
+	bool told;		 /* the list of VMs says that it is leaving */
+	bool drained;		 /* it said so itself */
+	struct dsp_drain *drain; /* whether it still says so */
 };
 
 /** One shard that has work. */
@@ -64,6 +67,7 @@
 	struct msg *m; /* the MSG_REQUEST */
 	node_id from;
 	enum cfg_priority priority;
+	int64_t taken_us;
 	int64_t deadline_us;
 	int64_t allowed_us; /* the route's whole deadline */
 	bool repeatable;
@@ -108,6 +112,7 @@
 	GHashTable *runs;    /* struct dsp_run by id */
 	struct dsp_seen *seen;
 	struct key_table *keys;
+	GHashTable *handed; /* shard key to node_id that has its keys */
 	ev_timer tick;
 	int64_t ticked_us;
 	int64_t busy_us; /* when a run was last here */
@@ -189,8 +194,10 @@
 
 /* dsp_cancel.c */
 void dsp_cancel(struct dsp *dsp, const struct msg *m, int64_t now_us);
-/** The entries at a node cannot be answered any more. */
-void dsp_cancel_node(struct dsp *dsp, node_id node, int64_t now_us);
+/** Messages to a node may have been lost: its streams have a gap. */
+void dsp_cancel_streams(struct dsp *dsp, node_id node, int64_t now_us);
+/** Withdraws all that came from nodes that are dead by the view. */
+void dsp_cancel_dead(struct dsp *dsp, int64_t now_us);
 
 /* dsp_reply.c: messages to entries */
 void dsp_reply_refusal(struct dsp *dsp, node_id to, const struct req_id *id,
@@ -221,10 +228,19 @@
 /** The server said in an answer whether it is leaving. */
 void dsp_leave_answer(struct dsp_shard *shard, struct dsp_server *server,
 		      bool draining, int64_t now_us);
+/** Asks servers that said they are leaving whether that still holds. */
+void dsp_drain_tick(struct dsp *dsp, int64_t now_us);
+void dsp_drain_free(struct dsp_drain *drain);
 void dsp_leave_stop(struct dsp *dsp, int64_t now_us);
 void dsp_leave_tick(struct dsp *dsp, int64_t now_us);
-/** Sends keys of shards that another node dispatches now to that node. */
+
+/* dsp_handover.c: idempotency keys follow the owner of their shard */
+
+/** Sends the keys of shards that have got another owner to that node. */
 void dsp_handover_send(struct dsp *dsp, int64_t now_us);
+/** Tells another owner of a key that was taken or spent here. */
+void dsp_handover_key(const struct dsp_run *run, bool in_flight,
+		      int64_t now_us);
 void dsp_handover_take(struct dsp *dsp, const struct msg *m, int64_t now_us);
 
 /* dsp_status.c */
--- a/src/dsp_run.c
+++ b/src/dsp_run.c
@@ -32,9 +32,12 @@
 	dsp_exchange_stop(run, now_us);
 	if (run->shard)
 		que_remove(&run->shard->que, &run->item);
-	if (run->keyed)
+	if (run->keyed) {
 		key_end(dsp->keys, request->service, request->key,
 			outcome == FS_NOT_RUN);
+		if (outcome != FS_NOT_RUN)
+			dsp_handover_key(run, false, now_us);
+	}
 	dsp_seen_add(dsp->seen, &run->id, DSP_SEEN_ENDED, outcome, now_us);
 	for (uint32_t i = 0; i < run->tries; i++)
 		dsp_server_unref(dsp, run->tried[i]);
--- a/src/dsp_shard.c
+++ b/src/dsp_shard.c
@@ -29,6 +29,7 @@
 	if (--server->refs > 0)
 		return;
 	g_hash_table_remove(dsp->servers, server->name);
+	dsp_drain_free(server->drain);
 	g_free(server->name);
 	g_free(server);
 }
--- a/src/msg.h
+++ b/src/msg.h
@@ -107,7 +107,8 @@
 	uint32_t status;
 	enum fs_outcome outcome; /* FS_NOT_RUN for a target's refusal */
 	GArray *headers; /* struct msg_header, hop-by-hop ones removed */
-	int64_t length;	 /* of the whole body; -1: not known before */
+	int64_t length;	 /* of the whole body; -1: not known before;
+			  * to HEAD: of the body that is not sent */
 	GBytes *data;	 /* first piece; never NULL */
 	bool last;	 /* the first piece is the whole body */
 	struct msg_load load;
--- a/src/tgt.c
+++ b/src/tgt.c
@@ -264,6 +264,8 @@
 
 int64_t tgt_length(const struct tgt *tgt)
 {
+	if (!tgt->no_body && !tgt_has_body(tgt))
+		return 0;
 	return tgt->length;
 }
 
--- a/src/tgt.h
+++ b/src/tgt.h
@@ -97,7 +97,8 @@
 /** Returns whether the answer says that the target is leaving. */
 bool tgt_draining(const struct tgt *tgt);
 
-/** Returns the length of the whole body, or -1 if it was not told. */
+/** Returns the length of the whole body, or -1 if it was not told; of an answer
+ *  to HEAD, that of the body which is not sent. */
 int64_t tgt_length(const struct tgt *tgt);
 
 /** Takes up to @p max bytes of the body. */
