Look at a kept connection before a request is written to it

CURLINFO_ACTIVESOCKET is not set before the request is written, so the pool remembers the socket of each connection by its two ends. A connection that is not quiet, or closed, is left and a new one opened; nothing was written, so this is safe for all.

--- a/src/dsp.c
+++ b/src/dsp.c
@@ -142,7 +142,7 @@
 	struct dsp *dsp = g_new0(struct dsp, 1);
 
 	dsp->node = node;
-	dsp->crl = crl_new(node->loop, TGT_POOL_CONNECTIONS);
+	dsp->pool = tgt_pool_new(node->loop, TGT_POOL_CONNECTIONS);
 	dsp->shards = g_hash_table_new(g_str_hash, g_str_equal);
 	dsp->servers = g_hash_table_new(g_str_hash, g_str_equal);
 	dsp->told =
@@ -205,6 +205,6 @@
 	shd_map_free(dsp->map);
 	mem_view_unref(dsp->view);
 	cfg_unref(dsp->cfg);
-	crl_free(dsp->crl);
+	tgt_pool_free(dsp->pool);
 	g_free(dsp);
 }
--- a/src/dsp_drain.c
+++ b/src/dsp_drain.c
@@ -106,7 +106,7 @@
 		return;
 	if (!drain) {
 		drain = server->drain = g_new0(struct dsp_drain, 1);
-		drain->crl = shard->dsp->crl;
+		drain->crl = tgt_pool_crl(shard->dsp->pool);
 		drain->checked_us = now_us;
 	}
 	if (drain->over) {
--- a/src/dsp_exchange.c
+++ b/src/dsp_exchange.c
@@ -268,7 +268,7 @@
 		hlt_started(shard->hlt, i, run->deadline_us - now_us, now_us);
 	request.head_us = head_limit(run, now_us);
 	run->tgt =
-		tgt_start(run->dsp->crl, &request, &exchange_ops, run, now_us);
+		tgt_start(run->dsp->pool, &request, &exchange_ops, run, now_us);
 	if (run->tgt)
 		return;
 	release(run, &end, now_us);
--- a/src/dsp_impl.h
+++ b/src/dsp_impl.h
@@ -99,7 +99,7 @@
 
 struct dsp {
 	struct node *node;
-	struct crl *crl;
+	struct tgt_pool *pool;
 	struct cfg *cfg;
 	struct shd_map *map;
 	struct mem_view *view;
--- a/src/tgt.c
+++ b/src/tgt.c
@@ -75,29 +75,46 @@
 {
 	struct tgt *tgt = arg;
 
-	(void)easy;
+	if (tgt->stale && !tgt->written) {
+		tgt->stale = false;
+		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+		if (!crl_start(tgt->crl, easy, on_done, tgt))
+			return;
+	}
 	end(tgt, code == CURLE_OK ? check_whole(tgt) : error_of(tgt, code));
 }
 
+/* Returns whether the connection may be written to. */
+static bool is_usable(struct tgt *tgt, const struct tgt_ends *ends)
+{
+	long connects = 0;
+
+	curl_easy_getinfo(tgt->easy, CURLINFO_NUM_CONNECTS, &connects);
+	tgt->reused = connects == 0;
+	if (!tgt->reused)
+		tgt_pool_note(tgt->pool, ends, tgt->fd);
+	else
+		tgt->stale = !tgt_pool_quiet(tgt->pool, ends);
+	return !tgt->stale;
+}
+
 /* The last moment before the request is written. */
 static int on_write(void *arg, char *ip, char *local_ip, int port,
 		    int local_port)
 {
 	struct tgt *tgt = arg;
-	long connects = 0;
+	struct tgt_ends ends = {
+		.ip = ip,
+		.local_ip = local_ip,
+		.port = port,
+		.local_port = local_port,
+	};
 
-	(void)ip;
-	(void)local_ip;
-	(void)port;
-	(void)local_port;
 	if (tgt->written)
 		return CURL_PREREQFUNC_ABORT;
-	if (fs_now_us() >= tgt->deadline_us) {
-		tgt->late = true;
+	tgt->late = fs_now_us() >= tgt->deadline_us;
+	if (tgt->late || !is_usable(tgt, &ends))
 		return CURL_PREREQFUNC_ABORT;
-	}
-	curl_easy_getinfo(tgt->easy, CURLINFO_NUM_CONNECTS, &connects);
-	tgt->reused = connects == 0;
 	tgt->written = true;
 	return CURL_PREREQFUNC_OK;
 }
@@ -198,13 +215,15 @@
 	curl_easy_setopt(easy, CURLOPT_VERBOSE, 1L);
 }
 
-struct tgt *tgt_start(struct crl *crl, const struct tgt_request *request,
+struct tgt *tgt_start(struct tgt_pool *pool, const struct tgt_request *request,
 		      const struct tgt_ops *ops, void *arg, int64_t now_us)
 {
 	struct tgt *tgt = g_new0(struct tgt, 1);
 
-	tgt->crl = crl;
+	tgt->pool = pool;
+	tgt->crl = tgt_pool_crl(pool);
 	tgt->easy = curl_easy_init();
+	tgt_pool_attach(pool, tgt->easy, &tgt->fd);
 	tgt->id = g_strdup(request->id);
 	tgt->ops = ops;
 	tgt->arg = arg;
@@ -218,7 +237,7 @@
 	tgt->timer.data = tgt;
 	set_options(tgt, request, now_us);
 	tgt_write_request(tgt, request, now_us);
-	if (crl_start(crl, tgt->easy, on_done, tgt)) {
+	if (crl_start(tgt->crl, tgt->easy, on_done, tgt)) {
 		tgt->ended = true;
 		tgt_free(tgt);
 		return NULL;
--- a/src/tgt.h
+++ b/src/tgt.h
@@ -8,10 +8,15 @@
  * repeated always opens its own connection, which no other request uses, and
  * CURLOPT_PREREQFUNCTION aborts the second writing of any request.
  *
+ * A kept connection is used only if nothing has arrived on it since its last
+ * answer; else the request goes by a new one.
+ *
  * The answer is taken as whole only if its end can be told from a cut: by
  * Content-Length, by chunks, or because it has no body. A body that ends with
- * its connection, is short, or is followed by more bytes is an error, and so
- * is an answer that names another request in Fescuesaddle-Request.
+ * its connection, is short, or is longer than its Content-Length is an error,
+ * and so is an answer that names another request in Fescuesaddle-Request.
+ * Bytes that arrive behind the last chunk, or behind an answer to HEAD, are
+ * dropped: the answer itself is whole.
  *
  * Limits: an answer's header fields as in TGT_HEADERS_MAX and
  * TGT_HEADER_BYTES_MAX. A body is buffered up to FS_ANSWER_WHOLE_MAX; a longer
@@ -20,8 +25,8 @@
 #ifndef TGT_H
 #define TGT_H
 
-#include "crl.h"
 #include "msg.h"
+#include "tgt_pool.h"
 
 #define TGT_HEADERS_MAX 128		 /* header fields of an answer */
 #define TGT_HEADER_BYTES_MAX (64 * 1024) /* bytes of all of them */
@@ -72,7 +77,7 @@
  * Starts an exchange.
  * @return NULL if libcurl has no room; nothing was written then
  */
-struct tgt *tgt_start(struct crl *crl, const struct tgt_request *request,
+struct tgt *tgt_start(struct tgt_pool *pool, const struct tgt_request *request,
 		      const struct tgt_ops *ops, void *arg, int64_t now_us);
 
 /**
--- a/src/tgt_impl.h
+++ b/src/tgt_impl.h
@@ -8,7 +8,9 @@
 #include "tgt.h"
 
 struct tgt {
-	struct crl *crl;
+	struct tgt_pool *pool;
+	struct crl *crl;  /* of the pool */
+	curl_socket_t fd; /* opened last */
 	CURL *easy;
 	struct curl_slist *fields;
 	GBytes *body;
@@ -24,6 +26,7 @@
 	bool written; /* a byte of the request may have reached the target */
 	bool reused;  /* by a connection that was kept */
 	bool late;    /* not written, since the deadline had passed */
+	bool stale;   /* not written, since a kept connection was not quiet */
 	bool ended;
 	bool begun;
 	bool paused;
--- /dev/null
+++ b/src/tgt_pool.c
@@ -0,0 +1,95 @@
+#include "tgt_pool.h"
+
+#include <errno.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+struct tgt_pool {
+	struct crl *crl;
+	GHashTable *fds;  /* both ends as text to socket */
+	GHashTable *ends; /* socket to the key in fds */
+};
+
+static char *text_of(const struct tgt_ends *ends)
+{
+	return g_strdup_printf("%s:%d %s:%d", ends->local_ip, ends->local_port,
+			       ends->ip, ends->port);
+}
+
+static curl_socket_t open_socket(void *arg, curlsocktype purpose,
+				 struct curl_sockaddr *address)
+{
+	curl_socket_t *fd = arg;
+
+	(void)purpose;
+	*fd = socket(address->family, address->socktype | SOCK_CLOEXEC,
+		     address->protocol);
+	return *fd;
+}
+
+static int close_socket(void *arg, curl_socket_t fd)
+{
+	struct tgt_pool *pool = arg;
+	const char *ends = g_hash_table_lookup(pool->ends, GINT_TO_POINTER(fd));
+
+	if (ends)
+		g_hash_table_remove(pool->fds, ends);
+	g_hash_table_remove(pool->ends, GINT_TO_POINTER(fd));
+	return close(fd);
+}
+
+struct tgt_pool *tgt_pool_new(struct ev_loop *loop, long connections)
+{
+	struct tgt_pool *pool = g_new0(struct tgt_pool, 1);
+
+	pool->crl = crl_new(loop, connections);
+	pool->fds =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	pool->ends = g_hash_table_new(NULL, NULL);
+	return pool;
+}
+
+void tgt_pool_free(struct tgt_pool *pool)
+{
+	if (!pool)
+		return;
+	crl_free(pool->crl);
+	g_hash_table_unref(pool->ends);
+	g_hash_table_unref(pool->fds);
+	g_free(pool);
+}
+
+struct crl *tgt_pool_crl(const struct tgt_pool *pool)
+{
+	return pool->crl;
+}
+
+void tgt_pool_attach(struct tgt_pool *pool, CURL *easy, curl_socket_t *fd)
+{
+	curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+	curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, fd);
+	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, pool);
+}
+
+void tgt_pool_note(struct tgt_pool *pool, const struct tgt_ends *ends,
+		   curl_socket_t fd)
+{
+	char *text = text_of(ends);
+
+	g_hash_table_replace(pool->fds, text, GINT_TO_POINTER(fd));
+	g_hash_table_insert(pool->ends, GINT_TO_POINTER(fd), text);
+}
+
+bool tgt_pool_quiet(const struct tgt_pool *pool, const struct tgt_ends *ends)
+{
+	g_autofree char *text = text_of(ends);
+	void *fd;
+	char byte;
+
+	if (!g_hash_table_lookup_extended(pool->fds, text, NULL, &fd))
+		return false;
+	return recv(GPOINTER_TO_INT(fd), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <
+		       0 &&
+	       (errno == EAGAIN || errno == EWOULDBLOCK);
+}
--- a/tests/fleet_fake.h
+++ b/tests/fleet_fake.h
@@ -59,6 +59,9 @@
 /** Closes the connection; with a reset if @p reset. */
 void fake_close(struct fake_conn *conn, bool reset);
 
+/** Closes the connection once all that was sent is written. */
+void fake_close_after(struct fake_conn *conn);
+
 /** Runs the loop until @p done holds or @p limit_us passed.
  *  @return whether it holds */
 bool fake_run(struct ev_loop *loop, bool (*done)(void *arg), void *arg,
