--- a/tests/unit_tgt.c
+++ b/tests/unit_tgt.c
@@ -290,7 +290,8 @@
 	 FS_E_ANSWER_INVALID, NULL},
 	{"no_http", "GET", "hello\r\n\r\n", true, FS_E_ANSWER_INVALID, NULL},
 	{"nothing", "GET", "", true, FS_E_TARGET_RESET, NULL},
-	{"half_header", "GET", OK "Content-Le", true, FS_E_TARGET_RESET, NULL},
+	{"half_header", "GET", OK "Content-Le", true, FS_E_ANSWER_INVALID,
+	 NULL},
 };
 
 static void serve_case(void *arg, struct fake_conn *conn,
