--- /dev/null
+++ b/src/msg_codec_in.c
@@ -0,0 +1,155 @@
+#include "msg_codec.h"
+
+static void read_request(struct msg_reader *r, struct msg *m)
+{
+	struct msg_request *request = &m->request;
+
+	msg_get_id(r, &request->id);
+	request->config_version = msg_get_u64(r, UINT64_MAX);
+	request->service = msg_get_text(r);
+	request->region = msg_get_text(r);
+	request->shard = msg_get_u32(r);
+	request->route = msg_get_text(r);
+	request->forced = msg_get_bool(r);
+	request->remaining_us = msg_get_i64(r);
+	request->key = msg_get_text_or_nil(r);
+	request->method = msg_get_text(r);
+	request->host = msg_get_text(r);
+	request->target = msg_get_text(r);
+	request->headers = msg_get_headers(r);
+	request->body = msg_get_bytes(r);
+}
+
+static void read_cancel(struct msg_reader *r, struct msg *m)
+{
+	msg_get_id(r, &m->cancel.id);
+}
+
+static void read_credit(struct msg_reader *r, struct msg *m)
+{
+	msg_get_id(r, &m->credit.id);
+	m->credit.bytes = msg_get_u32(r);
+}
+
+static void read_answer(struct msg_reader *r, struct msg *m)
+{
+	struct msg_answer *answer = &m->answer;
+
+	msg_get_id(r, &answer->id);
+	answer->status = msg_get_u32(r);
+	answer->outcome = msg_get_outcome(r);
+	answer->headers = msg_get_headers(r);
+	answer->length = msg_get_i64(r);
+	answer->data = msg_get_bytes(r);
+	answer->last = msg_get_bool(r);
+	msg_get_load(r, &answer->load);
+	answer->server = msg_get_text(r);
+	answer->tries = msg_get_u32(r);
+	if (answer->length < -1)
+		r->bad = true;
+}
+
+static void read_piece(struct msg_reader *r, struct msg *m)
+{
+	msg_get_id(r, &m->piece.id);
+	m->piece.offset = msg_get_u64(r, INT64_MAX);
+	m->piece.data = msg_get_bytes(r);
+	m->piece.last = msg_get_bool(r);
+}
+
+/* A refusal names an error, and is never an answer. */
+static void read_refusal(struct msg_reader *r, struct msg *m)
+{
+	struct msg_refusal *refusal = &m->refusal;
+	int64_t err;
+
+	msg_get_id(r, &refusal->id);
+	err = msg_get_i64(r);
+	refusal->outcome = msg_get_outcome(r);
+	refusal->retry_after_us = msg_get_i64(r);
+	msg_get_load(r, &refusal->load);
+	refusal->tries = msg_get_u32(r);
+	if (err >= 0 || err < FS_E_AUDIT || refusal->outcome == FS_ANSWERED)
+		r->bad = true;
+	else
+		refusal->err = (int)err;
+}
+
+static void read_handover(struct msg_reader *r, struct msg *m)
+{
+	struct msg_handover *handover = &m->handover;
+	struct msg_reader inner;
+
+	handover->service = msg_get_text(r);
+	handover->region = msg_get_text(r);
+	handover->shard = msg_get_u32(r);
+	inner = msg_get_array(r, 3);
+	while (!inner.bad && inner.left) {
+		struct msg_key key = {0};
+
+		key.key = msg_get_text(&inner);
+		key.in_flight = msg_get_bool(&inner);
+		key.age_us = msg_get_i64(&inner);
+		g_array_append_val(handover->keys, key);
+	}
+	msg_end_array(r, &inner);
+}
+
+static void read_probe_ask(struct msg_reader *r, struct msg *m)
+{
+	m->probe_ask.serial = msg_get_u64(r, UINT64_MAX);
+	m->probe_ask.server = msg_get_text(r);
+}
+
+static void read_probe_told(struct msg_reader *r, struct msg *m)
+{
+	m->probe_told.serial = msg_get_u64(r, UINT64_MAX);
+	m->probe_told.server = msg_get_text(r);
+	m->probe_told.reachable = msg_get_bool(r);
+	m->probe_told.took_us = msg_get_i64(r);
+}
+
+static void read_config_ask(struct msg_reader *r, struct msg *m)
+{
+	m->config_ask.known = msg_get_u64(r, UINT64_MAX);
+}
+
+static void read_config_text(struct msg_reader *r, struct msg *m)
+{
+	m->config_text.version = msg_get_u64(r, UINT64_MAX);
+	m->config_text.text = msg_get_text(r);
+}
+
+static void read_targets_leaving(struct msg_reader *r, struct msg *m)
+{
+	struct msg_reader inner = msg_get_array(r, 1);
+
+	m->targets_leaving.servers = g_ptr_array_new_with_free_func(g_free);
+	while (!inner.bad && inner.left) {
+		char *name = msg_get_text(&inner);
+
+		if (name)
+			g_ptr_array_add(m->targets_leaving.servers, name);
+	}
+	msg_end_array(r, &inner);
+}
+
+static const msg_read_fn readers[MSG_REMOTE_COUNT] = {
+	[MSG_REQUEST] = read_request,
+	[MSG_CANCEL] = read_cancel,
+	[MSG_CREDIT] = read_credit,
+	[MSG_ANSWER] = read_answer,
+	[MSG_PIECE] = read_piece,
+	[MSG_REFUSAL] = read_refusal,
+	[MSG_HANDOVER] = read_handover,
+	[MSG_PROBE_ASK] = read_probe_ask,
+	[MSG_PROBE_TOLD] = read_probe_told,
+	[MSG_CONFIG_ASK] = read_config_ask,
+	[MSG_CONFIG_TEXT] = read_config_text,
+	[MSG_TARGETS_LEAVING] = read_targets_leaving,
+};
+
+msg_read_fn msg_reader_of(enum msg_type type)
+{
+	return type < MSG_REMOTE_COUNT ? readers[type] : NULL;
+}
