--- /dev/null
+++ b/src/ejc_service.c
@@ -0,0 +1,159 @@
+#include <string.h>
+
+#include "ejc_impl.h"
+#include "fs_log.h"
+
+static void on_decided(void *arg, const struct flr_decision *decision)
+{
+	ejc_record_decision(arg, decision, fs_now_us());
+}
+
+struct ejc_service *ejc_service_new(struct ejc *ejc, const char *name)
+{
+	struct ejc_service *service = g_new0(struct ejc_service, 1);
+
+	service->ejc = ejc;
+	service->name = g_strdup(name);
+	service->key =
+		g_strdup_printf("eject/%s/%s", ejc->node->set.region, name);
+	service->sync = flr_sync_new(&flr_times_default, ejc->node->set.name,
+				     on_decided, service);
+	service->servers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return service;
+}
+
+void ejc_service_free(void *data)
+{
+	struct ejc_service *service = data;
+
+	plt_forget(service->ejc->node->platform, service);
+	flr_sync_free(service->sync);
+	g_hash_table_unref(service->servers);
+	g_free(service->key);
+	g_free(service->name);
+	g_free(service);
+}
+
+bool ejc_scope(const struct ejc_service *service, struct flr_scope *out)
+{
+	const struct cfg *cfg = service->ejc->cfg;
+
+	*out = (struct flr_scope){
+		.cfg = cfg,
+		.service = cfg_find_service(cfg, service->name),
+		.region = service->ejc->node->set.region,
+	};
+	return out->service != FS_NONE;
+}
+
+struct ejc_server *ejc_server_of(struct ejc_service *service, const char *name)
+{
+	struct ejc_server *server = g_hash_table_lookup(service->servers, name);
+
+	if (server)
+		return server;
+	server = g_new0(struct ejc_server, 1);
+	server->refused = AUD_RULE_COUNT;
+	g_hash_table_insert(service->servers, g_strdup(name), server);
+	return server;
+}
+
+static void tell(struct ejc_service *service, const struct flr_record *record,
+		 int64_t confirmed_us)
+{
+	struct node *node = service->ejc->node;
+	struct msg *m = msg_new(MSG_RECORD, node->self, MSG_TASK_DISPATCH);
+
+	m->record.service = g_strdup(service->name);
+	m->record.record = record ? flr_record_copy(record) : NULL;
+	m->record.confirmed_us = confirmed_us;
+	bus_send(node->bus, m);
+}
+
+static void tell_news(struct ejc_service *service, int64_t now_us)
+{
+	const struct flr_record *record =
+		flr_sync_record(service->sync, now_us);
+	int64_t confirmed_us = flr_sync_confirmed(service->sync);
+
+	if (!record && service->told) {
+		tell(service, NULL, confirmed_us);
+		service->told = false;
+		fs_log_eventf("ejc", G_LOG_LEVEL_WARNING, "record_lapsed",
+			      "\"service\":\"%s\"", service->name);
+	} else if (record &&
+		   (!service->told || confirmed_us != service->told_us)) {
+		tell(service, record, confirmed_us);
+		service->told = true;
+		service->told_us = confirmed_us;
+	}
+}
+
+static void on_read(void *arg, int err, const struct plt_value *value)
+{
+	struct ejc_service *service = arg;
+	int64_t now_us = fs_now_us();
+	struct flr_scope scope;
+
+	if (!ejc_scope(service, &scope))
+		return;
+	flr_sync_read(service->sync, &scope, err, value ? value->revision : 0,
+		      value && value->data ? value->data : "", now_us);
+	tell_news(service, now_us);
+}
+
+static void on_wrote(void *arg, int err, const struct plt_value *value)
+{
+	struct ejc_service *service = arg;
+	int64_t now_us = fs_now_us();
+	struct flr_scope scope;
+
+	if (!ejc_scope(service, &scope))
+		return;
+	flr_sync_wrote(service->sync, &scope, err, value ? value->revision : 0,
+		       now_us);
+	tell_news(service, now_us);
+}
+
+void ejc_service_tick(struct ejc_service *service, int64_t now_us)
+{
+	struct plt *platform = service->ejc->node->platform;
+	g_autoptr(GString) value = g_string_new(NULL);
+	struct flr_scope scope;
+	uint64_t prev = 0;
+
+	if (!ejc_scope(service, &scope))
+		return;
+	ejc_path_tick(service, now_us);
+	switch (flr_sync_next(service->sync, &scope, now_us, value, &prev)) {
+	case FLR_CALL_READ:
+		plt_get(platform, service->key, on_read, service);
+		break;
+	case FLR_CALL_WRITE:
+		plt_put(platform, service->key, prev, value->str, value->len,
+			on_wrote, service);
+		break;
+	default:
+		break;
+	}
+	tell_news(service, now_us);
+}
+
+void ejc_service_ask(struct ejc_service *service,
+		     const struct msg_eject_ask *ask, int64_t now_us)
+{
+	enum aud_rule judged = aud_rule_by_name(ask->rule);
+	struct ejc_server *server = ejc_server_of(service, ask->server);
+
+	if (ask->give_back || judged != AUD_R_STEER_CONNECT) {
+		flr_sync_ask(service->sync, ask->server, judged, ask->give_back,
+			     now_us);
+		return;
+	}
+	server->judged = judged;
+	if (!server->path.open &&
+	    (!server->path.serial ||
+	     now_us - server->path.asked_us >= EJC_PATH_KEEP_US))
+		ejc_path_ask(service, ask->server, now_us);
+}
--- a/src/msg.h
+++ b/src/msg.h
@@ -173,6 +173,7 @@
 	char *server;
 	bool reachable;
 	int64_t took_us;
+	bool draining; /* told by the target; local only */
 };
 
 /** MSG_CONFIG_ASK. */
