--- a/src/cfg_change.c
+++ b/src/cfg_change.c
@@ -41,11 +41,13 @@
 	if (!before)
 		return 0;
 	known = problems->len;
-	if (strcmp(before->deployment, after->deployment) != 0)
+	if (strcmp(before->deployment, after->deployment) != 0) {
 		cfg_problem(&r, "deployment",
 			    "the text is for %s, the one in force for %s; use "
 			    "the platform of that deployment",
 			    after->deployment, before->deployment);
+		return FS_E_CONFIG;
+	}
 	for (handle h = 0; h < before->service_count; h++) {
 		const char *name = before->services[h].name;
 
--- a/src/cfg_load.c
+++ b/src/cfg_load.c
@@ -49,7 +49,8 @@
 	g_autofree char *reason = NULL;
 	void *raw = NULL;
 
-	if (cfg_scan(text, size, &cfg_raw_schema, top->problems, NULL))
+	if (cfg_scan(text, size, &cfg_raw_schema, top->problems, NULL) ==
+	    FS_E_PROTOCOL)
 		return NULL;
 	if (cfg_raw_load(text, size, &cfg_raw_schema, &raw, &reason))
 		cfg_problem(top, NULL, "%s", reason);
--- a/src/cfg_raw.c
+++ b/src/cfg_raw.c
@@ -141,7 +141,7 @@
 	.log_fn = NULL,
 	.mem_fn = cyaml_mem,
 	.log_level = CYAML_LOG_ERROR,
-	.flags = CYAML_CFG_NO_ALIAS,
+	.flags = CYAML_CFG_NO_ALIAS | CYAML_CFG_IGNORE_UNKNOWN_KEYS,
 };
 
 int cfg_raw_load(const char *text, size_t size,
--- a/src/cfg_raw.h
+++ b/src/cfg_raw.h
@@ -96,7 +96,8 @@
 extern const cyaml_schema_value_t cfg_raw_schema;
 
 /**
- * Reads a text with libcyaml.
+ * Reads a text with libcyaml; settings that the schema lacks are passed over,
+ * since cfg_scan() has reported them.
  * @param reason  out: libcyaml's last messages on error, owned by the caller
  * @return 0 or FS_E_CONFIG
  */
--- a/src/cfg_scan.c
+++ b/src/cfg_scan.c
@@ -23,6 +23,7 @@
 	const cyaml_schema_value_t *root;
 	int line; /* of the current event */
 	uint32_t documents;
+	uint32_t unknown; /* findings that are unknown settings */
 	bool stop;
 };
 
@@ -59,6 +60,7 @@
 	for (; field->key; field++)
 		g_string_append_printf(known, "%s%s", known->len ? ", " : "",
 				       field->key);
+	s->unknown++;
 	report(s, "unknown setting; the ones here are: %s", known->str);
 }
 
@@ -304,7 +306,10 @@
 
 	run(&s, text, size);
 	g_string_free(s.path, TRUE);
-	return problems->len > before ? FS_E_CONFIG : 0;
+	if (problems->len == before)
+		return 0;
+	return problems->len - before == s.unknown ? FS_E_CONFIG :
+						     FS_E_PROTOCOL;
 }
 
 /* Cuts the last part off a path. @return false if none is left */
--- a/src/cfg_scan.h
+++ b/src/cfg_scan.h
@@ -7,7 +7,8 @@
  * wrong shape, each with its line. It also bounds what a text may ask for:
  * nesting, list lengths, and no anchors, aliases or tags.
  *
- * A text that passes the scan is one that libcyaml reads.
+ * A text that passes the scan is one that libcyaml reads. One with unknown
+ * settings only can still be read without them, to find more.
  */
 #ifndef CFG_SCAN_H
 #define CFG_SCAN_H
@@ -24,7 +25,8 @@
  * @param problems  findings are appended, with their lines
  * @param lines     paths to look up, as keys; the value of each one found
  *                  becomes its line; NULL if none
- * @return 0 or FS_E_CONFIG
+ * @return 0; FS_E_CONFIG if all findings are unknown settings, which
+ *         libcyaml can pass over; FS_E_PROTOCOL if it must not read the text
  */
 int cfg_scan(const char *text, size_t size, const cyaml_schema_value_t *schema,
 	     GPtrArray *problems, GHashTable *lines);
--- a/src/set.c
+++ b/src/set.c
@@ -151,7 +151,8 @@
 	g_autofree char *reason = NULL;
 	struct set_raw *raw = NULL;
 
-	if (cfg_scan(text, size, &set_schema, r->problems, NULL))
+	if (cfg_scan(text, size, &set_schema, r->problems, NULL) ==
+	    FS_E_PROTOCOL)
 		return;
 	if (cfg_raw_load(text, size, &set_schema, (void **)&raw, &reason)) {
 		cfg_problem(r, NULL, "%s", reason);
--- a/tests/unit_cfg.c
+++ b/tests/unit_cfg.c
@@ -322,13 +322,15 @@
 
 static void test_finds_all_at_once(void)
 {
-	g_autofree char *text = with_part("floor: 60%\n    slots: 4",
-					  "floor: 60\n    slots: 0");
+	g_autofree char *text =
+		with_part("floor: 60%\n    slots: 4",
+			  "floor: 60\n    slots: 0\n    size: {a: [1]}");
 	g_autoptr(GPtrArray) problems = NULL;
 	struct cfg *cfg;
 
 	cfg_load(text, 1, &problems, &cfg);
-	g_assert_cmpuint(problems->len, ==, 2);
+	g_assert_null(cfg);
+	g_assert_cmpuint(problems->len, ==, 3);
 }
 
 static void test_too_long(void)
