Tell what a server may take in one reading from what is ambiguous

Cause: two cases of the ambiguous requests were answered 200: a folded header field and lines that end in a bare line feed. The trace shows one answer and one run each; RFC 9112 (5.2, 2.2) allows a server to read them so, and the target gets the request in strict form from libcurl, so no second reading exists.

Change: both stand in a list of their own, with a check that is as strict: one answer on the connection and exactly one run. All other cases must be refused.

--- a/tests/run_input.c
+++ b/tests/run_input.c
@@ -1,6 +1,7 @@
 /* Bad input at every interface: the daemon keeps running, refuses what is
  * ambiguous, and serves the next good request. */
 #include <arpa/inet.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -49,35 +50,64 @@
 	"GET /courses HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
 	"GET /courses HTTP/1.1\r\n\r\n",
 	"GET /courses HTTP/1.1\r\nHost: x\r\nX : y\r\n\r\n",
-	"GET /courses HTTP/1.1\r\nHost: x\r\nA: b\r\n folded\r\n\r\n",
 	"GET /courses/../pay HTTP/1.1\r\nHost: x\r\n\r\n",
 	"GET /courses/%2e%2e/pay HTTP/1.1\r\nHost: x\r\n\r\n",
 	"GET /courses%2f..%2fpay HTTP/1.1\r\nHost: x\r\n\r\n",
 	"GET /courses/%00 HTTP/1.1\r\nHost: x\r\n\r\n",
 	"GET \\courses HTTP/1.1\r\nHost: x\r\n\r\n",
 	"GET http://x/courses HTTP/1.1\r\nHost: x\r\n\r\n",
+};
+
+/* Requests that RFC 9112 lets a server take in one reading: a folded header
+ * field (5.2: replaced by spaces) and lines that end in a bare line feed (2.2).
+ * The library does; the target gets them in strict form. */
+static const char *const lenient[] = {
+	"GET /courses HTTP/1.1\r\nHost: x\r\nA: b\r\n folded\r\n\r\n",
 	"POST /pay HTTP/1.1\nHost: x\nContent-Length: 3\n\nabc",
 };
 
+static bool is_refused(const char *request)
+{
+	GString *out =
+		fleet_raw(f->nodes[0].caller, request, strlen(request), 1.0);
+	bool refused = !out->len || strstr(out->str, " 400 ") ||
+		       strstr(out->str, " 404 ") || strstr(out->str, " 501 ");
+
+	g_string_free(out, TRUE);
+	return refused;
+}
+
 static void test_ambiguous(void)
 {
 	unsigned int before = all_runs();
+	unsigned int accepted = 0;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(ambiguous); i++) {
-		GString *out = fleet_raw(f->nodes[0].caller, ambiguous[i],
-					 strlen(ambiguous[i]), 1.0);
-		bool refused = !out->len || strstr(out->str, " 400 ") ||
-			       strstr(out->str, " 404 ") ||
-			       strstr(out->str, " 501 ");
-
-		if (!refused)
-			g_error("case %zu was not refused: %s", i, out->str);
-		g_string_free(out, TRUE);
+		if (is_refused(ambiguous[i]))
+			continue;
+		printf("# not refused: %s\n", ambiguous[i]);
+		accepted++;
 	}
+	g_assert_cmpuint(accepted, ==, 0);
 	g_assert_cmpuint(all_runs(), ==, before);
 	check_serving();
 }
 
+static void test_lenient(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(lenient); i++) {
+		unsigned int before = all_runs();
+		GString *out = fleet_raw(f->nodes[0].caller, lenient[i],
+					 strlen(lenient[i]), 1.0);
+		const char *second = strstr(out->str + 1, "HTTP/1.1 ");
+
+		g_assert_true(g_str_has_prefix(out->str, "HTTP/1.1 200"));
+		g_assert_null(second);
+		g_assert_cmpuint(all_runs(), ==, before + 1);
+		g_string_free(out, TRUE);
+	}
+}
+
 static void fill(GRand *rand, uint8_t *data, size_t size)
 {
 	for (size_t i = 0; i < size; i++)
@@ -177,6 +207,7 @@
 		build = argv[1];
 	f = fleet_start(build, &fleet_cascade, 1, 2, false);
 	g_test_add_func("/input/ambiguous", test_ambiguous);
+	g_test_add_func("/input/lenient", test_lenient);
 	g_test_add_func("/input/random_bytes", test_random_bytes);
 	g_test_add_func("/input/random_datagrams", test_random_datagrams);
 	g_test_add_func("/input/oversized_frame", test_oversized_frame);
