--- /dev/null
+++ b/src/cli_explain.c
@@ -0,0 +1,166 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "aud.h"
+#include "cli_nodes.h"
+
+/** Which records are asked for; one member is set. */
+struct question {
+	const char *request;
+	const char *server;
+	const char *service;
+};
+
+static bool matches(const struct question *q, JsonObject *record)
+{
+	if (q->request)
+		return !g_strcmp0(cli_json_text(record, "request"), q->request);
+	if (q->server)
+		return !g_strcmp0(cli_json_text(record, "server"), q->server);
+	return !g_strcmp0(cli_json_text(record, "service"), q->service);
+}
+
+static void append_numbers(JsonObject *numbers, GString *out)
+{
+	g_autoptr(GList) names = numbers ? json_object_get_members(numbers) :
+					   NULL;
+	const char *comma = "";
+
+	for (GList *name = names; name; name = name->next) {
+		g_string_append_printf(out, "%s%s = %" PRId64, comma,
+				       (const char *)name->data,
+				       cli_json_int(numbers, name->data));
+		comma = ", ";
+	}
+}
+
+static void append_member(JsonObject *record, const char *name, GString *out)
+{
+	const char *text = cli_json_text(record, name);
+
+	if (text)
+		g_string_append_printf(out, ", %s %s", name, text);
+}
+
+/* One record in plain words. */
+static void say(const struct cli_node *node, JsonObject *record, GString *out)
+{
+	const char *rule_name = cli_json_text(record, "rule");
+	const char *kind = cli_json_text(record, "kind");
+	const char *choice = cli_json_text(record, "choice");
+	enum aud_rule rule = aud_rule_by_name(rule_name ? rule_name : "");
+	g_autoptr(GDateTime) at = g_date_time_new_from_unix_utc(
+		cli_json_int(record, "wall_us") / FS_US_PER_S);
+	g_autofree char *time = g_date_time_format(at, "%F %T UTC");
+
+	g_string_append_printf(out, "%s, node %s: %s %s", time, node->address,
+			       kind ? kind : "?", choice ? choice : "");
+	append_member(record, "service", out);
+	append_member(record, "server", out);
+	append_member(record, "route", out);
+	append_member(record, "request", out);
+	g_string_append_printf(
+		out,
+		"\n  because of rule %s: %s\n  under configuration %" PRId64
+		", with ",
+		rule_name ? rule_name : "?",
+		rule < AUD_RULE_COUNT ? aud_rule_text(rule) : "unknown rule",
+		cli_json_int(record, "config_version"));
+	append_numbers(cli_json_object(record, "numbers"), out);
+	g_string_append_c(out, '\n');
+}
+
+/* Goes through one node's ring. @return how many records match */
+static uint32_t explain_node(const struct cli_node *node,
+			     const struct question *q, bool json, GString *out)
+{
+	JsonArray *records =
+		node->answer && JSON_NODE_HOLDS_ARRAY(node->answer) ?
+			json_node_get_array(node->answer) :
+			NULL;
+	uint32_t found = 0;
+
+	for (guint i = 0; records && i < json_array_get_length(records); i++) {
+		JsonNode *entry = json_array_get_element(records, i);
+		g_autofree char *text = NULL;
+
+		if (!JSON_NODE_HOLDS_OBJECT(entry) ||
+		    !matches(q, json_node_get_object(entry)))
+			continue;
+		found++;
+		if (!json) {
+			say(node, json_node_get_object(entry), out);
+			continue;
+		}
+		text = json_to_string(entry, FALSE);
+		g_string_append_printf(out, "%s{\"node\":\"%s\",\"record\":%s}",
+				       out->str[out->len - 1] == '[' ? "" : ",",
+				       node->address, text);
+	}
+	return found;
+}
+
+static int run_explain(const char *list, const struct question *q, bool json)
+{
+	g_autoptr(GPtrArray) nodes = cli_nodes_new(list);
+	uint32_t found = 0;
+	uint32_t answered;
+	GString *out;
+
+	if (!nodes)
+		return CLI_USAGE;
+	answered = cli_nodes_get(nodes, "/audit?after=0");
+	out = g_string_new(json ? "{\"records\":[" : NULL);
+	for (guint i = 0; i < nodes->len; i++)
+		found +=
+			explain_node(g_ptr_array_index(nodes, i), q, json, out);
+	if (json) {
+		g_string_append(out, "],\"missing\":");
+		cli_nodes_missing_json(nodes, out);
+		g_string_append_c(out, '}');
+	} else {
+		if (!found)
+			g_string_append(out,
+					"no record in the nodes' rings; older "
+					"ones are in the logs\n");
+		cli_nodes_missing(nodes, out);
+	}
+	cli_print(out);
+	if (!answered)
+		return CLI_UNREACHABLE;
+	return found ? CLI_OK : CLI_REFUSED;
+}
+
+int cli_explain(const struct cli_command *command, int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "print this and exit");
+	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
+	struct arg_str *node = arg_str1(NULL, "node", "IP:PORT[,..]",
+					"operator interfaces of nodes");
+	struct arg_str *request =
+		arg_str0(NULL, "request", "ID", "what became of this request");
+	struct arg_str *server = arg_str0(NULL, "server", "NAME",
+					  "what was decided on this server");
+	struct arg_str *service = arg_str0(NULL, "service", "NAME",
+					   "what was decided on this service");
+	void *table[] = {help,	 json,	  node,	     request,
+			 server, service, arg_end(8)};
+	int code = cli_parse(command, argc, argv, table, G_N_ELEMENTS(table));
+
+	if (code < 0 && request->count + server->count + service->count != 1) {
+		cli_error("name one of --request, --server and --service");
+		code = CLI_USAGE;
+	}
+	if (code < 0) {
+		struct question q = {
+			.request = request->count ? request->sval[0] : NULL,
+			.server = server->count ? server->sval[0] : NULL,
+			.service = service->count ? service->sval[0] : NULL,
+		};
+
+		code = run_explain(node->sval[0], &q, json->count);
+	}
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return code;
+}
