--- a/src/cli_status.c
+++ b/src/cli_status.c
@@ -123,7 +123,10 @@
 		       address, gone ? "true" : "false");
 	else
 		printf("%s: %s\n", address,
-		       gone ? "ended" : "a planned stop has begun");
+		       gone	  ? "ended" :
+		       wait_s > 0 ? "a planned stop has begun; it has not "
+				    "ended yet" :
+				    "a planned stop has begun");
 	return wait_s > 0 && !gone ? CLI_REFUSED : CLI_OK;
 }
 
--- /dev/null
+++ b/tests/unit_cli.c
@@ -0,0 +1,120 @@
+#include <glib.h>
+#include <glib/gstdio.h>
+
+#include "cli.h"
+
+/* Runs a command line, words separated by spaces; returns the exit code. */
+static int run(const char *line)
+{
+	g_auto(GStrv) words = g_strsplit(line, " ", -1);
+
+	return cli_main((int)g_strv_length(words), words);
+}
+
+static void test_usage(void)
+{
+	g_assert_cmpint(run("fescuesaddle"), ==, CLI_USAGE);
+	g_assert_cmpint(run("fescuesaddle --help"), ==, CLI_OK);
+	g_assert_cmpint(run("fescuesaddle nothing"), ==, CLI_USAGE);
+	g_assert_cmpint(run("fescuesaddle config"), ==, CLI_USAGE);
+	g_assert_cmpint(run("fescuesaddle config check"), ==, CLI_USAGE);
+	g_assert_cmpint(run("fescuesaddle status --node here"), ==, CLI_USAGE);
+	g_assert_cmpint(run("fescuesaddle explain --node 127.0.0.1:1"), ==,
+			CLI_USAGE);
+	g_assert_cmpint(run("fescuesaddle config show"), ==, CLI_USAGE);
+	g_assert_cmpint(run("fescuesaddle config put examples/cascade.yaml "
+			    "--platform 127.0.0.1:1 --expect 0"),
+			==, CLI_USAGE);
+}
+
+static void test_each_has_help(void)
+{
+	for (const struct cli_command *c = cli_commands; c->name; c++) {
+		g_autofree char *line = g_strdup_printf(
+			"fescuesaddle %s%s%s --help", c->group ? c->group : "",
+			c->group ? " " : "", c->name);
+
+		g_assert_cmpint(run(line), ==, CLI_OK);
+	}
+}
+
+static void test_check(void)
+{
+	g_assert_cmpint(run("fescuesaddle config check examples/cascade.yaml"),
+			==, CLI_OK);
+	g_assert_cmpint(
+		run("fescuesaddle config check --json examples/nounou.yaml"),
+		==, CLI_OK);
+	g_assert_cmpint(run("fescuesaddle config check /no/such/file"), ==,
+			CLI_REFUSED);
+	g_assert_cmpint(run("fescuesaddle config check Makefile"), ==,
+			CLI_REFUSED);
+}
+
+static void test_diff(void)
+{
+	g_assert_cmpint(run("fescuesaddle config diff examples/cascade.yaml "
+			    "examples/cascade.yaml"),
+			==, CLI_OK);
+	g_assert_cmpint(run("fescuesaddle config diff examples/cascade.yaml "
+			    "examples/nounou.yaml --json"),
+			==, CLI_REFUSED);
+}
+
+/* Port 1 of the loopback: nothing listens there. */
+static void test_unreachable(void)
+{
+	g_assert_cmpint(run("fescuesaddle config show --platform 127.0.0.1:1"),
+			==, CLI_UNREACHABLE);
+	g_assert_cmpint(run("fescuesaddle config put examples/cascade.yaml "
+			    "--platform 127.0.0.1:1 --wait 0"),
+			==, CLI_UNREACHABLE);
+	g_assert_cmpint(run("fescuesaddle status --node 127.0.0.1:1 --json"),
+			==, CLI_UNREACHABLE);
+	g_assert_cmpint(run("fescuesaddle drain --node 127.0.0.1:1"), ==,
+			CLI_UNREACHABLE);
+	g_assert_cmpint(run("fescuesaddle explain --node 127.0.0.1:1 "
+			    "--service checkout"),
+			==, CLI_UNREACHABLE);
+	g_assert_cmpint(run("fescuesaddle report burn --node 127.0.0.1:1"), ==,
+			CLI_UNREACHABLE);
+}
+
+static int audit_of(const char *log)
+{
+	g_autofree char *path = NULL;
+	g_autofree char *line = NULL;
+	int fd = g_file_open_tmp("unit_cli_XXXXXX", &path, NULL);
+	int code;
+
+	g_assert_cmpint(fd, >=, 0);
+	g_close(fd, NULL);
+	g_assert_true(g_file_set_contents(path, log, -1, NULL));
+	line = g_strdup_printf("fescuesaddle audit --config "
+			       "examples/cascade.yaml --log %s",
+			       path);
+	code = run(line);
+	g_unlink(path);
+	return code;
+}
+
+static void test_audit(void)
+{
+	g_assert_cmpint(audit_of(""), ==, CLI_OK);
+	g_assert_cmpint(
+		audit_of("{\"module\":\"cnf\",\"event\":\"watcher\"}\n"), ==,
+		CLI_OK);
+	g_assert_cmpint(audit_of("no json\n"), ==, CLI_REFUSED);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/cli/usage", test_usage);
+	g_test_add_func("/cli/each_has_help", test_each_has_help);
+	g_test_add_func("/cli/check", test_check);
+	g_test_add_func("/cli/diff", test_diff);
+	g_test_add_func("/cli/unreachable", test_unreachable);
+	g_test_add_func("/cli/audit", test_audit);
+	return g_test_run();
+}
