--- a/src/set.c
+++ b/src/set.c
@@ -138,8 +138,10 @@
 	for (guint i = 0; i < problems->len; i++) {
 		const struct cfg_problem *p = g_ptr_array_index(problems, i);
 
-		g_string_append_printf(all, "%s%s:%d: %s%s%s", i ? "\n" : "",
-				       path, p->line, p->path,
+		g_string_append_printf(all, "%s%s:", i ? "\n" : "", path);
+		if (p->line)
+			g_string_append_printf(all, "%d:", p->line);
+		g_string_append_printf(all, " %s%s%s", p->path,
 				       *p->path ? ": " : "", p->text);
 	}
 	return g_string_free(all, FALSE);
