--- a/tests/unit_cfg.c
+++ b/tests/unit_cfg.c
@@ -335,11 +335,10 @@
 
 static void test_too_long(void)
 {
-	g_autofree char *text = g_malloc0(FS_CONFIG_MAX + 2);
+	g_autofree char *text = g_strnfill(FS_CONFIG_MAX + 1, '#');
 	g_autoptr(GPtrArray) problems = NULL;
 	struct cfg *cfg;
 
-	memset(text, '#', FS_CONFIG_MAX + 1);
 	g_assert_cmpint(cfg_load(text, 1, &problems, &cfg), ==, FS_E_CONFIG);
 	g_assert_cmpuint(problems->len, ==, 1);
 }
