Accept a removal on a node that missed the versions before it

Cause: cnf_store_offer() runs cfg_check_change() against the node's own version. A node at version 1 that missed version 2 (b leaving) refused version 3 (b gone) and stayed at version 1 for good; seen in a trial on a scratch program (config_refused_text, in force 1). The check compares services only between consecutive versions now; each version is checked against the one before it when it is put. Test: unit_cfg change, which failed before.

--- a/src/cfg.h
+++ b/src/cfg.h
@@ -145,7 +145,9 @@
 
 /**
  * Checks what only a change can do wrong: a service removed without leaving
- * first, or while another still depends on it.
+ * first, or while another still depends on it. A node that missed versions in
+ * between cannot tell: services are then not compared, since each of those
+ * versions was checked when it was put.
  * @param before    the text in force, or NULL
  * @param after     the text to come
  * @param problems  findings are appended
--- a/src/cfg_change.c
+++ b/src/cfg_change.c
@@ -48,6 +48,8 @@
 			    after->deployment, before->deployment);
 		return FS_E_CONFIG;
 	}
+	if (after->version > before->version + 1)
+		return 0;
 	for (handle h = 0; h < before->service_count; h++) {
 		const char *name = before->services[h].name;
 
