--- a/tests/unit_cfg.c
+++ b/tests/unit_cfg.c
@@ -389,11 +389,12 @@
 		"servers in all"));
 }
 
-static guint change_problems(const char *before, const char *after)
+/* Changes a text of version 7 to one of @version. */
+static guint change_to_version(const char *before, const char *after,
+			       uint64_t version)
 {
-	g_autoptr(GPtrArray) problems = g_ptr_array_new_with_free_func(g_free);
 	CFG_AUTO struct cfg *old = load(before);
-	CFG_AUTO struct cfg *new = load(after);
+	CFG_AUTO struct cfg *new = load_version(after, version);
 	GPtrArray *found;
 	struct cfg *none;
 	guint count;
