--- a/src/cfg_diff.c
+++ b/src/cfg_diff.c
@@ -1,228 +1,10 @@
 #include "cfg_diff.h"
 
-#include <inttypes.h>
 #include <string.h>
 
+#include "cfg_kinds.h"
 #include "fs_log.h"
 
-#define SETTINGS_MAX 20
-
-/* The settings of one object as text, in a fixed order. */
-struct object {
-	const char *settings[SETTINGS_MAX];
-	char *values[SETTINGS_MAX];
-	uint32_t count;
-};
-
-/* A kind of object: how many, their names, and what is in one. */
-struct kind {
-	const char *name;
-	uint32_t (*count)(const struct cfg *cfg);
-	const char *(*name_of)(const struct cfg *cfg, handle h);
-	handle (*find)(const struct cfg *cfg, const char *name);
-	void (*describe)(const struct cfg *cfg, handle h, struct object *o);
-};
-
-static void object_clear(struct object *o)
-{
-	for (uint32_t i = 0; i < o->count; i++)
-		g_free(o->values[i]);
-	o->count = 0;
-}
-
-static void G_GNUC_PRINTF(3, 4)
-	put(struct object *o, const char *setting, const char *format, ...)
-{
-	va_list args;
-
-	g_assert(o->count < SETTINGS_MAX);
-	va_start(args, format);
-	o->settings[o->count] = setting;
-	o->values[o->count++] = g_strdup_vprintf(format, args);
-	va_end(args);
-}
-
-static void put_ms(struct object *o, const char *setting, int64_t us)
-{
-	put(o, setting, "%" PRId64, (int64_t)(us / FS_US_PER_MS));
-}
-
-static void put_bool(struct object *o, const char *setting, bool value)
-{
-	put(o, setting, "%s", value ? "true" : "false");
-}
-
-static uint32_t deployment_count(const struct cfg *cfg)
-{
-	(void)cfg;
-	return 1;
-}
-
-static const char *deployment_name(const struct cfg *cfg, handle h)
-{
-	(void)h;
-	return cfg->deployment;
-}
-
-static handle deployment_find(const struct cfg *cfg, const char *name)
-{
-	return strcmp(cfg->deployment, name) ? FS_NONE : 0;
-}
-
-static void deployment_describe(const struct cfg *cfg, handle h,
-				struct object *o)
-{
-	(void)cfg;
-	(void)h;
-	(void)o;
-}
-
-static uint32_t domain_count(const struct cfg *cfg)
-{
-	return cfg->domain_count;
-}
-
-static const char *domain_name(const struct cfg *cfg, handle h)
-{
-	return cfg->domains[h].name;
-}
-
-static handle domain_find(const struct cfg *cfg, const char *name)
-{
-	for (handle h = 0; h < cfg->domain_count; h++) {
-		if (!strcmp(cfg->domains[h].name, name))
-			return h;
-	}
-	return FS_NONE;
-}
-
-static void domain_describe(const struct cfg *cfg, handle h, struct object *o)
-{
-	put(o, "region", "%s", cfg->domains[h].region);
-}
-
-static uint32_t service_count(const struct cfg *cfg)
-{
-	return cfg->service_count;
-}
-
-static const char *service_name(const struct cfg *cfg, handle h)
-{
-	return cfg->services[h].name;
-}
-
-static void put_depends(const struct cfg *cfg, const struct cfg_service *s,
-			struct object *o)
-{
-	g_autoptr(GString) list = g_string_new("[");
-
-	for (uint32_t i = 0; i < s->depends_count; i++)
-		g_string_append_printf(list, "%s%s", i ? ", " : "",
-				       cfg->services[s->depends_on[i]].name);
-	put(o, "depends_on", "%s]", list->str);
-}
-
-static void put_not_run(const struct cfg_service *s, struct object *o)
-{
-	g_autoptr(GString) list = g_string_new("[");
-
-	for (uint32_t i = 0; i < s->not_run_count; i++)
-		g_string_append_printf(list, "%s%u", i ? ", " : "",
-				       s->not_run_status[i]);
-	put(o, "not_run_status", "%s]", list->str);
-}
-
-static void service_describe(const struct cfg *cfg, handle h, struct object *o)
-{
-	const struct cfg_service *s = &cfg->services[h];
-
-	put_depends(cfg, s, o);
-	put(o, "floor", "%g%%", s->floor / 10.0);
-	put(o, "slots", "%u", s->slots);
-	put(o, "queue", "%u", s->queue);
-	put(o, "detection", "%s", cfg_detection_name(s->detection));
-	put(o, "retry_percent", "%u", s->retry_percent);
-	put_ms(o, "slow_start_ms", s->slow_start_us);
-	put(o, "probe.path", "%s", s->probe_path ? s->probe_path : "none");
-	put_ms(o, "probe.interval_ms", s->probe_interval_us);
-	put_not_run(s, o);
-	put(o, "objective.good", "%g%%", s->objective_good * 100);
-	put_ms(o, "objective.latency_ms", s->objective_us);
-	put_bool(o, "leaving", s->leaving);
-}
-
-static uint32_t server_count(const struct cfg *cfg)
-{
-	return cfg->server_count;
-}
-
-static const char *server_name(const struct cfg *cfg, handle h)
-{
-	return cfg->servers[h].name;
-}
-
-static void server_describe(const struct cfg *cfg, handle h, struct object *o)
-{
-	const struct cfg_server *s = &cfg->servers[h];
-
-	put(o, "service", "%s", cfg->services[s->service].name);
-	put(o, "address", "%s", s->address);
-	put(o, "failure_domain", "%s", cfg->domains[s->domain].name);
-	put_bool(o, "leaving", s->leaving);
-}
-
-static uint32_t route_count(const struct cfg *cfg)
-{
-	return cfg->route_count;
-}
-
-static const char *route_name(const struct cfg *cfg, handle h)
-{
-	return cfg->routes[h].name;
-}
-
-void cfg_methods_text(uint32_t methods, GString *out)
-{
-	static const char *const names[] = {"GET",   "HEAD",   "POST",	 "PUT",
-					    "PATCH", "DELETE", "OPTIONS"};
-	const char *comma = "";
-
-	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
-		if (!(methods & (1u << i)))
-			continue;
-		g_string_append_printf(out, "%s%s", comma, names[i]);
-		comma = ", ";
-	}
-}
-
-static void route_describe(const struct cfg *cfg, handle h, struct object *o)
-{
-	const struct cfg_route *r = &cfg->routes[h];
-	g_autoptr(GString) methods = g_string_new(NULL);
-
-	cfg_methods_text(r->methods, methods);
-	put(o, "host", "%s", r->host);
-	put(o, "path", "%s", r->path);
-	put(o, "methods", "[%s]", methods->str);
-	put(o, "service", "%s", cfg->services[r->service].name);
-	put_ms(o, "deadline_ms", r->deadline_us);
-	put(o, "priority", "%s", cfg_priority_name(r->priority));
-	put(o, "repeat", "%s", r->repeatable ? "allowed" : "never");
-	put(o, "tries", "%u", r->tries);
-	put(o, "body_max_bytes", "%u", r->body_max);
-}
-
-static const struct kind kinds[] = {
-	{"deployment", deployment_count, deployment_name, deployment_find,
-	 deployment_describe},
-	{"failure domain", domain_count, domain_name, domain_find,
-	 domain_describe},
-	{"service", service_count, service_name, cfg_find_service,
-	 service_describe},
-	{"server", server_count, server_name, cfg_find_server, server_describe},
-	{"route", route_count, route_name, cfg_find_route, route_describe},
-};
-
 static void change_free(void *data)
 {
 	struct cfg_change *change = data;
@@ -247,7 +29,7 @@
 }
 
 /* All settings of one object on one line. */
-static char *summary(const struct object *o)
+static char *summary(const struct cfg_object *o)
 {
 	GString *text = g_string_new(NULL);
 
@@ -257,9 +39,9 @@
 	return g_string_free(text, FALSE);
 }
 
-static void compare_one(GPtrArray *changes, const struct kind *kind,
-			const char *name, struct object *before,
-			struct object *after)
+static void compare_one(GPtrArray *changes, const struct cfg_kind *kind,
+			const char *name, struct cfg_object *before,
+			struct cfg_object *after)
 {
 	for (uint32_t i = 0; i < after->count; i++) {
 		if (strcmp(before->values[i], after->values[i]) != 0)
@@ -268,12 +50,12 @@
 	}
 }
 
-static void compare_kind(GPtrArray *changes, const struct kind *kind,
+static void compare_kind(GPtrArray *changes, const struct cfg_kind *kind,
 			 const struct cfg *before, const struct cfg *after)
 {
 	uint32_t count = before ? kind->count(before) : 0;
-	struct object old = {.count = 0};
-	struct object new = {.count = 0};
+	struct cfg_object old = {.count = 0};
+	struct cfg_object new = {.count = 0};
 
 	for (handle h = 0; h < count; h++) {
 		const char *name = kind->name_of(before, h);
@@ -288,8 +70,8 @@
 
 			add(changes, kind->name, name, NULL, gone, NULL);
 		}
-		object_clear(&old);
-		object_clear(&new);
+		cfg_object_clear(&old);
+		cfg_object_clear(&new);
 	}
 	for (handle h = 0; h < kind->count(after); h++) {
 		const char *name = kind->name_of(after, h);
@@ -300,7 +82,7 @@
 		kind->describe(after, h, &new);
 		text = summary(&new);
 		add(changes, kind->name, name, NULL, NULL, text);
-		object_clear(&new);
+		cfg_object_clear(&new);
 	}
 }
 
@@ -308,8 +90,8 @@
 {
 	GPtrArray *changes = g_ptr_array_new_with_free_func(change_free);
 
-	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++)
-		compare_kind(changes, &kinds[i], before, after);
+	for (size_t i = 0; i < CFG_KIND_COUNT; i++)
+		compare_kind(changes, &cfg_kinds[i], before, after);
 	return changes;
 }
 
--- a/src/cli_burn.c
+++ b/src/cli_burn.c
@@ -1,37 +1,14 @@
-#include <inttypes.h>
-#include <stdio.h>
-#include <string.h>
-
-#include "cli_http.h"
-#include "cli_nodes.h"
-#include "fs_log.h"
-
-#define WINDOWS 3
-#define CAUSES_SHOWN 5
-
-static const char *const window_names[WINDOWS] = {"5 min", "1 h", "6 h"};
+#include "cli_burn.h"
 
-/** Counts of one window over all nodes. */
-struct window {
-	int64_t total;
-	int64_t good;
-	int64_t retried;
-};
-
-/** One service over all nodes. */
-struct burn {
-	const struct cfg_service *service;
-	struct window windows[WINDOWS];
-	GHashTable *causes; /* name to count */
-	GHashTable *servers;
-};
+#include <string.h>
 
-static void add_windows(struct burn *b, JsonObject *from)
+static void add_windows(struct cli_burn *b, JsonObject *from)
 {
 	JsonArray *list = cli_json_array(from, "windows");
 
 	for (guint i = 0;
-	     list && i < WINDOWS && i < json_array_get_length(list); i++) {
+	     list && i < CLI_BURN_WINDOWS && i < json_array_get_length(list);
+	     i++) {
 		JsonNode *node = json_array_get_element(list, i);
 		JsonObject *w = JSON_NODE_HOLDS_OBJECT(node) ?
 					json_node_get_object(node) :
@@ -43,6 +20,25 @@
 	}
 }
 
+static void add_buckets(struct cli_burn *b, JsonObject *from)
+{
+	JsonArray *list = cli_json_array(from, "bad_per_5min");
+
+	for (guint i = 0;
+	     list && i < CLI_BURN_BUCKETS && i < json_array_get_length(list);
+	     i++) {
+		JsonNode *node = json_array_get_element(list, i);
+		JsonArray *pair = JSON_NODE_HOLDS_ARRAY(node) ?
+					  json_node_get_array(node) :
+					  NULL;
+
+		if (!pair || json_array_get_length(pair) != 2)
+			continue;
+		b->total[i] += json_array_get_int_element(pair, 0);
+		b->bad[i] += json_array_get_int_element(pair, 1);
+	}
+}
+
 static void add_counts(GHashTable *to, JsonObject *from)
 {
 	g_autoptr(GList) names = from ? json_object_get_members(from) : NULL;
@@ -57,7 +53,7 @@
 	}
 }
 
-static void gather(struct burn *b, const GPtrArray *nodes)
+static void gather(struct cli_burn *b, const GPtrArray *nodes)
 {
 	for (guint i = 0; i < nodes->len; i++) {
 		JsonObject *services = cli_json_object(
@@ -66,122 +62,28 @@
 		JsonObject *from = cli_json_object(services, b->service->name);
 
 		add_windows(b, from);
+		add_buckets(b, from);
 		add_counts(b->causes, cli_json_object(from, "causes"));
 		add_counts(b->servers, cli_json_object(from, "servers"));
 	}
 }
 
-static double bad_share(const struct window *w)
-{
-	return w->total ? (double)(w->total - w->good) / (double)w->total : 0;
-}
-
-/* How many times faster than allowed the error budget is being spent. */
-static double burn_rate(const struct burn *b, const struct window *w)
-{
-	return bad_share(w) / (1 - b->service->objective_good);
-}
-
-static void counts_text(const char *what, GHashTable *counts, GString *out)
-{
-	g_autoptr(GList) names = g_hash_table_get_keys(counts);
-
-	for (int shown = 0; names && shown < CAUSES_SHOWN; shown++) {
-		GList *most = names;
-
-		for (GList *at = names; at; at = at->next) {
-			if (GPOINTER_TO_INT(
-				    g_hash_table_lookup(counts, at->data)) >
-			    GPOINTER_TO_INT(
-				    g_hash_table_lookup(counts, most->data)))
-				most = at;
-		}
-		g_string_append_printf(out, "  %s %s: %d\n", what,
-				       (char *)most->data,
-				       GPOINTER_TO_INT(g_hash_table_lookup(
-					       counts, most->data)));
-		names = g_list_delete_link(names, most);
-	}
-}
-
-static void burn_text(const struct burn *b, GString *out)
-{
-	const struct window *all = &b->windows[WINDOWS - 1];
-
-	g_string_append_printf(
-		out, "%s: objective %g%% within %" PRId64 " ms\n",
-		b->service->name, b->service->objective_good * 100,
-		(int64_t)(b->service->objective_us / FS_US_PER_MS));
-	for (int i = 0; i < WINDOWS; i++) {
-		const struct window *w = &b->windows[i];
-
-		g_string_append_printf(
-			out,
-			"  %-5s  %" PRId64 " answers, %" PRId64 " bad (%.3f%%)"
-			", burn rate %.2f, %" PRId64 " retried\n",
-			window_names[i], w->total, w->total - w->good,
-			bad_share(w) * 100, burn_rate(b, w), w->retried);
-	}
-	if (all->total)
-		g_string_append_printf(out,
-				       "  budget of the last 6 h: %.1f%% "
-				       "spent\n",
-				       burn_rate(b, all) * 100);
-	counts_text("cause", b->causes, out);
-	counts_text("server", b->servers, out);
-}
-
-static void counts_json(const char *name, GHashTable *counts, GString *out)
-{
-	GHashTableIter iter;
-	const char *comma = "";
-	void *key;
-	void *value;
-
-	g_string_append_printf(out, ",\"%s\":{", name);
-	g_hash_table_iter_init(&iter, counts);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		g_string_append(out, comma);
-		fs_json_string(out, key);
-		g_string_append_printf(out, ":%d", GPOINTER_TO_INT(value));
-		comma = ",";
-	}
-	g_string_append_c(out, '}');
-}
-
-static void burn_json(const struct burn *b, GString *out)
-{
-	static const int minutes[WINDOWS] = {5, 60, 360};
-
-	g_string_append(out, "{\"service\":");
-	fs_json_string(out, b->service->name);
-	g_string_append_printf(
-		out,
-		",\"objective_good\":%.6g,\"objective_ms\":%" PRId64
-		",\"windows\":[",
-		b->service->objective_good,
-		(int64_t)(b->service->objective_us / FS_US_PER_MS));
-	for (int i = 0; i < WINDOWS; i++) {
-		const struct window *w = &b->windows[i];
-
-		g_string_append_printf(out,
-				       "%s{\"minutes\":%d,\"total\":%" PRId64
-				       ",\"good\":%" PRId64
-				       ",\"retried\":%" PRId64
-				       ",\"burn_rate\":%.6g}",
-				       i ? "," : "", minutes[i], w->total,
-				       w->good, w->retried, burn_rate(b, w));
-	}
-	g_string_append_c(out, ']');
-	counts_json("causes", b->causes, out);
-	counts_json("servers", b->servers, out);
-	g_string_append_c(out, '}');
-}
+/* How a report is written. */
+enum form {
+	FORM_TEXT,
+	FORM_JSON,
+	FORM_HTML,
+};
 
 static void report_service(const struct cfg_service *service,
-			   const GPtrArray *nodes, bool json, GString *out)
+			   const GPtrArray *nodes, enum form form, GString *out)
 {
-	struct burn b = {
+	static void (*const write[])(const struct cli_burn *b, GString *out) = {
+		[FORM_TEXT] = cli_burn_text,
+		[FORM_JSON] = cli_burn_json,
+		[FORM_HTML] = cli_burn_html,
+	};
+	struct cli_burn b = {
 		.service = service,
 		.causes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 						NULL),
@@ -190,10 +92,7 @@
 	};
 
 	gather(&b, nodes);
-	if (json)
-		burn_json(&b, out);
-	else
-		burn_text(&b, out);
+	write[form](&b, out);
 	g_hash_table_unref(b.causes);
 	g_hash_table_unref(b.servers);
 }
@@ -222,31 +121,61 @@
 	return cfg;
 }
 
-static void report(const struct cfg *cfg, const GPtrArray *nodes,
-		   uint32_t answered, bool json)
+static void begin(const struct cfg *cfg, const GPtrArray *nodes,
+		  uint32_t answered, enum form form, GString *out)
 {
-	GString *out = g_string_new(json ? "{\"services\":[" : NULL);
-
-	if (!json)
+	if (form == FORM_JSON) {
+		g_string_append(out, "{\"services\":[");
+	} else if (form == FORM_HTML) {
+		cli_burn_html_begin(cfg->deployment, nodes, answered, out);
+	} else {
 		g_string_append_printf(out, "%u of %u nodes answered\n",
 				       answered, nodes->len);
-	if (!json)
 		cli_nodes_missing(nodes, out);
+	}
+}
+
+static void end(const GPtrArray *nodes, uint32_t answered, enum form form,
+		GString *out)
+{
+	if (form == FORM_HTML)
+		cli_burn_html_end(out);
+	if (form != FORM_JSON)
+		return;
+	g_string_append_printf(out, "],\"answered\":%u,\"missing\":", answered);
+	cli_nodes_missing_json(nodes, out);
+	g_string_append_c(out, '}');
+}
+
+static GString *report(const struct cfg *cfg, const GPtrArray *nodes,
+		       uint32_t answered, enum form form)
+{
+	GString *out = g_string_new(NULL);
+
+	begin(cfg, nodes, answered, form, out);
 	for (handle h = 0; h < cfg->service_count; h++) {
-		if (json && h)
+		if (form == FORM_JSON && h)
 			g_string_append_c(out, ',');
-		report_service(&cfg->services[h], nodes, json, out);
-	}
-	if (json) {
-		g_string_append_printf(
-			out, "],\"answered\":%u,\"missing\":", answered);
-		cli_nodes_missing_json(nodes, out);
-		g_string_append_c(out, '}');
+		report_service(&cfg->services[h], nodes, form, out);
 	}
-	cli_print(out);
+	end(nodes, answered, form, out);
+	return out;
+}
+
+/* @return whether the page was written */
+static bool write_page(const char *path, GString *page)
+{
+	g_autoptr(GError) error = NULL;
+	bool written =
+		g_file_set_contents(path, page->str, (gssize)page->len, &error);
+
+	if (!written)
+		cli_error("%s", error->message);
+	g_string_free(page, TRUE);
+	return written;
 }
 
-static int run_burn(const char *list, bool json)
+static int run_burn(const char *list, bool json, const char *html)
 {
 	g_autoptr(GPtrArray) nodes = cli_nodes_new(list);
 	CFG_AUTO struct cfg *cfg = NULL;
@@ -265,7 +194,9 @@
 		return CLI_UNREACHABLE;
 	}
 	answered = cli_nodes_get(nodes, "/burn");
-	report(cfg, nodes, answered, json);
+	if (html && !write_page(html, report(cfg, nodes, answered, FORM_HTML)))
+		return CLI_REFUSED;
+	cli_print(report(cfg, nodes, answered, json ? FORM_JSON : FORM_TEXT));
 	return answered == nodes->len ? CLI_OK : CLI_UNREACHABLE;
 }
 
@@ -276,11 +207,14 @@
 	struct arg_str *node = arg_str1(
 		NULL, "node", "IP:PORT[,..]",
 		"operator interfaces; further nodes are found through them");
-	void *table[] = {help, json, node, arg_end(8)};
+	struct arg_file *html =
+		arg_file0(NULL, "html", "FILE", "write a page with plots too");
+	void *table[] = {help, json, node, html, arg_end(8)};
 	int code = cli_parse(command, argc, argv, table, G_N_ELEMENTS(table));
 
 	if (code < 0)
-		code = run_burn(node->sval[0], json->count);
+		code = run_burn(node->sval[0], json->count,
+				html->count ? html->filename[0] : NULL);
 	arg_freetable(table, G_N_ELEMENTS(table));
 	return code;
 }
