Recompute every recorded decision from the text

One row per rule: its numbers, all required, and the predicate that decided. The judge records what an ask for an ejection or a return is based on.

--- a/src/aud_replay.c
+++ b/src/aud_replay.c
@@ -1,62 +1,92 @@
 #include "aud_replay.h"
 
-struct aud_replay {
-	const struct cfg *cfg;
-	uint64_t records;
-};
+#include <string.h>
 
-int aud_replay_check(const struct cfg *cfg, const struct aud_record *rec,
-		     char **reason)
-{
-	(void)cfg;
-	*reason = NULL;
-	if (aud_rule_kind(rec->rule) == rec->kind)
-		return 0;
-	*reason = g_strdup("the rule is not of the record's kind");
-	return FS_E_AUDIT;
-}
+#include "aud_replay_rules.h"
+#include "fs_log.h"
 
-struct aud_replay *aud_replay_new(const struct cfg *cfg)
+const struct aud_replay_rule *aud_replay_rule_of(const struct aud_record *rec)
 {
-	struct aud_replay *replay = g_new0(struct aud_replay, 1);
+	const struct aud_replay_rule *rule = aud_replay_request_rule(rec);
 
-	replay->cfg = cfg;
-	return replay;
+	return rule ? rule : aud_replay_fleet_rule(rec);
 }
 
-void aud_replay_free(struct aud_replay *replay)
+static bool is_listed(const char *const *names, const char *name)
 {
-	g_free(replay);
+	for (int i = 0; i < AUD_REPLAY_NUMBERS_MAX && names[i]; i++) {
+		if (!strcmp(names[i], name))
+			return true;
+	}
+	return false;
 }
 
-int aud_replay_line(struct aud_replay *replay, const char *line, char **reason)
+/* All required numbers are there, once, and none that the rule lacks. */
+static bool read_numbers(const struct aud_replay_rule *rule, struct aud_case *c,
+			 char **reason)
 {
-	struct aud_record rec;
-	int err = aud_record_parse(line, &rec);
+	for (int i = 0; i < AUD_REPLAY_NUMBERS_MAX && rule->numbers[i]; i++) {
+		if (aud_number_of(c->rec, rule->numbers[i], &c->n[i]))
+			continue;
+		*reason = g_strdup_printf("the number \"%s\" is missing",
+					  rule->numbers[i]);
+		return false;
+	}
+	for (uint32_t i = 0; i < c->rec->evidence_count; i++) {
+		const char *name = c->rec->evidence[i].name;
 
-	*reason = NULL;
-	if (err == FS_E_NOT_FOUND)
-		return 0;
-	if (err)
-		return err;
-	replay->records++;
-	return aud_replay_check(replay->cfg, &rec, reason);
+		if (is_listed(rule->numbers, name) ||
+		    is_listed(rule->optional, name))
+			continue;
+		*reason =
+			g_strdup_printf("the rule has no number \"%s\"", name);
+		return false;
+	}
+	return true;
 }
 
-int aud_replay_end(struct aud_replay *replay, char **reason)
+/* Finds what the text says; names that it lacks are an error. */
+static const char *find_in_text(const struct cfg *cfg, struct aud_case *c)
 {
-	(void)replay;
-	*reason = NULL;
-	return 0;
-}
+	handle h;
 
-uint64_t aud_replay_records(const struct aud_replay *replay)
-{
-	return replay->records;
+	if (!cfg || c->rec->config_version != cfg->version)
+		return NULL;
+	c->cfg = cfg;
+	if (*c->rec->service) {
+		h = cfg_find_service(cfg, c->rec->service);
+		if (h == FS_NONE)
+			return "the text has no such service";
+		c->service = &cfg->services[h];
+		c->params = hlt_params_of(c->service->detection);
+	}
+	if (*c->rec->route) {
+		h = cfg_find_route(cfg, c->rec->route);
+		if (h == FS_NONE)
+			return "the text has no such route";
+		c->route = &cfg->routes[h];
+	}
+	if (*c->rec->server && cfg_find_server(cfg, c->rec->server) == FS_NONE)
+		return "the text has no such server";
+	return NULL;
 }
 
-uint64_t aud_replay_other_versions(const struct aud_replay *replay)
+int aud_replay_check(const struct cfg *cfg, const struct aud_record *rec,
+		     char **reason)
 {
-	(void)replay;
-	return 0;
+	const struct aud_replay_rule *rule = aud_replay_rule_of(rec);
+	struct aud_case c = {.rec = rec};
+	const char *why = NULL;
+
+	*reason = NULL;
+	if (!rule || aud_rule_kind(rec->rule) != rec->kind)
+		why = "the rule is not of the record's kind";
+	if (!why && !read_numbers(rule, &c, reason))
+		return FS_E_AUDIT;
+	if (!why)
+		why = find_in_text(cfg, &c);
+	if (!why)
+		why = rule->check(&c);
+	*reason = why ? g_strdup(why) : NULL;
+	return why ? FS_E_AUDIT : 0;
 }
--- a/src/hlt.c
+++ b/src/hlt.c
@@ -109,6 +109,7 @@
 static void begin_ejected(struct hlt_server *server, int64_t now_us)
 {
 	server->ejected_us = now_us;
+	server->told_us = 0;
 	server->good_run = 0;
 	server->ejections = MAX(server->ejections, 1);
 	if (server->judged == HLT_FIT) {
--- a/src/hlt_judge.c
+++ b/src/hlt_judge.c
@@ -1,7 +1,8 @@
 #include "hlt_rules.h"
 #include "hlt_state.h"
 
-#define ASK_SPACING_US (2 * FS_US_PER_S) /* between two asks for a server */
+#define ASK_SPACING_US (2 * FS_US_PER_S)   /* between two asks for a server */
+#define TELL_SPACING_US (60 * FS_US_PER_S) /* between two records of it */
 
 uint32_t hlt_sick_count(const struct hlt_shard *shard)
 {
@@ -66,6 +67,7 @@
 	server->good_run = 0;
 	server->relapses = relapse ? server->relapses + 1 : 0;
 	server->refused = AUD_RULE_COUNT;
+	server->told_us = 0;
 	record_steer(shard, i, "suspect", e, aud, now_us);
 }
 
@@ -169,6 +171,35 @@
 	return now_us >= server->path_until_us;
 }
 
+/* Records what an ask is based on; its outcome is the eject task's record. */
+static void record_ask(struct hlt_shard *shard, uint32_t i,
+		       enum hlt_action action, struct aud *aud, int64_t now_us)
+{
+	struct hlt_server *server = &shard->servers[i];
+	int64_t from_us = MAX(server->last_bad_us, server->ejected_us);
+	struct aud_record rec;
+
+	if (!aud ||
+	    (server->told_us && now_us - server->told_us < TELL_SPACING_US))
+		return;
+	server->told_us = now_us;
+	if (action == HLT_ACT_ASK_EJECT) {
+		hlt_record_begin(shard, i, server->rule, "eject_asked", now_us,
+				 &rec);
+		aud_add(&rec, "since_us", now_us - server->sick_us);
+		aud_add(&rec, "sick_bad", server->sick_bad);
+		aud_add(&rec, "last_bad_us", now_us - server->last_bad_us);
+	} else {
+		hlt_record_begin(shard, i, AUD_R_STEER_CLEAR, "return_asked",
+				 now_us, &rec);
+		aud_add(&rec, "good_run", server->good_run);
+		aud_add(&rec, "quiet_us", now_us - from_us);
+		aud_add(&rec, "relapses", (int64_t)server->ejections - 1);
+		aud_add(&rec, "reachable", server->reachable);
+	}
+	aud_emit(aud, &rec);
+}
+
 static enum hlt_action choose_action(struct hlt_shard *shard, uint32_t i,
 				     struct aud *aud, int64_t now_us)
 {
@@ -188,6 +219,7 @@
 	if (action == HLT_ACT_NONE || now_us < server->ask_next_us)
 		return HLT_ACT_NONE;
 	server->ask_next_us = now_us + ASK_SPACING_US;
+	record_ask(shard, i, action, aud, now_us);
 	return action;
 }
 
--- a/src/hlt_state.h
+++ b/src/hlt_state.h
@@ -48,6 +48,7 @@
 	int64_t trial_next_us; /* no trial before */
 	int64_t path_until_us; /* others reach it: not ejected until */
 	int64_t ask_next_us;   /* no action before */
+	int64_t told_us;       /* an ask was recorded last; 0: none */
 	enum aud_rule refused; /* why it was not ejected, as recorded last */
 };
 
