--- a/src/cli_audit.c
+++ b/src/cli_audit.c
@@ -55,34 +55,76 @@
 		add_finding(a, number, reason ? reason : "the log as a whole");
 }
 
-static void print_result(const struct audit *a)
+static void print_result(const struct audit *a, uint64_t version)
 {
 	uint64_t records = aud_replay_records(a->replay);
 	uint64_t others = aud_replay_other_versions(a->replay);
 
 	if (a->json)
-		printf("{\"records\":%" PRIu64 ",\"other_versions\":%" PRIu64
-		       ",\"findings\":[%s]}\n",
-		       records, others, a->findings->str);
+		printf("{\"version\":%" PRIu64 ",\"records\":%" PRIu64
+		       ",\"other_versions\":%" PRIu64 ",\"findings\":[%s]}\n",
+		       version, records, others, a->findings->str);
 	else
-		printf("%s%" PRIu64 " decisions judged, %u do not follow; "
-		       "%" PRIu64 " are of other versions of the text and "
-		       "were judged by their numbers alone\n",
-		       a->findings->str, records, a->count, others);
+		printf("%s%" PRIu64 " decisions judged by the text as version "
+		       "%" PRIu64 ", %u do not follow; %" PRIu64 " are of "
+		       "other versions and were judged by their numbers "
+		       "alone\n",
+		       a->findings->str, records, version, a->count, others);
+}
+
+/* The version that "config show" writes into a text's first line, or 0. */
+static uint64_t version_in_text(const char *text)
+{
+	static const char mark[] = "# version ";
+
+	if (!g_str_has_prefix(text, mark))
+		return 0;
+	return g_ascii_strtoull(text + strlen(mark), NULL, 10);
+}
+
+/* The newest version that a decision of the log was taken under. */
+static uint64_t version_in_log(const char *log)
+{
+	g_auto(GStrv) lines = g_strsplit(log, "\n", -1);
+	struct aud_record rec;
+	uint64_t newest = 0;
+
+	for (char **line = lines; *line; line++) {
+		if (!aud_record_parse(*line, &rec))
+			newest = MAX(newest, rec.config_version);
+	}
+	return newest;
+}
+
+static struct cfg *load_text(const char *path, const char *log, bool json)
+{
+	g_autoptr(GPtrArray) problems = NULL;
+	g_autofree char *text = cli_read_file(path);
+	uint64_t version;
+	struct cfg *cfg;
+
+	if (!text)
+		return NULL;
+	version = version_in_text(text);
+	cfg_load(text, version ? version : version_in_log(log), &problems,
+		 &cfg);
+	if (!cfg)
+		cli_print_problems(path, problems, json);
+	return cfg;
 }
 
 static int run_audit(const char *config, const char *log_path, bool json)
 {
-	CFG_AUTO struct cfg *cfg = cli_load_file(config, json);
-	g_autofree char *log = cfg ? cli_read_file(log_path) : NULL;
+	g_autofree char *log = cli_read_file(log_path);
+	CFG_AUTO struct cfg *cfg = log ? load_text(config, log, json) : NULL;
 	struct audit a = {.json = json};
 
-	if (!log)
+	if (!cfg)
 		return CLI_REFUSED;
 	a.replay = aud_replay_new(cfg);
 	a.findings = g_string_new(NULL);
 	take_log(&a, log);
-	print_result(&a);
+	print_result(&a, cfg->version);
 	aud_replay_free(a.replay);
 	g_string_free(a.findings, TRUE);
 	return a.count ? CLI_REFUSED : CLI_OK;
--- a/src/cli_explain.c
+++ b/src/cli_explain.c
@@ -2,7 +2,8 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "aud.h"
+#include "aud_explain.h"
+#include "aud_replay.h"
 #include "cli_nodes.h"
 
 /** Which records are asked for; one member is set. */
@@ -21,53 +22,34 @@
 	return !g_strcmp0(cli_json_text(record, "service"), q->service);
 }
 
-static void append_numbers(JsonObject *numbers, GString *out)
+/* One record in plain words, with what it was decided from. */
+static void say(const struct cli_node *node, JsonNode *entry, GString *out)
 {
-	g_autoptr(GList) names = numbers ? json_object_get_members(numbers) :
-					   NULL;
-	const char *comma = "";
-
-	for (GList *name = names; name; name = name->next) {
-		g_string_append_printf(out, "%s%s = %" PRId64, comma,
-				       (const char *)name->data,
-				       cli_json_int(numbers, name->data));
-		comma = ", ";
+	g_autofree char *text = json_to_string(entry, FALSE);
+	g_autoptr(GDateTime) at = NULL;
+	g_autofree char *time = NULL;
+	struct aud_record rec;
+
+	if (aud_record_parse(text, &rec)) {
+		g_string_append_printf(out,
+				       "node %s: a record of another "
+				       "release: %s\n",
+				       node->address, text);
+		return;
 	}
-}
-
-static void append_member(JsonObject *record, const char *name, GString *out)
-{
-	const char *text = cli_json_text(record, name);
-
-	if (text)
-		g_string_append_printf(out, ", %s %s", name, text);
-}
-
-/* One record in plain words. */
-static void say(const struct cli_node *node, JsonObject *record, GString *out)
-{
-	const char *rule_name = cli_json_text(record, "rule");
-	const char *kind = cli_json_text(record, "kind");
-	const char *choice = cli_json_text(record, "choice");
-	enum aud_rule rule = aud_rule_by_name(rule_name ? rule_name : "");
-	g_autoptr(GDateTime) at = g_date_time_new_from_unix_utc(
-		cli_json_int(record, "wall_us") / FS_US_PER_S);
-	g_autofree char *time = g_date_time_format(at, "%F %T UTC");
-
-	g_string_append_printf(out, "%s, node %s: %s %s", time, node->address,
-			       kind ? kind : "?", choice ? choice : "");
-	append_member(record, "service", out);
-	append_member(record, "server", out);
-	append_member(record, "route", out);
-	append_member(record, "request", out);
-	g_string_append_printf(
-		out,
-		"\n  because of rule %s: %s\n  under configuration %" PRId64
-		", with ",
-		rule_name ? rule_name : "?",
-		rule < AUD_RULE_COUNT ? aud_rule_text(rule) : "unknown rule",
-		cli_json_int(record, "config_version"));
-	append_numbers(cli_json_object(record, "numbers"), out);
+	at = g_date_time_new_from_unix_utc(rec.wall_us / FS_US_PER_S);
+	time = at ? g_date_time_format(at, "%F %T UTC") : g_strdup("?");
+	g_string_append_printf(out, "%s, node %s: ", time, node->address);
+	aud_explain(&rec, out);
+	g_string_append_printf(out, "\n  rule %s: %s\n  configuration %" PRIu64,
+			       aud_rule_name(rec.rule), aud_rule_text(rec.rule),
+			       rec.config_version);
+	if (*rec.request)
+		g_string_append_printf(out, ", request %s", rec.request);
+	for (uint32_t i = 0; i < rec.evidence_count; i++)
+		g_string_append_printf(out, ", %s = %" PRId64,
+				       rec.evidence[i].name,
+				       rec.evidence[i].value);
 	g_string_append_c(out, '\n');
 }
 
@@ -90,7 +72,7 @@
 			continue;
 		found++;
 		if (!json) {
-			say(node, json_node_get_object(entry), out);
+			say(node, entry, out);
 			continue;
 		}
 		text = json_to_string(entry, FALSE);
--- a/tests/unit_cli.c
+++ b/tests/unit_cli.c
@@ -98,6 +98,35 @@
 	return code;
 }
 
+/* A node takes the text, then refuses a payment before a byte is written. */
+static char *log_with_written(int written)
+{
+	return g_strdup_printf(
+		"{\"module\":\"aud\",\"event\":\"decision\",\"node\":\"a\","
+		"\"record\":{\"incarnation\":5,\"serial\":1,\"kind\":"
+		"\"config\",\"rule\":\"config_taken\",\"wall_us\":1,"
+		"\"now_us\":1,\"config_version\":1,\"choice\":\"taken\","
+		"\"numbers\":{\"version\":1,\"known\":0,\"problems\":0}}}\n"
+		"{\"module\":\"mem\",\"event\":\"member\"}\n"
+		"{\"module\":\"aud\",\"event\":\"decision\",\"node\":\"a\","
+		"\"record\":{\"incarnation\":5,\"serial\":2,\"kind\":"
+		"\"refusal\",\"rule\":\"connect_failed\",\"wall_us\":2,"
+		"\"now_us\":2,\"config_version\":1,\"service\":\"checkout\","
+		"\"server\":\"checkout-1\",\"route\":\"pay\",\"request\":"
+		"\"1-5-1\",\"choice\":\"connect\",\"numbers\":{\"err\":-15,"
+		"\"written\":%d}}}\n",
+		written);
+}
+
+static void test_audit_finds_changed_record(void)
+{
+	g_autofree char *good = log_with_written(0);
+	g_autofree char *changed = log_with_written(1);
+
+	g_assert_cmpint(audit_of(good), ==, CLI_OK);
+	g_assert_cmpint(audit_of(changed), ==, CLI_REFUSED);
+}
+
 static void test_audit(void)
 {
 	g_assert_cmpint(audit_of(""), ==, CLI_OK);
@@ -116,5 +145,7 @@
 	g_test_add_func("/cli/diff", test_diff);
 	g_test_add_func("/cli/unreachable", test_unreachable);
 	g_test_add_func("/cli/audit", test_audit);
+	g_test_add_func("/cli/audit_finds_changed_record",
+			test_audit_finds_changed_record);
 	return g_test_run();
 }
