--- a/src/cfg_read.h
+++ b/src/cfg_read.h
@@ -72,7 +72,11 @@
 /** Checks an absolute, normalised URL path without a query. */
 bool cfg_read_path(struct cfg_reader *r, const char *key, const char *text);
 
-/** Checks "ip:port" of a target. @param out  out: host byte order */
+/**
+ * Checks "ip:port" of a target.
+ * @param ip    out: host byte order
+ * @param port  out: host byte order
+ */
 bool cfg_read_address(struct cfg_reader *r, const char *key, const char *text,
 		      uint32_t *ip, uint16_t *port);
 
--- a/tests/prop_cfg.cpp
+++ b/tests/prop_cfg.cpp
@@ -25,10 +25,23 @@
 
 struct edit {
 	size_t at;
-	int kind; // 0 replace, 1 insert, 2 erase, 3 repeat a stretch
+	// 0 replace, 1 insert, 2 erase, 3 repeat a stretch, 4 erase a setting
+	int kind;
 	std::string bytes;
 };
 
+// Erases the next "name: value" with the comma behind it.
+void erase_setting(std::string &text, size_t at)
+{
+	size_t from =
+		text.find_first_not_of(", \n", text.find_first_of(",\n", at));
+	size_t to = text.find_first_of(",}\n", from);
+
+	if (from == std::string::npos || to == std::string::npos)
+		return;
+	text.erase(from, to - from + (text[to] == ','));
+}
+
 std::string apply(std::string text, const edit &e)
 {
 	size_t at = text.empty() ? 0 : e.at % text.size();
@@ -39,8 +52,10 @@
 		text.insert(at, e.bytes);
 	else if (e.kind == 2)
 		text.erase(at, e.bytes.size() * 3);
-	else
+	else if (e.kind == 3)
 		text.insert(at, text.substr(at, e.bytes.size() * 20));
+	else
+		erase_setting(text, at);
 	return text;
 }
 
@@ -57,7 +72,7 @@
 rc::Gen<edit> any_edit()
 {
 	return rc::gen::construct<edit>(rc::gen::inRange<size_t>(0, 100000),
-					rc::gen::inRange(0, 4), any_bytes());
+					rc::gen::inRange(0, 5), any_bytes());
 }
 
 // Whether a loaded configuration keeps its own rules.
@@ -127,6 +142,14 @@
 		text[at] = static_cast<char>(*rc::gen::inRange(1, 256));
 		check_text(text);
 	});
+	ok &= rc::check("a text without some settings", [&] {
+		std::string text = *rc::gen::element(cascade, nounou);
+
+		for (int i = *rc::gen::inRange(1, 4); i > 0; i--)
+			erase_setting(text, *rc::gen::inRange<size_t>(
+						    0, text.size()));
+		check_text(text);
+	});
 	ok &= rc::check("any bytes give a problem", [] {
 		check_text(*rc::gen::container<std::string>(
 			rc::gen::map(rc::gen::inRange(1, 256), [](int c) {
