Turn make's built-in rules off, and mend the sanitizer flags

Ruled out: the dependency files themselves: make -r took 0.02 s with all 126.

Change: MAKEFLAGS += -rR with the compilers named; the comma stands first.

--- a/Makefile
+++ b/Makefile
@@ -18,10 +18,16 @@
 #   tests/tool_*.c                            demo, measure, soak
 #   examples/*.c                              one feature each
 
+# No built-in rules: they make make search for minutes.
+MAKEFLAGS += -rR
+CC := gcc
+CXX := g++
+AR := ar
+
+comma := ,
 ASAN ?=
 BUILD := build$(if $(ASAN),-asan)
 SAN := $(if $(ASAN),-fsanitize=address$(comma)undefined -fno-sanitize-recover=all)
-comma := ,
 
 PKGS := msgpack libmicrohttpd libcurl argtable2 glib-2.0 libcyaml \
 	json-glib-1.0 libxxhash
