Test the membership's state machine in virtual time

Cause: kills, one-way cuts, pauses, regions apart and loss decide whether members may be believed. Change: a small in-process harness and fifteen cases.

--- a/tests/mem_sim.h
+++ b/tests/mem_sim.h
@@ -21,8 +21,8 @@
 	struct sim *sim;
 	struct mem_core *core;
 	struct mem_member self;
-	bool down;	  /* killed */
-	bool paused;	  /* stopped, datagrams wait */
+	bool down;   /* killed */
+	bool paused; /* stopped, datagrams wait */
 	GPtrArray *waiting;
 	uint64_t bytes, datagrams; /* sent */
 	int64_t config_due_ms;	   /* a text asked for arrives then */
@@ -54,7 +54,8 @@
 
 static inline uint64_t sim_random(struct sim *sim)
 {
-	sim->random = sim->random * 6364136223846793005ULL + 1442695040888963407ULL;
+	sim->random =
+		sim->random * 6364136223846793005ULL + 1442695040888963407ULL;
 	return sim->random >> 33;
 }
 
@@ -96,17 +97,19 @@
 	self->peer.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	self->peer.sin_port = htons((uint16_t)(i + 1));
 	self->caller = self->peer;
-	self->operator = self->peer;
+	self->operator= self->peer;
 	node->sim = sim;
 	node->down = false;
 	node->config_due = 0;
 	node->core = mem_core_new(self, sim_random(sim), sim_send, node);
 	for (uint32_t seed = 0; seed < 3; seed++)
-		mem_core_add_seed(node->core, &(struct sockaddr_in){
-						      .sin_family = AF_INET,
-						      .sin_addr = self->peer.sin_addr,
-						      .sin_port = htons((uint16_t)(seed + 1)),
-					      });
+		mem_core_add_seed(
+			node->core,
+			&(struct sockaddr_in){
+				.sin_family = AF_INET,
+				.sin_addr = self->peer.sin_addr,
+				.sin_port = htons((uint16_t)(seed + 1)),
+			});
 }
 
 static inline struct sim *sim_new(uint32_t count, uint32_t regions,
@@ -119,8 +122,8 @@
 	sim->regions = regions;
 	sim->domains = domains;
 	for (uint32_t i = 0; i < SIM_SLOTS; i++)
-		sim->slots[i] = g_array_new(FALSE, TRUE,
-					    sizeof(struct sim_datagram));
+		sim->slots[i] =
+			g_array_new(FALSE, TRUE, sizeof(struct sim_datagram));
 	for (uint32_t i = 0; i < count; i++) {
 		sim->nodes[i].waiting = g_ptr_array_new_with_free_func(
 			(GDestroyNotify)g_byte_array_unref);
@@ -283,8 +286,7 @@
 {
 	int64_t start = sim->now_ms;
 
-	while (sim->now_ms - start < limit_ms &&
-	       sim_holding(sim, k, state) < n)
+	while (sim->now_ms - start < limit_ms && sim_holding(sim, k, state) < n)
 		sim_run(sim, 100);
 	return sim->now_ms - start;
 }
--- /dev/null
+++ b/tests/unit_mem.c
@@ -0,0 +1,314 @@
+/* The membership's state machine under kills, cuts, pauses and loss, in
+ * virtual time. */
+#include "mem_sim.h"
+
+#define DETECT_MS 6000 /* a killed node is no longer alive to anybody */
+#define DEAD_MS 15000
+#define CONFIG_MS 6000 /* in force everywhere, by the letter */
+
+static struct sim *settled(uint32_t count, uint32_t regions, uint32_t domains)
+{
+	struct sim *sim = sim_new(count, regions, domains, count);
+
+	sim_settle(sim, 60000);
+	g_assert_cmpuint(sim_complete(sim), ==, count);
+	return sim;
+}
+
+/* Steps through @p ms and asserts that no running node ever holds another
+ * running one otherwise than alive; nodes below @p from are not asked. */
+static void run_without_accusation(struct sim *sim, int64_t ms, uint32_t from)
+{
+	for (int64_t end = sim->now_ms + ms; sim->now_ms < end;) {
+		sim_run(sim, 100);
+		for (uint32_t i = from; i < sim->count; i++)
+			g_assert_cmpuint(mem_core_alive(sim->nodes[i].core), ==,
+					 sim->count);
+	}
+}
+
+static void test_idle_is_quiet(void)
+{
+	struct sim *sim = settled(48, 1, 3);
+
+	run_without_accusation(sim, 120000, 0);
+	sim_free(sim);
+}
+
+static void test_kill_is_seen_by_all(void)
+{
+	struct sim *sim = settled(48, 1, 3);
+	int64_t suspected_ms;
+
+	sim->nodes[7].down = true;
+	suspected_ms = sim->now_ms;
+	while (sim_holding(sim, 7, MEM_ALIVE) &&
+	       sim->now_ms - suspected_ms < DETECT_MS)
+		sim_run(sim, 100);
+	g_assert_cmpuint(sim_holding(sim, 7, MEM_ALIVE), ==, 0);
+	sim_until(sim, 7, MEM_DEAD, 47, DEAD_MS);
+	g_assert_cmpuint(sim_holding(sim, 7, MEM_DEAD), ==, 47);
+	g_assert_cmpuint(sim_complete(sim), ==, 47);
+	sim_free(sim);
+}
+
+/* With two nodes nobody else can be asked. */
+static void test_kill_of_the_only_peer(void)
+{
+	struct sim *sim = settled(2, 1, 2);
+
+	sim->nodes[1].down = true;
+	sim_until(sim, 1, MEM_DEAD, 1, DEAD_MS);
+	g_assert_cmpuint(sim_holding(sim, 1, MEM_DEAD), ==, 1);
+	sim_start(sim, 1, 5000000);
+	sim_settle(sim, DEAD_MS);
+	g_assert_cmpuint(sim_complete(sim), ==, 2);
+	sim_free(sim);
+}
+
+static void test_restart_supersedes(void)
+{
+	struct sim *sim = settled(16, 1, 3);
+
+	sim->nodes[4].down = true;
+	sim_run(sim, 500);
+	sim_start(sim, 4, 5000000);
+	sim_run(sim, 5000);
+	g_assert_cmpuint(sim_complete(sim), ==, 16);
+	sim_free(sim);
+}
+
+/* A VM whose clock lies behind that of the one it replaces. */
+static void test_restart_with_an_older_clock(void)
+{
+	struct sim *sim = settled(16, 1, 3);
+
+	sim->nodes[4].down = true;
+	sim_until(sim, 4, MEM_DEAD, 15, DEAD_MS);
+	sim_start(sim, 4, 5);
+	sim_settle(sim, DEAD_MS);
+	g_assert_cmpuint(sim_complete(sim), ==, 16);
+	sim_free(sim);
+}
+
+static bool lose_one_to_two(struct sim *sim, uint32_t from, uint32_t to)
+{
+	(void)sim;
+	return from == 1 && to == 2;
+}
+
+static void test_one_way_cut_of_a_pair(void)
+{
+	struct sim *sim = settled(16, 1, 3);
+	bool direct = true;
+
+	sim->lost = lose_one_to_two;
+	run_without_accusation(sim, 120000, 0);
+	g_assert_cmpint(sim_state(sim, 1, 2, &direct), ==, MEM_ALIVE);
+	g_assert_false(direct);
+	sim->lost = NULL;
+	run_without_accusation(sim, 5000, 0);
+	sim_state(sim, 1, 2, &direct);
+	g_assert_true(direct);
+	sim_free(sim);
+}
+
+static bool lose_domain_a_to_b(struct sim *sim, uint32_t from, uint32_t to)
+{
+	return g_str_has_suffix(sim->nodes[from].self.domain, "a") &&
+	       g_str_has_suffix(sim->nodes[to].self.domain, "b");
+}
+
+static void test_one_way_cut_between_domains(void)
+{
+	struct sim *sim = settled(48, 1, 3);
+
+	sim->lost = lose_domain_a_to_b;
+	run_without_accusation(sim, 180000, 0);
+	sim_free(sim);
+}
+
+static bool lose_to_zero(struct sim *sim, uint32_t from, uint32_t to)
+{
+	(void)sim;
+	(void)from;
+	return to == 0;
+}
+
+/* A node that hears nobody, but is heard: no other may be disturbed. */
+static void test_deaf_node_accuses_nobody_else(void)
+{
+	struct sim *sim = settled(16, 1, 3);
+
+	sim->lost = lose_to_zero;
+	for (int i = 0; i < 600; i++) {
+		sim_run(sim, 100);
+		for (uint32_t k = 2; k < sim->count; k++)
+			g_assert_cmpint(sim_state(sim, 1, k, NULL), ==,
+					MEM_ALIVE);
+	}
+	g_assert_cmpuint(mem_core_alive(sim->nodes[0].core), ==, 1);
+	sim->lost = NULL;
+	sim_settle(sim, 20000);
+	g_assert_cmpuint(sim_complete(sim), ==, 16);
+	sim_free(sim);
+}
+
+static bool lose_across_regions(struct sim *sim, uint32_t from, uint32_t to)
+{
+	return strcmp(sim->nodes[from].self.region,
+		      sim->nodes[to].self.region) != 0;
+}
+
+/* Two regions apart for an hour: each goes on alone and undisturbed, and they
+ * find each other again. */
+static void test_regions_apart_for_an_hour(void)
+{
+	struct sim *sim = settled(16, 2, 3);
+
+	sim->lost = lose_across_regions;
+	sim_run(sim, 60000);
+	for (uint32_t i = 0; i < sim->count; i++)
+		g_assert_cmpuint(mem_core_alive(sim->nodes[i].core), ==, 8);
+	for (int64_t end = sim->now_ms + 3540000; sim->now_ms < end;) {
+		sim_run(sim, 5000);
+		for (uint32_t i = 0; i < sim->count; i++)
+			g_assert_cmpuint(mem_core_alive(sim->nodes[i].core), ==,
+					 8);
+	}
+	sim->lost = NULL;
+	for (int64_t end = sim->now_ms + 30000; sim->now_ms < end;) {
+		sim_run(sim, 100);
+		for (uint32_t i = 0; i < sim->count; i++)
+			g_assert_cmpuint(mem_core_alive(sim->nodes[i].core), >=,
+					 8);
+	}
+	g_assert_cmpuint(sim_complete(sim), ==, 16);
+	sim_free(sim);
+}
+
+/* A stopped process is taken for dead; when it goes on it accuses nobody. */
+static void test_paused_node_accuses_nobody(void)
+{
+	struct sim *sim = settled(16, 1, 3);
+
+	sim->nodes[3].paused = true;
+	sim_until(sim, 3, MEM_DEAD, 15, DEAD_MS);
+	sim_run(sim, 30000);
+	sim_wake(sim, 3);
+	for (int i = 0; i < 200; i++) {
+		sim_run(sim, 100);
+		g_assert_cmpuint(mem_core_alive(sim->nodes[3].core), ==, 16);
+	}
+	g_assert_cmpuint(sim_complete(sim), ==, 16);
+	sim_free(sim);
+}
+
+/* Stopped in the middle of its pings, each time. */
+static void test_short_pauses_accuse_nobody(void)
+{
+	struct sim *sim = settled(16, 1, 3);
+
+	for (int i = 0; i < 50; i++) {
+		sim->nodes[3].paused = true;
+		sim_run(sim, 1700 + i);
+		sim_wake(sim, 3);
+		for (int k = 0; k < 10; k++) {
+			g_assert_cmpuint(mem_core_alive(sim->nodes[3].core), ==,
+					 16);
+			sim_run(sim, 100);
+		}
+	}
+	sim_free(sim);
+}
+
+static void test_leaving_is_told_at_once(void)
+{
+	struct sim *sim = settled(48, 1, 3);
+
+	mem_core_leave(sim->nodes[9].core);
+	sim_run(sim, 2000);
+	g_assert_cmpuint(sim_holding(sim, 9, MEM_LEAVING), ==, 47);
+	sim_run(sim, 20000);
+	g_assert_cmpuint(sim_holding(sim, 9, MEM_LEAVING), ==, 47);
+	sim_free(sim);
+}
+
+static bool lose_some(struct sim *sim, uint32_t from, uint32_t to)
+{
+	(void)from;
+	(void)to;
+	return sim_random(sim) % 100 < 5;
+}
+
+static void test_loss_kills_nobody(void)
+{
+	struct sim *sim = settled(48, 1, 3);
+
+	sim->lost = lose_some;
+	for (int i = 0; i < 3000; i++) {
+		sim_run(sim, 100);
+		g_assert_cmpuint(sim_holding(sim, (uint32_t)i % 48, MEM_DEAD),
+				 ==, 0);
+	}
+	sim_free(sim);
+}
+
+static void test_config_is_everywhere_in_time(void)
+{
+	struct sim *sim = settled(48, 1, 3);
+
+	for (uint64_t version = 1; version <= 20; version++) {
+		uint32_t first = (uint32_t)sim_random(sim) % 48;
+
+		mem_core_set_config(sim->nodes[first].core, version,
+				    sim_us(sim));
+		sim_run(sim, CONFIG_MS);
+		for (uint32_t i = 0; i < 48; i++)
+			g_assert_true(i == first ||
+				      sim->nodes[i].config_due == version);
+	}
+	sim_free(sim);
+}
+
+static void test_malformed_is_refused(void)
+{
+	struct sim *sim = settled(2, 1, 1);
+	uint8_t data[FS_DATAGRAM_MAX];
+
+	for (int i = 0; i < 20000; i++) {
+		size_t size = (size_t)(sim_random(sim) % 64);
+
+		for (size_t k = 0; k < size; k++)
+			data[k] = (uint8_t)sim_random(sim);
+		data[0] = 0x9e; /* an array, to get further */
+		g_assert_cmpint(mem_core_receive(sim->nodes[0].core, data, size,
+						 sim_us(sim)),
+				==, FS_E_PROTOCOL);
+	}
+	g_assert_cmpuint(sim_complete(sim), ==, 2);
+	sim_free(sim);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/mem/idle", test_idle_is_quiet);
+	g_test_add_func("/mem/kill", test_kill_is_seen_by_all);
+	g_test_add_func("/mem/kill_only_peer", test_kill_of_the_only_peer);
+	g_test_add_func("/mem/restart", test_restart_supersedes);
+	g_test_add_func("/mem/restart_old_clock",
+			test_restart_with_an_older_clock);
+	g_test_add_func("/mem/one_way_pair", test_one_way_cut_of_a_pair);
+	g_test_add_func("/mem/one_way_domains",
+			test_one_way_cut_between_domains);
+	g_test_add_func("/mem/deaf", test_deaf_node_accuses_nobody_else);
+	g_test_add_func("/mem/regions_apart", test_regions_apart_for_an_hour);
+	g_test_add_func("/mem/paused", test_paused_node_accuses_nobody);
+	g_test_add_func("/mem/paused_shortly", test_short_pauses_accuse_nobody);
+	g_test_add_func("/mem/leaving", test_leaving_is_told_at_once);
+	g_test_add_func("/mem/loss", test_loss_kills_nobody);
+	g_test_add_func("/mem/config", test_config_is_everywhere_in_time);
+	g_test_add_func("/mem/malformed", test_malformed_is_refused);
+	return g_test_run();
+}
