--- a/src/tgt_impl.h
+++ b/src/tgt_impl.h
@@ -8,7 +8,9 @@
 #include "tgt.h"
 
 struct tgt {
-	struct crl *crl;
+	struct tgt_pool *pool;
+	struct crl *crl;  /* of the pool */
+	curl_socket_t fd; /* opened last */
 	CURL *easy;
 	struct curl_slist *fields;
 	GBytes *body;
@@ -21,8 +23,10 @@
 	ev_timer timer;
 	bool no_body; /* the method was HEAD */
 
-	uint32_t written; /* how often the request was to be written */
-	bool late;	  /* not written, since the deadline had passed */
+	bool written; /* a byte of the request may have reached the target */
+	bool reused;  /* by a connection that was kept */
+	bool late;    /* not written, since the deadline had passed */
+	bool stale;   /* not written, since a kept connection was not quiet */
 	bool ended;
 	bool begun;
 	bool paused;
