--- a/tests/mem_sim.h
+++ b/tests/mem_sim.h
@@ -42,6 +42,10 @@
 	GArray *slots[SIM_SLOTS]; /* struct sim_datagram */
 	/* Returns whether a datagram is lost. */
 	bool (*lost)(struct sim *sim, uint32_t from, uint32_t to);
+	/* Looks at each datagram that is sent; may be NULL. */
+	void (*inspect)(struct sim *sim, uint32_t from, uint32_t to,
+			const struct mem_packet *packet);
+	bool drop_waiting; /* a paused node's socket keeps nothing */
 	uint64_t random;
 	uint32_t domains; /* of each region */
 	uint32_t regions;
@@ -69,6 +73,13 @@
 
 	node->bytes += size + MEM_SIGNATURE_SIZE + SIM_IP_UDP;
 	node->datagrams++;
+	if (sim->inspect) {
+		struct mem_packet packet;
+
+		mem_wire_decode(data, size, &packet);
+		sim->inspect(sim, from, d.to, &packet);
+		mem_packet_clear(&packet);
+	}
 	if (d.to >= sim->count || (sim->lost && sim->lost(sim, from, d.to)))
 		return;
 	d.data = g_byte_array_sized_new((guint)size);
@@ -173,7 +184,8 @@
 {
 	struct sim_node *node = &sim->nodes[d->to];
 
-	if (node->paused && node->waiting->len < SIM_BACKLOG) {
+	if (node->paused && !sim->drop_waiting &&
+	    node->waiting->len < SIM_BACKLOG) {
 		g_ptr_array_add(node->waiting, d->data);
 		return;
 	}
--- a/tests/unit_mem.c
+++ b/tests/unit_mem.c
@@ -4,6 +4,7 @@
 
 #define DETECT_MS 6000 /* a killed node is no longer alive to anybody */
 #define DEAD_MS 15000
+#define LEAVING_MS 500 /* nobody picks it long before answers expire */
 #define CONFIG_MS 6000 /* in force everywhere, by the letter */
 
 static struct sim *settled(uint32_t count, uint32_t regions, uint32_t domains)
@@ -135,12 +136,27 @@
 	return to == 0;
 }
 
+/* Accusations go to the accused only. */
+static void no_accusation(struct sim *sim, uint32_t from, uint32_t to,
+			  const struct mem_packet *packet)
+{
+	for (guint i = 0; from == 0 && i < packet->updates->len; i++) {
+		const struct mem_update *u =
+			&g_array_index(packet->updates, struct mem_update, i);
+
+		g_assert_true(u->id == sim->nodes[to].self.id ||
+			      u->state == MEM_ALIVE);
+	}
+}
+
 /* A node that hears nobody, but is heard: no other may be disturbed. */
 static void test_deaf_node_accuses_nobody_else(void)
 {
 	struct sim *sim = settled(16, 1, 3);
 
 	sim->lost = lose_to_zero;
+	sim_run(sim, 1200); /* pings from before the cut */
+	sim->inspect = no_accusation;
 	for (int i = 0; i < 600; i++) {
 		sim_run(sim, 100);
 		for (uint32_t k = 2; k < sim->count; k++)
@@ -148,6 +164,7 @@
 					MEM_ALIVE);
 	}
 	g_assert_cmpuint(mem_core_alive(sim->nodes[0].core), ==, 1);
+	sim->inspect = NULL;
 	sim->lost = NULL;
 	sim_settle(sim, 20000);
 	g_assert_cmpuint(sim_complete(sim), ==, 16);
@@ -192,6 +209,7 @@
 {
 	struct sim *sim = settled(16, 1, 3);
 
+	sim->drop_waiting = true;
 	sim->nodes[3].paused = true;
 	sim_until(sim, 3, MEM_DEAD, 15, DEAD_MS);
 	sim_run(sim, 30000);
@@ -210,6 +228,7 @@
 	struct sim *sim = settled(16, 1, 3);
 
 	for (int i = 0; i < 50; i++) {
+		sim->drop_waiting = i % 2;
 		sim->nodes[3].paused = true;
 		sim_run(sim, 1700 + i);
 		sim_wake(sim, 3);
@@ -227,7 +246,7 @@
 	struct sim *sim = settled(48, 1, 3);
 
 	mem_core_leave(sim->nodes[9].core);
-	sim_run(sim, 2000);
+	sim_run(sim, LEAVING_MS);
 	g_assert_cmpuint(sim_holding(sim, 9, MEM_LEAVING), ==, 47);
 	sim_run(sim, 20000);
 	g_assert_cmpuint(sim_holding(sim, 9, MEM_LEAVING), ==, 47);
