--- a/tests/unit_mem.c
+++ b/tests/unit_mem.c
@@ -285,8 +285,8 @@
 	sim_wake(sim, 3);
 	sim_run(sim, 10000);
 	sim_wake(sim, 1);
-	for (int i = 0; i < 50; i++) {
-		sim_run(sim, 100);
+	for (int ms = 0; ms < 5000; ms++) {
+		sim_step(sim);
 		g_assert_cmpint(sim_state(sim, 1, 3, NULL), !=, MEM_DEAD);
 	}
 	g_assert_cmpuint(sim_complete(sim), ==, 16);
