Check a datagram's announced sizes before msgpack allocates for them

Cause: unit_mem under AddressSanitizer: 19 bytes that announce a long array made the library ask for 64 GB. Only a holder of the fleet key could send it. Change: mem_wire_decode() calls msg_scan() first, as the links do. Conclusion: unit_mem passes with ASan and UBSan (17 cases).

--- a/src/mem_wire.c
+++ b/src/mem_wire.c
@@ -3,6 +3,8 @@
 #include <msgpack.h>
 #include <string.h>
 
+#include "msg_codec.h"
+
 #define PACKET_FIELDS 14
 #define COMPACT_FIELDS 4
 #define FULL_FIELDS 11
@@ -269,7 +271,8 @@
 
 	mem_packet_init(packet, MEM_PING);
 	msgpack_unpacked_init(&unpacked);
-	if (size <= MEM_PAYLOAD_MAX &&
+	/* The library allocates for any array size that is claimed. */
+	if (size <= MEM_PAYLOAD_MAX && msg_scan(data, size) &&
 	    msgpack_unpack_next(&unpacked, (const char *)data, size, &offset) ==
 		    MSGPACK_UNPACK_SUCCESS &&
 	    offset == size) {
--- a/tests/mem_sim.h
+++ b/tests/mem_sim.h
@@ -69,7 +69,9 @@
 	struct sim_node *node = arg;
 	struct sim *sim = node->sim;
 	uint32_t from = (uint32_t)(node - sim->nodes);
-	struct sim_datagram d = {from, (uint32_t)ntohs(to->sin_port) - 1, NULL};
+	uint32_t receiver = (uint32_t)ntohs(to->sin_port) - 1;
+	GArray *slot = sim->slots[(sim->now_ms + SIM_LATENCY_MS) % SIM_SLOTS];
+	struct sim_datagram *d;
 
 	node->bytes += size + MEM_SIGNATURE_SIZE + SIM_IP_UDP;
 	node->datagrams++;
@@ -77,15 +79,18 @@
 		struct mem_packet packet;
 
 		mem_wire_decode(data, size, &packet);
-		sim->inspect(sim, from, d.to, &packet);
+		sim->inspect(sim, from, receiver, &packet);
 		mem_packet_clear(&packet);
 	}
-	if (d.to >= sim->count || (sim->lost && sim->lost(sim, from, d.to)))
+	if (receiver >= sim->count ||
+	    (sim->lost && sim->lost(sim, from, receiver)))
 		return;
-	d.data = g_byte_array_sized_new((guint)size);
-	g_byte_array_append(d.data, data, (guint)size);
-	g_array_append_val(
-		sim->slots[(sim->now_ms + SIM_LATENCY_MS) % SIM_SLOTS], d);
+	g_array_set_size(slot, slot->len + 1);
+	d = &g_array_index(slot, struct sim_datagram, slot->len - 1);
+	d->from = from;
+	d->to = receiver;
+	d->data = g_byte_array_sized_new((guint)size);
+	g_byte_array_append(d->data, data, (guint)size);
 }
 
 /* Starts a node, or starts it again with a new incarnation. */
