--- a/tests/unit_cfg.c
+++ b/tests/unit_cfg.c
@@ -233,12 +233,12 @@
 		check_case(&bad_cases[i]);
 }
 
-static struct cfg *load(const char *text)
+static struct cfg *load_version(const char *text, uint64_t version)
 {
 	g_autoptr(GPtrArray) problems = NULL;
 	struct cfg *cfg;
 
-	cfg_load(text, 7, &problems, &cfg);
+	cfg_load(text, version, &problems, &cfg);
 	for (guint i = 0; i < problems->len; i++) {
 		const struct cfg_problem *p = g_ptr_array_index(problems, i);
 
@@ -249,6 +249,11 @@
 	return cfg;
 }
 
+static struct cfg *load(const char *text)
+{
+	return load_version(text, 7);
+}
+
 static void test_good_text(void)
 {
 	CFG_AUTO struct cfg *cfg = load(good_text);
@@ -335,11 +340,10 @@
 
 static void test_too_long(void)
 {
-	g_autofree char *text = g_malloc0(FS_CONFIG_MAX + 2);
+	g_autofree char *text = g_strnfill(FS_CONFIG_MAX + 1, '#');
 	g_autoptr(GPtrArray) problems = NULL;
 	struct cfg *cfg;
 
-	memset(text, '#', FS_CONFIG_MAX + 1);
 	g_assert_cmpint(cfg_load(text, 1, &problems, &cfg), ==, FS_E_CONFIG);
 	g_assert_cmpuint(problems->len, ==, 1);
 }
@@ -385,11 +389,12 @@
 		"servers in all"));
 }
 
-static guint change_problems(const char *before, const char *after)
+/* Changes a text of version 7 to one of @version. */
+static guint change_to_version(const char *before, const char *after,
+			       uint64_t version)
 {
-	g_autoptr(GPtrArray) problems = g_ptr_array_new_with_free_func(g_free);
 	CFG_AUTO struct cfg *old = load(before);
-	CFG_AUTO struct cfg *new = load(after);
+	CFG_AUTO struct cfg *new = load_version(after, version);
 	GPtrArray *found;
 	struct cfg *none;
 	guint count;
@@ -403,6 +408,11 @@
 	return count;
 }
 
+static guint change_problems(const char *before, const char *after)
+{
+	return change_to_version(before, after, 8);
+}
+
 static void test_change(void)
 {
 	const char *checkout = strstr(good_text, "  - name: checkout");
@@ -420,6 +430,11 @@
 	g_assert_cmpuint(change_problems(without, good_text), ==, 0);
 	g_assert_cmpuint(change_problems(good_text, other), ==, 1);
 	g_assert_cmpint(cfg_check_change(NULL, NULL, NULL), ==, 0);
+	/* a text that is not put yet has no version */
+	g_assert_cmpuint(change_to_version(good_text, without, 0), ==, 1);
+	/* a node that missed the version in which checkout was leaving */
+	g_assert_cmpuint(change_to_version(good_text, without, 9), ==, 0);
+	g_assert_cmpuint(change_to_version(good_text, other, 9), ==, 1);
 }
 
 /* lookup goes while checkout, in force, depends on it: two findings. */
