--- a/tests/mem_sim.h
+++ b/tests/mem_sim.h
@@ -21,8 +21,8 @@
 	struct sim *sim;
 	struct mem_core *core;
 	struct mem_member self;
-	bool down;	  /* killed */
-	bool paused;	  /* stopped, datagrams wait */
+	bool down;   /* killed */
+	bool paused; /* stopped, datagrams wait */
 	GPtrArray *waiting;
 	uint64_t bytes, datagrams; /* sent */
 	int64_t config_due_ms;	   /* a text asked for arrives then */
@@ -42,6 +42,10 @@
 	GArray *slots[SIM_SLOTS]; /* struct sim_datagram */
 	/* Returns whether a datagram is lost. */
 	bool (*lost)(struct sim *sim, uint32_t from, uint32_t to);
+	/* Looks at each datagram that is sent; may be NULL. */
+	void (*inspect)(struct sim *sim, uint32_t from, uint32_t to,
+			const struct mem_packet *packet);
+	bool drop_waiting; /* a paused node's socket keeps nothing */
 	uint64_t random;
 	uint32_t domains; /* of each region */
 	uint32_t regions;
@@ -54,7 +58,8 @@
 
 static inline uint64_t sim_random(struct sim *sim)
 {
-	sim->random = sim->random * 6364136223846793005ULL + 1442695040888963407ULL;
+	sim->random =
+		sim->random * 6364136223846793005ULL + 1442695040888963407ULL;
 	return sim->random >> 33;
 }
 
@@ -64,16 +69,28 @@
 	struct sim_node *node = arg;
 	struct sim *sim = node->sim;
 	uint32_t from = (uint32_t)(node - sim->nodes);
-	struct sim_datagram d = {from, (uint32_t)ntohs(to->sin_port) - 1, NULL};
+	uint32_t receiver = (uint32_t)ntohs(to->sin_port) - 1;
+	GArray *slot = sim->slots[(sim->now_ms + SIM_LATENCY_MS) % SIM_SLOTS];
+	struct sim_datagram *d;
 
 	node->bytes += size + MEM_SIGNATURE_SIZE + SIM_IP_UDP;
 	node->datagrams++;
-	if (d.to >= sim->count || (sim->lost && sim->lost(sim, from, d.to)))
+	if (sim->inspect) {
+		struct mem_packet packet;
+
+		mem_wire_decode(data, size, &packet);
+		sim->inspect(sim, from, receiver, &packet);
+		mem_packet_clear(&packet);
+	}
+	if (receiver >= sim->count ||
+	    (sim->lost && sim->lost(sim, from, receiver)))
 		return;
-	d.data = g_byte_array_sized_new((guint)size);
-	g_byte_array_append(d.data, data, (guint)size);
-	g_array_append_val(
-		sim->slots[(sim->now_ms + SIM_LATENCY_MS) % SIM_SLOTS], d);
+	g_array_set_size(slot, slot->len + 1);
+	d = &g_array_index(slot, struct sim_datagram, slot->len - 1);
+	d->from = from;
+	d->to = receiver;
+	d->data = g_byte_array_sized_new((guint)size);
+	g_byte_array_append(d->data, data, (guint)size);
 }
 
 /* Starts a node, or starts it again with a new incarnation. */
@@ -96,17 +113,19 @@
 	self->peer.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	self->peer.sin_port = htons((uint16_t)(i + 1));
 	self->caller = self->peer;
-	self->operator = self->peer;
+	self->operator= self->peer;
 	node->sim = sim;
 	node->down = false;
 	node->config_due = 0;
 	node->core = mem_core_new(self, sim_random(sim), sim_send, node);
 	for (uint32_t seed = 0; seed < 3; seed++)
-		mem_core_add_seed(node->core, &(struct sockaddr_in){
-						      .sin_family = AF_INET,
-						      .sin_addr = self->peer.sin_addr,
-						      .sin_port = htons((uint16_t)(seed + 1)),
-					      });
+		mem_core_add_seed(
+			node->core,
+			&(struct sockaddr_in){
+				.sin_family = AF_INET,
+				.sin_addr = self->peer.sin_addr,
+				.sin_port = htons((uint16_t)(seed + 1)),
+			});
 }
 
 static inline struct sim *sim_new(uint32_t count, uint32_t regions,
@@ -119,8 +138,8 @@
 	sim->regions = regions;
 	sim->domains = domains;
 	for (uint32_t i = 0; i < SIM_SLOTS; i++)
-		sim->slots[i] = g_array_new(FALSE, TRUE,
-					    sizeof(struct sim_datagram));
+		sim->slots[i] =
+			g_array_new(FALSE, TRUE, sizeof(struct sim_datagram));
 	for (uint32_t i = 0; i < count; i++) {
 		sim->nodes[i].waiting = g_ptr_array_new_with_free_func(
 			(GDestroyNotify)g_byte_array_unref);
@@ -170,7 +189,8 @@
 {
 	struct sim_node *node = &sim->nodes[d->to];
 
-	if (node->paused && node->waiting->len < SIM_BACKLOG) {
+	if (node->paused && !sim->drop_waiting &&
+	    node->waiting->len < SIM_BACKLOG) {
 		g_ptr_array_add(node->waiting, d->data);
 		return;
 	}
@@ -283,8 +303,7 @@
 {
 	int64_t start = sim->now_ms;
 
-	while (sim->now_ms - start < limit_ms &&
-	       sim_holding(sim, k, state) < n)
+	while (sim->now_ms - start < limit_ms && sim_holding(sim, k, state) < n)
 		sim_run(sim, 100);
 	return sim->now_ms - start;
 }
