--- a/tests/fleet_dsp.c
+++ b/tests/fleet_dsp.c
@@ -1,5 +1,6 @@
 #include "fleet_dsp.h"
 
+#include <fcntl.h>
 #include <string.h>
 
 #define WAIT_US (5 * FS_US_PER_S)
@@ -102,9 +103,14 @@
 	msg_free(m);
 }
 
+/* Log lines would mix with the results. */
+static int logged;
+
 void scene_begin(struct scene *s, const struct scene_setup *setup)
 {
 	memset(s, 0, sizeof(*s));
+	if (!logged++)
+		fs_log_init("test", open("/dev/null", O_WRONLY | O_CLOEXEC));
 	s->setup = *setup;
 	set_defaults(&s->setup);
 	s->loop = ev_loop_new(EVFLAG_AUTO);
--- a/tests/fleet_fake.c
+++ b/tests/fleet_fake.c
@@ -262,6 +262,11 @@
 	g_free(fake);
 }
 
+struct fake *fake_of(const struct fake_conn *conn)
+{
+	return conn->fake;
+}
+
 const char *fake_address(const struct fake *fake)
 {
 	return fake->address;
--- a/tests/fleet_fake.h
+++ b/tests/fleet_fake.h
@@ -32,6 +32,9 @@
 struct fake *fake_new(struct ev_loop *loop, fake_serve_fn serve, void *arg);
 void fake_free(struct fake *fake);
 
+/** Returns the target of a connection. */
+struct fake *fake_of(const struct fake_conn *conn);
+
 /** Returns "127.0.0.1:port". */
 const char *fake_address(const struct fake *fake);
 
--- /dev/null
+++ b/tests/unit_dsp_retry.c
@@ -0,0 +1,149 @@
+/* Repeatable requests: other servers, within tries, budget and deadline. */
+#include <string.h>
+
+#include "fleet_dsp.h"
+
+/** How many of the first requests go wrong, over all targets. */
+struct plan {
+	uint32_t bad;
+	uint32_t seen;
+};
+
+static void serve_reset(void *arg, struct fake_conn *conn,
+			const struct fake_request *request)
+{
+	struct plan *plan = arg;
+
+	(void)request;
+	if (plan->seen++ < plan->bad)
+		fake_close(conn, true);
+	else
+		fake_ok(conn, "ok");
+}
+
+static void serve_truncated(void *arg, struct fake_conn *conn,
+			    const struct fake_request *request)
+{
+	struct plan *plan = arg;
+
+	(void)request;
+	if (plan->seen++ < plan->bad) {
+		fake_send_text(conn,
+			       "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\no");
+		fake_close_after(conn);
+	} else {
+		fake_ok(conn, "ok");
+	}
+}
+
+static void serve_error(void *arg, struct fake_conn *conn,
+			const struct fake_request *request)
+{
+	struct plan *plan = arg;
+
+	(void)request;
+	if (plan->seen++ < plan->bad)
+		fake_send_text(conn, "HTTP/1.1 500 Error\r\n"
+				     "Content-Length: 0\r\n\r\n");
+	else
+		fake_ok(conn, "ok");
+}
+
+static void test_tried_elsewhere(gconstpointer data)
+{
+	struct plan plan = {.bad = 1};
+	struct scene s;
+
+	scene_begin(&s, &(struct scene_setup){.serve = (fake_serve_fn)data,
+					      .arg = &plan});
+	scene_send(&s, 1, "list");
+	scene_wait(&s, 1);
+	scene_answered(&s, 1, 200);
+	g_assert_cmpuint(scene_reply(&s, 1)->answer.tries, ==, 2);
+	g_assert_cmpuint(fake_requests(s.fakes[0])->len, ==, 1);
+	g_assert_cmpuint(fake_requests(s.fakes[1])->len, ==, 1);
+	scene_end(&s);
+}
+
+static void test_tries_are_bounded(void)
+{
+	struct plan plan = {.bad = 1000};
+	struct scene s;
+
+	scene_begin(&s, &(struct scene_setup){.targets = 4,
+					      .serve = serve_reset,
+					      .arg = &plan});
+	scene_send(&s, 1, "list");
+	scene_send(&s, 2, "export");
+	scene_wait(&s, 2);
+	scene_refused(&s, 1, FS_E_TARGET_RESET, FS_UNKNOWN);
+	scene_refused(&s, 2, FS_E_TARGET_RESET, FS_UNKNOWN);
+	g_assert_cmpuint(scene_received(&s), ==, 3 + 2);
+	scene_end(&s);
+}
+
+static void test_budget_bounds_a_storm(void)
+{
+	struct plan plan = {.bad = 1000};
+	struct scene s;
+	uint32_t n = 60;
+	int64_t began_us = fs_now_us();
+	int64_t s_passed;
+
+	scene_begin(&s, &(struct scene_setup){.targets = 4,
+					      .slots = 6,
+					      .queue = 64,
+					      .serve = serve_reset,
+					      .arg = &plan});
+	for (uint64_t i = 1; i <= n; i++)
+		scene_send(&s, i, "list");
+	scene_wait(&s, n);
+	s_passed = (fs_now_us() - began_us) / FS_US_PER_S + 1;
+	g_assert_cmpint(scene_received(&s), <=, n + 10 + n / 10 + s_passed);
+	scene_end(&s);
+}
+
+/* Every kept connection falls silent, new ones work. */
+static void serve_first_only(void *arg, struct fake_conn *conn,
+			     const struct fake_request *request)
+{
+	(void)arg;
+	if (request->nth == 1)
+		fake_ok(conn, "ok");
+}
+
+static void test_silent_connection(void)
+{
+	struct scene s;
+	int64_t began_us;
+
+	scene_begin(&s, &(struct scene_setup){.targets = 1,
+					      .serve = serve_first_only});
+	scene_send(&s, 1, "list");
+	scene_wait(&s, 1);
+	scene_answered(&s, 1, 200);
+	began_us = fs_now_us();
+	scene_send(&s, 2, "list");
+	scene_wait(&s, 2);
+	scene_answered(&s, 2, 200);
+	g_assert_cmpuint(scene_reply(&s, 2)->answer.tries, ==, 2);
+	g_assert_cmpint(fs_now_us() - began_us, <, FS_US_PER_S);
+	g_assert_cmpuint(fake_accepted(s.fakes[0]), ==, 2);
+	scene_end(&s);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_data_func("/dsp/tried_elsewhere/reset", serve_reset,
+			     test_tried_elsewhere);
+	g_test_add_data_func("/dsp/tried_elsewhere/truncated", serve_truncated,
+			     test_tried_elsewhere);
+	g_test_add_data_func("/dsp/tried_elsewhere/error", serve_error,
+			     test_tried_elsewhere);
+	g_test_add_func("/dsp/tries_are_bounded", test_tries_are_bounded);
+	g_test_add_func("/dsp/budget_bounds_a_storm",
+			test_budget_bounds_a_storm);
+	g_test_add_func("/dsp/silent_connection", test_silent_connection);
+	return g_test_run();
+}
