--- a/src/key.c
+++ b/src/key.c
@@ -155,6 +155,10 @@
 {
 	struct key_item *item = find(table, entry->service, entry->key);
 
+	if (item && is_past(item, now_us)) {
+		drop(table, item);
+		item = NULL;
+	}
 	if (item) {
 		if (!item->local && !entry->in_flight)
 			item->in_flight = false;
