--- a/src/dsp.c
+++ b/src/dsp.c
@@ -24,6 +24,12 @@
 		dsp_run_waiting(shard, now_us);
 }
 
+static void refuse_unread(struct dsp_run *run, int64_t now_us)
+{
+	dsp_audit_refusal(run, FS_E_TRUNCATED, NULL, now_us);
+	dsp_run_refuse(run, FS_E_TRUNCATED, FS_UNKNOWN, 0, now_us);
+}
+
 /* A caller that does not read holds its stream past the deadline. */
 static void drop_unread(struct dsp *dsp, int64_t now_us)
 {
@@ -37,8 +43,7 @@
 			g_ptr_array_add(late, run);
 	}
 	for (guint i = 0; i < late->len; i++)
-		dsp_run_refuse(late->pdata[i], FS_E_TRUNCATED, FS_UNKNOWN, 0,
-			       now_us);
+		refuse_unread(late->pdata[i], now_us);
 }
 
 static void on_tick(struct ev_loop *loop, ev_timer *timer, int events)
--- a/src/dsp_audit.c
+++ b/src/dsp_audit.c
@@ -23,6 +23,8 @@
 	case FS_E_KEY_IN_FLIGHT:
 	case FS_E_KEY_SPENT:
 		return AUD_R_KEY;
+	case FS_E_TARGET_REFUSED:
+		return AUD_R_TARGET_REFUSED;
 	case FS_E_CANCELLED:
 		return AUD_R_CANCEL_CONFIRMED;
 	case FS_E_CONNECT:
@@ -56,7 +58,7 @@
 		break;
 	case AUD_R_CONNECT:
 	case AUD_R_OUTCOME_UNKNOWN:
-		aud_add(rec, "written", run->written);
+		aud_add(rec, "written", dsp_run_outcome(run) == FS_UNKNOWN);
 		break;
 	default:
 		break;
--- a/src/dsp_drain.c
+++ b/src/dsp_drain.c
@@ -1,14 +1,16 @@
 /* A target that says "Draining: 1" in an answer takes no new work from then
- * on. It is asked by its probe path whether that still holds, and is used
- * again once an answer comes without that field: it was replaced or started
- * again under its name. Without a probe path it is used again when it accepts
- * a connection after it has refused one. */
+ * on. It is asked by its probe path whether that still holds. Such answers can
+ * lag, so it is used again only if it has refused a connection in between,
+ * which shows that it was replaced or started again under its name, or if it
+ * has answered without that field for DRAIN_CLEAN_US. Without a probe path,
+ * accepting a connection counts as an answer. */
 #include <string.h>
 
 #include "dsp_impl.h"
 
-#define DRAIN_CHECK_US 2000000LL /* between two checks */
-#define DRAIN_TIMEOUT_MS 1000L	 /* of one check */
+#define DRAIN_CHECK_US 2000000LL  /* between two checks */
+#define DRAIN_CLEAN_US 30000000LL /* without the signal, and then used */
+#define DRAIN_TIMEOUT_MS 1000L	  /* of one check */
 
 struct dsp_drain {
 	struct crl *crl;
@@ -17,8 +19,8 @@
 	bool headed;
 	bool draining;
 	bool gone; /* it has refused a connection since */
-	bool over; /* it has come back */
 	int64_t checked_us;
+	int64_t clean_us; /* answers without the signal since; 0: none */
 };
 
 static size_t on_header(char *data, size_t size, size_t n, void *arg)
@@ -46,12 +48,15 @@
 {
 	struct dsp_drain *drain = arg;
 
+	bool clean = drain->path ? drain->headed && !drain->draining :
+				   code == CURLE_OK;
+
 	if (code == CURLE_COULDNT_CONNECT)
 		drain->gone = true;
-	else if (drain->path && drain->headed)
-		drain->over = !drain->draining;
-	else if (!drain->path && code == CURLE_OK)
-		drain->over = drain->gone;
+	if (!clean)
+		drain->clean_us = 0;
+	else if (!drain->clean_us)
+		drain->clean_us = fs_now_us();
 	curl_easy_cleanup(easy);
 	drain->easy = NULL;
 }
@@ -84,6 +89,11 @@
 	}
 }
 
+bool dsp_drain_over(bool gone, int64_t clean_us)
+{
+	return gone || clean_us >= DRAIN_CLEAN_US;
+}
+
 void dsp_drain_free(struct dsp_drain *drain)
 {
 	if (!drain)
@@ -109,7 +119,8 @@
 		drain->crl = tgt_pool_crl(shard->dsp->pool);
 		drain->checked_us = now_us;
 	}
-	if (drain->over) {
+	if (drain->clean_us &&
+	    dsp_drain_over(drain->gone, now_us - drain->clean_us)) {
 		dsp_drain_free(drain);
 		server->drain = NULL;
 		server->drained = false;
--- a/src/dsp_impl.h
+++ b/src/dsp_impl.h
@@ -174,6 +174,9 @@
 /** Ends a run with a refusal. */
 void dsp_run_refuse(struct dsp_run *run, int err, enum fs_outcome outcome,
 		    int64_t retry_after_us, int64_t now_us);
+/** Refuses a run that waits, with a record; an error of a try that was written
+ *  goes before @p err. */
+void dsp_run_give_up(struct dsp_run *run, int err, int64_t now_us);
 /** Returns what may be said of a run that ends without an answer. */
 enum fs_outcome dsp_run_outcome(const struct dsp_run *run);
 
@@ -231,6 +234,10 @@
 /** Asks servers that said they are leaving whether that still holds. */
 void dsp_drain_tick(struct dsp *dsp, int64_t now_us);
 void dsp_drain_free(struct dsp_drain *drain);
+/** Returns whether a server that said it is leaving may be used again.
+ *  @param gone      it has refused a connection since
+ *  @param clean_us  it has answered without the signal for so long */
+bool dsp_drain_over(bool gone, int64_t clean_us);
 void dsp_leave_stop(struct dsp *dsp, int64_t now_us);
 void dsp_leave_tick(struct dsp *dsp, int64_t now_us);
 
--- a/src/dsp_judge.c
+++ b/src/dsp_judge.c
@@ -69,10 +69,13 @@
 	g_hash_table_iter_init(&iter, dsp->shards);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&shard)) {
 		for (uint32_t i = 0; i < shard->count; i++) {
-			if (g_str_equal(shard->servers[i]->name,
-					m->probe_told.server))
-				hlt_probed(shard->hlt, i,
-					   m->probe_told.reachable, now_us);
+			if (!g_str_equal(shard->servers[i]->name,
+					 m->probe_told.server))
+				continue;
+			hlt_probed(shard->hlt, i, m->probe_told.reachable,
+				   now_us);
+			dsp_leave_answer(shard, shard->servers[i],
+					 m->probe_told.draining, now_us);
 		}
 	}
 }
--- a/src/dsp_run.c
+++ b/src/dsp_run.c
@@ -64,7 +64,7 @@
 }
 
 /* An error that leaves the outcome unknown goes before one that does not. */
-static void give_up(struct dsp_run *run, int err, int64_t now_us)
+void dsp_run_give_up(struct dsp_run *run, int err, int64_t now_us)
 {
 	struct slt_numbers n;
 
@@ -85,7 +85,7 @@
 		que_push_front(&shard->que, &run->item, run->priority);
 		return;
 	}
-	give_up(run, err, now_us);
+	dsp_run_give_up(run, err, now_us);
 }
 
 /* Nothing that cannot be answered in time may take a slot. */
@@ -99,7 +99,8 @@
 
 			next = l->next;
 			if (run->deadline_us <= now_us)
-				give_up(run, FS_E_DEADLINE_QUEUED, now_us);
+				dsp_run_give_up(run, FS_E_DEADLINE_QUEUED,
+						now_us);
 		}
 	}
 }
@@ -184,7 +185,7 @@
 		if (slt_wait_too_long(slt_need(&dsp_route_of(run)->whole,
 					       run->allowed_us),
 				      run->deadline_us - now_us)) {
-			give_up(run, FS_E_WAIT_TOO_LONG, now_us);
+			dsp_run_give_up(run, FS_E_WAIT_TOO_LONG, now_us);
 			continue;
 		}
 		i = choose(&room, run);
