--- a/tests/fleet_dsp.c
+++ b/tests/fleet_dsp.c
@@ -1,8 +1,11 @@
 #include "fleet_dsp.h"
 
 #include <fcntl.h>
+#include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "aud_replay.h"
+
 #define WAIT_US (5 * FS_US_PER_S)
 
 static void collect(GPtrArray *list, struct msg *m)
@@ -130,8 +133,34 @@
 	scene_configure(s);
 }
 
+/* Every decision of the scene must follow from its text and its numbers. */
+static void check_records(const struct scene *s)
+{
+	GString *out = g_string_new(NULL);
+	g_autoptr(JsonParser) parser = json_parser_new();
+	JsonArray *all;
+
+	aud_ring_json(s->node.aud, 0, out);
+	g_assert_true(json_parser_load_from_data(parser, out->str, -1, NULL));
+	all = json_node_get_array(json_parser_get_root(parser));
+	for (guint i = 0; i < json_array_get_length(all); i++) {
+		g_autofree char *text =
+			json_to_string(json_array_get_element(all, i), FALSE);
+		g_autofree char *reason = NULL;
+		struct aud_record rec;
+
+		g_assert_cmpint(aud_record_parse(text, &rec), ==, 0);
+		if (rec.config_version == s->dsp->cfg->version)
+			aud_replay_check(s->dsp->cfg, &rec, &reason);
+		if (reason)
+			g_error("%s: %s", reason, text);
+	}
+	g_string_free(out, TRUE);
+}
+
 void scene_end(struct scene *s)
 {
+	check_records(s);
 	dsp_free(s->dsp);
 	for (uint32_t i = 0; i < s->setup.targets; i++)
 		fake_free(s->fakes[i]);
