--- a/tests/unit_dsp_stream.c
+++ b/tests/unit_dsp_stream.c
@@ -20,7 +20,7 @@
 		  const struct fake_request *request)
 {
 	const struct plan *plan = arg;
-	g_autofree uint8_t *body = g_malloc(plan->bytes);
+	uint8_t *body = g_malloc(plan->bytes);
 	g_autofree char *head = g_strdup_printf(
 		"HTTP/1.1 200 OK\r\nContent-Length: %u\r\n\r\n", SIZE);
 
@@ -29,6 +29,7 @@
 		body[i] = byte_at(i);
 	fake_send_text(conn, head);
 	fake_send(conn, body, plan->bytes);
+	g_free(body);
 	if (plan->close)
 		fake_close_after(conn);
 }
