Record shards taken and given; tell judges of sick dependencies

The judge of a shard is told that a service it depends on is sick when a shard of it here is, or when the service's record has most of its servers out.

--- a/src/dsp.c
+++ b/src/dsp.c
@@ -58,6 +58,8 @@
 	g_hash_table_iter_init(&iter, dsp->shards);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&shard))
 		dsp_judge_tick(shard, now_us);
+	dsp_judge_dependencies(dsp);
+	dsp_owner_tick(dsp, now_us);
 	drop_unread(dsp, now_us);
 	run_all(dsp, now_us);
 	dsp_drain_tick(dsp, now_us);
@@ -69,6 +71,7 @@
 static void take_config(struct dsp *dsp, const struct msg *m, int64_t now_us)
 {
 	dsp_shard_rebuild(dsp, m->config.cfg, now_us);
+	dsp->owners_changed = true;
 	run_all(dsp, now_us);
 }
 
@@ -76,6 +79,7 @@
 {
 	mem_view_unref(dsp->view);
 	dsp->view = mem_view_ref(m->view.view);
+	dsp->owners_changed = true;
 	dsp_handover_send(dsp, now_us);
 	dsp_cancel_dead(dsp, now_us);
 }
@@ -161,6 +165,8 @@
 	dsp->runs = g_hash_table_new(dsp_id_hash, dsp_id_equal);
 	dsp->handed =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	dsp->owned =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	dsp->seen = dsp_seen_new(DSP_SEEN_MAX);
 	dsp->keys = key_table_new(FS_KEYS_MAX);
 	ev_timer_init(&dsp->tick, on_tick, DSP_TICK_US / 1e6,
@@ -205,6 +211,7 @@
 	g_hash_table_unref(dsp->records);
 	g_hash_table_unref(dsp->runs);
 	g_hash_table_unref(dsp->handed);
+	g_hash_table_unref(dsp->owned);
 	dsp_seen_free(dsp->seen);
 	key_table_free(dsp->keys);
 	shd_map_free(dsp->map);
--- a/src/dsp_impl.h
+++ b/src/dsp_impl.h
@@ -113,6 +113,9 @@
 	struct dsp_seen *seen;
 	struct key_table *keys;
 	GHashTable *handed; /* shard key to node_id that has its keys */
+	GHashTable *owned;  /* shards that this node dispatches, by name */
+	bool owners_changed;
+	int64_t owners_us; /* when they were last looked at */
 	ev_timer tick;
 	int64_t ticked_us;
 	int64_t busy_us; /* when a run was last here */
@@ -226,6 +229,15 @@
 void dsp_judge_apply(struct dsp_shard *shard, int64_t now_us);
 void dsp_judge_probe(struct dsp *dsp, const struct msg *m, int64_t now_us);
 
+/** Tells the judges of shards whether a service they depend on is sick, as far
+ *  as this node knows. */
+void dsp_judge_dependencies(struct dsp *dsp);
+
+/* dsp_owner.c */
+
+/** Records shards that this node has begun or ceased to dispatch. */
+void dsp_owner_tick(struct dsp *dsp, int64_t now_us);
+
 /* dsp_leave.c: leaving targets and planned stops */
 void dsp_leave_targets(struct dsp *dsp, const struct msg *m, int64_t now_us);
 /** The server said in an answer whether it is leaving. */
--- a/src/dsp_judge.c
+++ b/src/dsp_judge.c
@@ -1,4 +1,5 @@
 #include "dsp_impl.h"
+#include "flr.h"
 
 static void ask(struct dsp_shard *shard, uint32_t i, enum hlt_action action,
 		enum aud_rule rule)
@@ -79,3 +80,50 @@
 		}
 	}
 }
+
+/* By the service's record, most of its servers in this region are out. */
+static bool is_mostly_out(const struct dsp *dsp, handle service)
+{
+	const struct msg *m = g_hash_table_lookup(
+		dsp->records, dsp->cfg->services[service].name);
+	uint32_t out = 0;
+
+	if (!m || !m->record.record)
+		return false;
+	for (guint i = 0; i < m->record.record->entries->len; i++)
+		out += g_array_index(m->record.record->entries,
+				     struct flr_entry, i)
+			       .state == FLR_OUT;
+	return out * 2 >
+	       cfg_servers_in_region(dsp->cfg, service, dsp->node->set.region);
+}
+
+static bool is_sick(const struct dsp *dsp, handle service)
+{
+	GHashTableIter iter;
+	struct dsp_shard *shard;
+
+	g_hash_table_iter_init(&iter, dsp->shards);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&shard)) {
+		if (shard->shard->service == service &&
+		    hlt_shard_sick(shard->hlt))
+			return true;
+	}
+	return is_mostly_out(dsp, service);
+}
+
+void dsp_judge_dependencies(struct dsp *dsp)
+{
+	GHashTableIter iter;
+	struct dsp_shard *shard;
+
+	g_hash_table_iter_init(&iter, dsp->shards);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&shard)) {
+		const struct cfg_service *service = dsp_shard_service(shard);
+		bool sick = false;
+
+		for (uint32_t i = 0; i < service->depends_count; i++)
+			sick |= is_sick(dsp, service->depends_on[i]);
+		hlt_set_dependency_sick(shard->hlt, sick);
+	}
+}
