Name in records only what the text of their version has

Cause: a request of an entry with another version can name a route that this node's text lacks; the record then did not follow.

--- a/src/dsp_audit.c
+++ b/src/dsp_audit.c
@@ -65,21 +65,35 @@
 	}
 }
 
-static void fill(struct aud_record *rec, const struct msg_request *request)
+/* Records name only what the text of their version has: the entry, or an
+ * earlier try, may have gone by another one. */
+static void fill(struct aud_record *rec, const struct cfg *cfg,
+		 const struct msg_request *request)
 {
-	g_strlcpy(rec->service, request->service ? request->service : "",
-		  sizeof(rec->service));
-	g_strlcpy(rec->route, request->route ? request->route : "",
-		  sizeof(rec->route));
+	const char *service = request->service;
+	const char *route = request->route;
+
+	if (cfg && service && cfg_find_service(cfg, service) != FS_NONE)
+		g_strlcpy(rec->service, service, sizeof(rec->service));
+	if (cfg && route && cfg_find_route(cfg, route) != FS_NONE)
+		g_strlcpy(rec->route, route, sizeof(rec->route));
 	aud_request_text(&request->id, rec->request, sizeof(rec->request));
 }
 
-static void fill_server(struct aud_record *rec, const struct dsp_run *run)
+static void fill_server(struct aud_record *rec, const struct cfg *cfg,
+			const char *server)
+{
+	if (cfg && cfg_find_server(cfg, server) != FS_NONE)
+		g_strlcpy(rec->server, server, sizeof(rec->server));
+}
+
+static void fill_run(struct aud_record *rec, const struct dsp_run *run)
 {
 	const struct dsp_server *server = dsp_run_server(run);
 
+	fill(rec, run->dsp->cfg, &run->m->request);
 	if (server)
-		g_strlcpy(rec->server, server->name, sizeof(rec->server));
+		fill_server(rec, run->dsp->cfg, server->name);
 }
 
 static uint64_t version_of(const struct dsp *dsp)
@@ -97,8 +111,7 @@
 
 	aud_begin(&rec, AUD_REFUSAL, rule_of(err, run->written),
 		  version_of(run->dsp), now_us);
-	fill(&rec, &run->m->request);
-	fill_server(&rec, run);
+	fill_run(&rec, run);
 	g_strlcpy(rec.choice, fs_err_name(err), sizeof(rec.choice));
 	aud_add(&rec, "err", err);
 	add_numbers(&rec, run, n ? n : &none);
@@ -112,7 +125,7 @@
 
 	aud_begin(&rec, AUD_REFUSAL, rule_of(err, false), version_of(dsp),
 		  now_us);
-	fill(&rec, request);
+	fill(&rec, dsp->cfg, request);
 	g_strlcpy(rec.choice, fs_err_name(err), sizeof(rec.choice));
 	aud_add(&rec, "err", err);
 	aud_emit(dsp->node->aud, &rec);
@@ -125,8 +138,7 @@
 
 	aud_begin(&rec, AUD_RETRY, allowed ? AUD_R_RETRY : AUD_R_NO_RETRY,
 		  version_of(run->dsp), now_us);
-	fill(&rec, &run->m->request);
-	fill_server(&rec, run);
+	fill_run(&rec, run);
 	g_strlcpy(rec.choice, allowed ? "retry" : "no_retry",
 		  sizeof(rec.choice));
 	aud_add(&rec, "repeatable", n->repeatable);
@@ -147,7 +159,7 @@
 
 	aud_begin(&rec, AUD_DRAIN, AUD_R_DRAIN_TARGET, version_of(dsp), now_us);
 	g_strlcpy(rec.service, service ? service : "", sizeof(rec.service));
-	g_strlcpy(rec.server, server, sizeof(rec.server));
+	fill_server(&rec, dsp->cfg, server);
 	g_strlcpy(rec.choice, choice, sizeof(rec.choice));
 	aud_emit(dsp->node->aud, &rec);
 }
--- a/tests/fleet_dsp.c
+++ b/tests/fleet_dsp.c
@@ -153,7 +153,8 @@
 		if (rec.config_version == s->dsp->cfg->version)
 			aud_replay_check(s->dsp->cfg, &rec, &reason);
 		if (reason)
-			g_error("%s: %s", reason, text);
+			g_printerr("%s: %s\n", reason, text);
+		g_assert_null(reason);
 	}
 	g_string_free(out, TRUE);
 }
