--- a/src/dsp_impl.h
+++ b/src/dsp_impl.h
@@ -113,6 +113,9 @@
 	struct dsp_seen *seen;
 	struct key_table *keys;
 	GHashTable *handed; /* shard key to node_id that has its keys */
+	GHashTable *owned;  /* shards that this node dispatches, by name */
+	bool owners_changed;
+	int64_t owners_us; /* when they were last looked at */
 	ev_timer tick;
 	int64_t ticked_us;
 	int64_t busy_us; /* when a run was last here */
@@ -174,6 +177,9 @@
 /** Ends a run with a refusal. */
 void dsp_run_refuse(struct dsp_run *run, int err, enum fs_outcome outcome,
 		    int64_t retry_after_us, int64_t now_us);
+/** Refuses a run that waits, with a record; an error of a try that was written
+ *  goes before @p err. */
+void dsp_run_give_up(struct dsp_run *run, int err, int64_t now_us);
 /** Returns what may be said of a run that ends without an answer. */
 enum fs_outcome dsp_run_outcome(const struct dsp_run *run);
 
@@ -223,6 +229,15 @@
 void dsp_judge_apply(struct dsp_shard *shard, int64_t now_us);
 void dsp_judge_probe(struct dsp *dsp, const struct msg *m, int64_t now_us);
 
+/** Tells the judges of shards whether a service they depend on is sick, as far
+ *  as this node knows. */
+void dsp_judge_dependencies(struct dsp *dsp);
+
+/* dsp_owner.c */
+
+/** Records shards that this node has begun or ceased to dispatch. */
+void dsp_owner_tick(struct dsp *dsp, int64_t now_us);
+
 /* dsp_leave.c: leaving targets and planned stops */
 void dsp_leave_targets(struct dsp *dsp, const struct msg *m, int64_t now_us);
 /** The server said in an answer whether it is leaving. */
@@ -231,6 +246,10 @@
 /** Asks servers that said they are leaving whether that still holds. */
 void dsp_drain_tick(struct dsp *dsp, int64_t now_us);
 void dsp_drain_free(struct dsp_drain *drain);
+/** Returns whether a server that said it is leaving may be used again.
+ *  @param gone      it has refused a connection since
+ *  @param clean_us  it has answered without the signal for so long */
+bool dsp_drain_over(bool gone, int64_t clean_us);
 void dsp_leave_stop(struct dsp *dsp, int64_t now_us);
 void dsp_leave_tick(struct dsp *dsp, int64_t now_us);
 
