--- a/src/aud_parse.c
+++ b/src/aud_parse.c
@@ -50,8 +50,8 @@
 	if (json_object_get_size(json_node_get_object(node)) >
 	    FS_AUDIT_EVIDENCE_MAX)
 		return false;
-	json_object_iter_init(&iter, json_node_get_object(node));
-	while (json_object_iter_next(&iter, &name, NULL)) {
+	json_object_iter_init_ordered(&iter, json_node_get_object(node));
+	while (json_object_iter_next_ordered(&iter, &name, NULL)) {
 		gint64 value;
 
 		if (!get_number(json_node_get_object(node), name, &value))
--- a/src/aud_replay_request.c
+++ b/src/aud_replay_request.c
@@ -112,7 +112,9 @@
 
 static const char *check_cancel(const struct aud_case *c)
 {
-	if (!optional(c, "cancel_confirmed", 1) || optional(c, "written", 0))
+	bool own = c->n[0] == FS_E_CANCELLED; /* the dispatcher's own word */
+
+	if (!optional(c, "cancel_confirmed", own) || optional(c, "written", 0))
 		return "the cancel was not confirmed";
 	return check_err(c);
 }
