Test the entry task between raw callers and a collecting dispatcher

Whole and own answers, true outcomes after silence and lost links, streams that are cut visibly, a planned stop that waits for what is in flight.

--- /dev/null
+++ b/tests/unit_ent.c
@@ -0,0 +1,352 @@
+/* The entry task: whole and own answers, and outcomes that are true. */
+#include <fcntl.h>
+#include <string.h>
+
+#include "fleet_ent.h"
+#include "fs_log.h"
+
+#define PAY                                                                    \
+	"POST /pay HTTP/1.1\r\nHost: h\r\nConnection: X-Drop\r\nX-Drop: 1\r\n" \
+	"X-Keep: 1\r\nContent-Length: 3\r\n\r\na=1"
+#define LIST "GET /list?q=1 HTTP/1.1\r\nHost: h\r\n\r\n"
+
+static struct gate g;
+static struct gate_caller c;
+
+/* Sends a request and returns the message to its dispatcher. */
+static const struct msg *call(const char *bytes)
+{
+	guint n = 0;
+
+	while (gate_sent(&g, MSG_REQUEST, n))
+		n++;
+	gate_call(&g, &c, bytes);
+	gate_until(&g, gate_sent(&g, MSG_REQUEST, n));
+	return gate_sent(&g, MSG_REQUEST, n);
+}
+
+static guint requests(void)
+{
+	guint n = 0;
+
+	while (gate_sent(&g, MSG_REQUEST, n))
+		n++;
+	return n;
+}
+
+static void begin(void)
+{
+	gate_begin(&g);
+}
+
+static void end(void)
+{
+	gate_hang_up(&c);
+	gate_run(&g, 5000);
+	gate_end(&g);
+}
+
+static void test_whole_answer(void)
+{
+	const struct msg *m;
+
+	begin();
+	m = call(PAY);
+	g_assert_cmpstr(m->request.target, ==, "/pay");
+	g_assert_cmpstr(m->request.route, ==, "pay");
+	g_assert_cmpuint(g_bytes_get_size(m->request.body), ==, 3);
+	g_assert_nonnull(msg_headers_get(m->request.headers, "X-Keep"));
+	g_assert_null(msg_headers_get(m->request.headers, "X-Drop"));
+	g_assert_null(msg_headers_get(m->request.headers, "Connection"));
+	gate_answer(&g, m, "hello", 5, true);
+	gate_expect(&g, &c, 200, "answered");
+	g_assert_true(g_str_has_suffix(c.got->str, "\r\n\r\nhello"));
+	g_assert_nonnull(strstr(c.got->str, "X-Kept: 1\r\n"));
+	g_assert_null(strstr(c.got->str, "X-Hop"));
+	end();
+}
+
+/* Replies of another node, incarnation or request, and late ones, are not
+ * given to this caller. */
+static void test_foreign_replies_are_dropped(void)
+{
+	const struct msg *m;
+	struct msg other;
+
+	begin();
+	m = call(PAY);
+	other = *m;
+	other.to = 12345;
+	gate_answer(&g, &other, "foreign", 7, true);
+	other = *m;
+	other.request.id.incarnation++;
+	gate_answer(&g, &other, "earlier", 7, true);
+	other.request.id = m->request.id;
+	other.request.id.counter++;
+	gate_answer(&g, &other, "unknown", 7, true);
+	gate_read(&c);
+	g_assert_cmpuint(c.got->len, ==, 0);
+	gate_answer(&g, m, "own", 3, true);
+	gate_answer(&g, m, "again", 5, true);
+	gate_expect(&g, &c, 200, "answered");
+	gate_run(&g, 10000);
+	gate_read(&c);
+	g_assert_true(g_str_has_suffix(c.got->str, "\r\n\r\nown"));
+	g_assert_cmpuint(ctr_get(g.node.ctr,
+				 ctr_counter(g.node.ctr, "ent_late_replies")),
+			 ==, 4);
+	end();
+}
+
+static void test_short_whole_answer_is_refused(void)
+{
+	begin();
+	gate_answer(&g, call(PAY), "shor", 5, true);
+	gate_expect(&g, &c, 502, "unknown");
+	end();
+}
+
+/* A dispatcher that says nothing: cancelled, and unknown. */
+static void test_silence_is_unknown(void)
+{
+	const struct msg *m;
+
+	begin();
+	m = call(PAY);
+	gate_until(&g, gate_sent(&g, MSG_CANCEL, 0));
+	gate_read(&c);
+	g_assert_cmpuint(c.got->len, ==, 0);
+	g_assert_cmpuint(gate_sent(&g, MSG_CANCEL, 0)->to, ==, m->to);
+	gate_expect(&g, &c, 504, "unknown");
+	g_assert_cmpuint(requests(), ==, 1);
+	end();
+}
+
+static void test_confirmed_cancel_is_not_run(void)
+{
+	const struct msg *m;
+
+	begin();
+	m = call(PAY);
+	gate_until(&g, gate_sent(&g, MSG_CANCEL, 0));
+	gate_refuse(&g, m, FS_E_CANCELLED, FS_NOT_RUN);
+	gate_expect(&g, &c, 503, "not-run");
+	end();
+}
+
+/* A lost link: a request that may not be repeated is never sent again, and an
+ * answer that still comes is passed on. */
+static void test_lost_link_not_repeatable(void)
+{
+	const struct msg *m;
+
+	begin();
+	m = call(PAY);
+	gate_break(&g, m);
+	gate_run(&g, 50000);
+	g_assert_cmpuint(requests(), ==, 1);
+	gate_answer(&g, m, "late", 4, true);
+	gate_expect(&g, &c, 200, "answered");
+	gate_hang_up(&c);
+	m = call(PAY);
+	gate_break(&g, m);
+	gate_expect(&g, &c, 504, "unknown");
+	g_assert_cmpuint(requests(), ==, 2);
+	end();
+}
+
+/* A repeatable request goes to the other node; when that one refuses it, it
+ * may still have run at the first. */
+static void test_lost_link_repeatable(void)
+{
+	const struct msg *first;
+	const struct msg *second;
+
+	begin();
+	first = call(LIST);
+	gate_break(&g, first);
+	second = gate_sent(&g, MSG_REQUEST, 1);
+	g_assert_nonnull(second);
+	g_assert_cmpuint(second->to, !=, first->to);
+	g_assert_true(second->request.forced);
+	gate_answer(&g, first, "old", 3, true);
+	gate_read(&c);
+	g_assert_cmpuint(c.got->len, ==, 0);
+	gate_refuse(&g, second, FS_E_QUEUE_FULL, FS_NOT_RUN);
+	gate_expect(&g, &c, 503, "unknown");
+	end();
+}
+
+/* Refused for ownership, not run: also a payment moves to the next owner, and
+ * to each node at most once. */
+static void test_moves_when_not_run(void)
+{
+	const struct msg *first;
+	const struct msg *second;
+
+	begin();
+	first = call(PAY);
+	gate_refuse(&g, first, FS_E_NOT_OWNER, FS_NOT_RUN);
+	second = gate_sent(&g, MSG_REQUEST, 1);
+	g_assert_nonnull(second);
+	g_assert_cmpuint(second->to, !=, first->to);
+	gate_refuse(&g, second, FS_E_NOT_OWNER, FS_NOT_RUN);
+	gate_expect(&g, &c, 503, "not-run");
+	gate_hang_up(&c);
+	first = call(PAY);
+	gate_refuse(&g, first, FS_E_TARGET_RESET, FS_UNKNOWN);
+	gate_expect(&g, &c, 502, "unknown");
+	g_assert_cmpuint(requests(), ==, 3);
+	end();
+}
+
+static void test_caller_gone_cancels(void)
+{
+	begin();
+	call(PAY);
+	gate_hang_up(&c);
+	gate_until(&g, gate_sent(&g, MSG_CANCEL, 0));
+	gate_call(&g, &c, LIST);
+	end();
+}
+
+/* A streamed answer of a known length; a cut is visible by it. */
+static void test_stream(void)
+{
+	const struct msg *m;
+
+	begin();
+	m = call(LIST);
+	gate_answer(&g, m, "abc", 9, false);
+	gate_piece(&g, m, 3, "def", false);
+	gate_piece(&g, m, 6, "ghi", true);
+	gate_until(&g, (gate_read(&c), strstr(c.got->str, "abcdefghi")));
+	g_assert_nonnull(strstr(c.got->str, "Content-Length: 9\r\n"));
+	g_assert_false(c.closed);
+	gate_hang_up(&c);
+	m = call(LIST);
+	gate_answer(&g, m, "abc", -1, false);
+	gate_piece(&g, m, 3, "def", true);
+	gate_until(&g, (gate_read(&c), strstr(c.got->str, "0\r\n\r\n")));
+	end();
+}
+
+/* Each wrong piece cuts the stream: the connection closes before the length
+ * or the last chunk, and the dispatcher is told. */
+static void test_wrong_pieces_cut(void)
+{
+	static const struct {
+		int64_t length;
+		uint64_t offset;
+		const char *data;
+		bool last;
+	} rows[] = {
+		{9, 4, "def", false},	   /* gap */
+		{9, 2, "def", false},	   /* overlap */
+		{9, 3, "defghijkl", true}, /* longer than announced */
+		{9, 3, "def", true},	   /* shorter than announced */
+		{-1, 4, "def", true},	   /* gap, length unknown */
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		const struct msg *m;
+
+		begin();
+		m = call(LIST);
+		gate_answer(&g, m, "abc", rows[i].length, false);
+		gate_piece(&g, m, rows[i].offset, rows[i].data, rows[i].last);
+		gate_until(&g, (gate_read(&c), c.closed));
+		g_assert_null(strstr(c.got->str, "def"));
+		g_assert_null(strstr(c.got->str, "\r\n0\r\n\r\n"));
+		g_assert_nonnull(gate_sent(&g, MSG_CANCEL, 0));
+		end();
+	}
+}
+
+/* A stream whose link or time is lost is cut, never ended as if whole. */
+static void test_lost_stream_is_cut(void)
+{
+	const struct msg *m;
+
+	begin();
+	m = call(LIST);
+	gate_answer(&g, m, "abc", -1, false);
+	gate_break(&g, m);
+	gate_until(&g, (gate_read(&c), c.closed));
+	g_assert_null(strstr(c.got->str, "\r\n0\r\n\r\n"));
+	gate_hang_up(&c);
+	m = call(LIST);
+	gate_answer(&g, m, "abc", 9, false);
+	gate_until(&g, (gate_read(&c), c.closed));
+	g_assert_null(strstr(c.got->str, "abcd"));
+	end();
+}
+
+/* Two requests, answered in the other order: each gets its own. */
+static void test_answers_out_of_order(void)
+{
+	struct gate_caller other;
+	const struct msg *first;
+	const struct msg *second;
+
+	begin();
+	first = call(LIST);
+	other = c;
+	second = call(LIST);
+	gate_answer(&g, second, "second", 6, true);
+	gate_answer(&g, first, "first", 5, true);
+	gate_until(&g, (gate_read(&c), strstr(c.got->str, "second")));
+	gate_until(&g, (gate_read(&other), strstr(other.got->str, "first")));
+	gate_hang_up(&other);
+	end();
+}
+
+static void test_planned_stop(void)
+{
+	const struct msg *m;
+	struct msg *stop;
+	struct gate_caller ask;
+
+	begin();
+	g.node.set.answer_ttl_us = -ENT_LEAVE_US; /* no time to wait out */
+	m = call(PAY);
+	stop = msg_new(MSG_STOP, g.node.self, MSG_TASK_ENTRY);
+	bus_send(g.node.bus, stop);
+	gate_call(&g, &ask,
+		  "GET /.fescuesaddle/ready HTTP/1.1\r\nHost: h\r\n\r\n");
+	gate_expect(&g, &ask, 503, "answered");
+	g_assert_nonnull(strstr(ask.got->str, "Connection: close\r\n"));
+	gate_hang_up(&ask);
+	gate_run(&g, 200000);
+	g_assert_false(g.stopped);
+	gate_answer(&g, m, "whole", 5, true);
+	gate_expect(&g, &c, 200, "answered");
+	gate_until(&g, g.stopped);
+	end();
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_log_set_always_fatal(G_LOG_FATAL_MASK);
+	fs_log_init("test", open("/dev/null", O_WRONLY));
+	g_test_add_func("/ent/whole_answer", test_whole_answer);
+	g_test_add_func("/ent/foreign_replies_are_dropped",
+			test_foreign_replies_are_dropped);
+	g_test_add_func("/ent/short_whole_answer_is_refused",
+			test_short_whole_answer_is_refused);
+	g_test_add_func("/ent/silence_is_unknown", test_silence_is_unknown);
+	g_test_add_func("/ent/confirmed_cancel_is_not_run",
+			test_confirmed_cancel_is_not_run);
+	g_test_add_func("/ent/lost_link_not_repeatable",
+			test_lost_link_not_repeatable);
+	g_test_add_func("/ent/lost_link_repeatable", test_lost_link_repeatable);
+	g_test_add_func("/ent/moves_when_not_run", test_moves_when_not_run);
+	g_test_add_func("/ent/caller_gone_cancels", test_caller_gone_cancels);
+	g_test_add_func("/ent/stream", test_stream);
+	g_test_add_func("/ent/wrong_pieces_cut", test_wrong_pieces_cut);
+	g_test_add_func("/ent/lost_stream_is_cut", test_lost_stream_is_cut);
+	g_test_add_func("/ent/answers_out_of_order", test_answers_out_of_order);
+	g_test_add_func("/ent/planned_stop", test_planned_stop);
+	return g_test_run();
+}
