--- a/src/ent_check.c
+++ b/src/ent_check.c
@@ -175,27 +175,32 @@
 	return true;
 }
 
-int ent_check_target(const char *target, char **path)
+static bool decode_path(const char *target, size_t size, char *out)
 {
-	size_t size = strcspn(target, "?");
-	g_autofree char *out = NULL;
 	size_t n = 0;
 
-	*path = NULL;
-	if (strlen(target) > ENT_TARGET_MAX || !query_ok(target + size))
-		return FS_E_BAD_REQUEST;
-	out = g_malloc0(size + 1);
 	for (size_t i = 0; i < size; n++) {
 		size_t step = decode(target + i, &out[n]);
 
 		if (!step || !out[n])
-			return FS_E_BAD_REQUEST;
+			return false;
 		i += step;
 	}
-	if (!segments_ok(out))
+	return true;
+}
+
+int ent_check_target(const char *target, char **path)
+{
+	size_t size = strcspn(target, "?");
+
+	*path = NULL;
+	if (strlen(target) > ENT_TARGET_MAX || !query_ok(target + size))
 		return FS_E_BAD_REQUEST;
-	*path = g_steal_pointer(&out);
-	return 0;
+	*path = g_malloc0(size + 1);
+	if (decode_path(target, size, *path) && segments_ok(*path))
+		return 0;
+	g_clear_pointer(path, g_free);
+	return FS_E_BAD_REQUEST;
 }
 
 static bool is_hop_by_hop(const char *name)
--- a/src/ent_entries.c
+++ b/src/ent_entries.c
@@ -70,11 +70,14 @@
 			  const struct mem_member *out[ENT_ENTRIES_MAX])
 {
 	const struct mem_member *self = mem_view_find(view, view->self);
-	g_autofree struct candidates *c = g_new0(struct candidates, 1);
+	struct candidates *c = g_new0(struct candidates, 1);
 	uint64_t key = XXH64(caller, strlen(caller), 0);
+	uint32_t count;
 
 	collect(c, view, key, without, self ? self->region : NULL);
 	if (!c->count)
 		collect(c, view, key, without, NULL);
-	return spread(c, out);
+	count = spread(c, out);
+	g_free(c);
+	return count;
 }
--- a/src/ent_record.c
+++ b/src/ent_record.c
@@ -7,7 +7,7 @@
 
 	aud_begin(rec, kind, rule, cfg ? cfg->version : 0, now_us);
 	aud_request_text(&req->id, rec->request, sizeof(rec->request));
-	if (req->service == FS_NONE)
+	if (!cfg || req->service == FS_NONE)
 		return;
 	g_strlcpy(rec->service, cfg->services[req->service].name, FS_NAME_MAX);
 	g_strlcpy(rec->route, cfg->routes[req->route].name, FS_NAME_MAX);
