Give work to servers kept for the floor only when no other has room

Change: the judge tells which servers it keeps for the floor alone, and the choice of a server takes those last. Their capacity stays in use under load.

Conclusion: better for callers at no cost to the floor; a shard that is all sick is still left to the entry's choice between shards.

--- a/src/dsp_shard.c
+++ b/src/dsp_shard.c
@@ -200,6 +200,7 @@
 		out[i].in_flight = shard->servers[i]->in_flight;
 		out[i].allowed = MIN(allowed, slots);
 		out[i].leaving = dsp_server_leaving(shard, i);
+		out[i].last = hlt_kept_for_floor(shard->hlt, i);
 	}
 }
 
--- a/src/hlt.h
+++ b/src/hlt.h
@@ -110,6 +110,10 @@
 /** Returns the level of server @p i as of the last tick or report. */
 enum hlt_level hlt_level(const struct hlt_shard *shard, uint32_t i);
 
+/** Returns whether server @p i looks sick and is kept in use for the floor
+ *  alone: it is given work only when no other has room. */
+bool hlt_kept_for_floor(const struct hlt_shard *shard, uint32_t i);
+
 /**
  * Returns how many requests server @p i may have in flight now, from 0 to its
  * slots: fewer while suspect or in slow start.
--- a/src/hlt_floor.c
+++ b/src/hlt_floor.c
@@ -81,3 +81,8 @@
 		server->given_back = back;
 	}
 }
+
+bool hlt_kept_for_floor(const struct hlt_shard *shard, uint32_t i)
+{
+	return is_steered(&shard->servers[i]) && shard->servers[i].given_back;
+}
--- a/src/slt.c
+++ b/src/slt.c
@@ -92,6 +92,15 @@
 	return !server->leaving && server->in_flight < server->allowed;
 }
 
+/* Whether @p a goes before @p b. */
+static bool goes_before(const struct slt_server *a, const struct slt_server *b)
+{
+	if (a->last != b->last)
+		return b->last;
+	return (uint64_t)a->in_flight * b->allowed <
+	       (uint64_t)b->in_flight * a->allowed;
+}
+
 uint32_t slt_choose(const struct slt_server *servers, uint32_t count,
 		    uint32_t start, uint32_t avoid)
 {
@@ -103,9 +112,7 @@
 
 		if ((avoid & (1U << i)) || !slt_room(s))
 			continue;
-		if (best == FS_NONE ||
-		    (uint64_t)s->in_flight * servers[best].allowed <
-			    (uint64_t)servers[best].in_flight * s->allowed)
+		if (best == FS_NONE || goes_before(s, &servers[best]))
 			best = i;
 	}
 	return best;
--- a/src/slt.h
+++ b/src/slt.h
@@ -82,13 +82,15 @@
 	uint32_t in_flight;
 	uint32_t allowed; /* by hlt_allowed(), at most its slots */
 	bool leaving;
+	bool last; /* kept for the floor: used when no other has room */
 };
 
 /** Returns whether a server has room. */
 bool slt_room(const struct slt_server *server);
 
 /**
- * Chooses the server with the lowest share of its allowed slots in use. The
+ * Chooses the server with the lowest share of its allowed slots in use; one
+ * that is marked as last only if no other has room. The
  * failure domain plays no part: slots are what is scarce, and filling the
  * near ones first would save 1 ms at the price of longer queues there.
  * @param start  index at which to begin, so that ties rotate
