--- a/src/lnk.h
+++ b/src/lnk.h
@@ -113,8 +113,9 @@
 /** Queues a message and takes it over; may break the link. */
 void lnk_out_send(struct lnk_out *out, struct msg *m, int64_t now_us);
 
-/** Writes what the kernel takes; may break the link. */
-void lnk_out_flush(struct lnk_out *out);
+/** Writes what the kernel takes. Returns false if that broke the link, which is
+ *  freed then. */
+bool lnk_out_flush(struct lnk_out *out);
 
 /** Heartbeats and time limits; may close the link. */
 void lnk_out_tick(struct lnk_out *out, int64_t now_us);
--- a/src/lnk_out.c
+++ b/src/lnk_out.c
@@ -133,29 +133,30 @@
 	}
 }
 
-void lnk_out_flush(struct lnk_out *out)
+bool lnk_out_flush(struct lnk_out *out)
 {
 	struct iovec parts[WRITE_FRAMES];
 	struct msghdr header = {.msg_iov = parts};
 	ssize_t taken;
 
 	if (out->state == LNK_CONNECTING)
-		return;
+		return true;
 	while ((header.msg_iovlen = gather(out, parts))) {
 		taken = sendmsg(out->fd, &header, MSG_NOSIGNAL | MSG_DONTWAIT);
 		if (taken < 0 && errno == EINTR)
 			continue;
 		if (taken < 0 && errno == EAGAIN) {
 			watch(out, EV_READ | EV_WRITE);
-			return;
+			return true;
 		}
 		if (taken < 0) {
 			lnk_out_break(out, "write_failed");
-			return;
+			return false;
 		}
 		advance(out, (size_t)taken);
 	}
 	watch(out, EV_READ);
+	return true;
 }
 
 static void begin_handshake(struct lnk_out *out)
@@ -380,7 +381,8 @@
 	if (now_us - out->used_us > LNK_IDLE_US &&
 	    g_queue_is_empty(&out->frames)) {
 		queue_kind(out, LNK_BYE);
-		lnk_out_flush(out);
+		if (!lnk_out_flush(out))
+			return;
 		g_hash_table_remove(out->lnk->out, &out->peer);
 		lnk_out_free(out);
 		return;
