--- a/src/dsp_audit.c
+++ b/src/dsp_audit.c
@@ -139,16 +139,7 @@
 	aud_begin(&rec, AUD_RETRY, allowed ? AUD_R_RETRY : AUD_R_NO_RETRY,
 		  version_of(run->dsp), now_us);
 	fill_run(&rec, run);
-	g_strlcpy(rec.choice, allowed ? "retry" : "no_retry",
-		  sizeof(rec.choice));
-	aud_add(&rec, "repeatable", n->repeatable);
-	aud_add(&rec, "written", n->written);
-	aud_add(&rec, "begun", n->begun);
-	aud_add(&rec, "tries", n->tries);
-	aud_add(&rec, "tries_max", n->tries_max);
-	aud_add(&rec, "budget_milli", n->budget_milli);
-	aud_add(&rec, "remaining_us", n->remaining_us);
-	aud_add(&rec, "usable", n->usable);
+	rty_add_numbers(&rec, n, allowed);
 	aud_emit(run->dsp->node->aud, &rec);
 }
 
--- a/src/ent_record.c
+++ b/src/ent_record.c
@@ -36,15 +36,6 @@
 
 	begin(req, &rec, AUD_RETRY, allowed ? AUD_R_RETRY : AUD_R_NO_RETRY,
 	      now_us);
-	g_strlcpy(rec.choice, allowed ? "retry" : "no_retry",
-		  sizeof(rec.choice));
-	aud_add(&rec, "repeatable", n->repeatable);
-	aud_add(&rec, "written", n->written);
-	aud_add(&rec, "begun", n->begun);
-	aud_add(&rec, "tries", n->tries);
-	aud_add(&rec, "tries_max", n->tries_max);
-	aud_add(&rec, "budget_milli", n->budget_milli);
-	aud_add(&rec, "remaining_us", n->remaining_us);
-	aud_add(&rec, "usable", n->usable);
+	rty_add_numbers(&rec, n, allowed);
 	aud_emit(req->ent->node->aud, &rec);
 }
--- a/src/htd.c
+++ b/src/htd.c
@@ -5,6 +5,8 @@
 
 #include <glib.h>
 
+#include "net.h"
+
 struct htd {
 	struct ev_loop *loop;
 	struct MHD_Daemon *daemon;
@@ -42,25 +44,6 @@
 	run(timer->data);
 }
 
-static int listen_on(const struct sockaddr_in *bind_to,
-		     struct sockaddr_in *bound)
-{
-	socklen_t size = sizeof(*bound);
-	int one = 1;
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-	if (fd < 0)
-		return -1;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (bind(fd, (const struct sockaddr *)bind_to, sizeof(*bind_to)) ||
-	    listen(fd, SOMAXCONN) ||
-	    getsockname(fd, (struct sockaddr *)bound, &size)) {
-		close(fd);
-		return -1;
-	}
-	return fd;
-}
-
 struct htd *htd_start(struct ev_loop *loop, const struct sockaddr_in *bind,
 		      const struct htd_limits *limits,
 		      const struct htd_ops *ops, void *arg,
@@ -70,7 +53,7 @@
 	const union MHD_DaemonInfo *info;
 
 	htd->loop = loop;
-	htd->listen_fd = listen_on(bind, bound);
+	htd->listen_fd = net_listen(bind, bound);
 	if (htd->listen_fd < 0) {
 		g_free(htd);
 		return NULL;
--- a/src/lnk.c
+++ b/src/lnk.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "fs_log.h"
+#include "net.h"
 
 static bool may_accept(const struct lnk *lnk)
 {
@@ -134,25 +135,6 @@
 	.receive = receive,
 };
 
-static int listen_on(const struct sockaddr_in *address,
-		     struct sockaddr_in *bound)
-{
-	socklen_t size = sizeof(*bound);
-	int one = 1;
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-	if (fd < 0)
-		return -1;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (bind(fd, (const struct sockaddr *)address, sizeof(*address)) ||
-	    listen(fd, SOMAXCONN) ||
-	    getsockname(fd, (struct sockaddr *)bound, &size)) {
-		close(fd);
-		return -1;
-	}
-	return fd;
-}
-
 static void write_status(const void *task, GString *out, int64_t now_us)
 {
 	const struct lnk *lnk = task;
@@ -182,7 +164,7 @@
 
 struct lnk *lnk_new(struct node *node)
 {
-	int fd = listen_on(&node->set.peer_listen, &node->peer);
+	int fd = net_listen(&node->set.peer_listen, &node->peer);
 	struct lnk *lnk;
 
 	if (fd < 0) {
--- /dev/null
+++ b/src/net.c
@@ -0,0 +1,24 @@
+#include "net.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "fs_err.h"
+
+int net_listen(const struct sockaddr_in *address, struct sockaddr_in *bound)
+{
+	socklen_t size = sizeof(*bound);
+	int one = 1;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return FS_E_IO;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (const struct sockaddr *)address, sizeof(*address)) ||
+	    listen(fd, SOMAXCONN) ||
+	    getsockname(fd, (struct sockaddr *)bound, &size)) {
+		close(fd);
+		return FS_E_IO;
+	}
+	return fd;
+}
--- a/src/rty.c
+++ b/src/rty.c
@@ -40,3 +40,18 @@
 	       n->tries < n->tries_max && n->budget_milli >= RTY_COST_MILLI &&
 	       n->remaining_us > 0 && n->usable > 0;
 }
+
+void rty_add_numbers(struct aud_record *rec, const struct rty_numbers *n,
+		     bool allowed)
+{
+	g_strlcpy(rec->choice, allowed ? "retry" : "no_retry",
+		  sizeof(rec->choice));
+	aud_add(rec, "repeatable", n->repeatable);
+	aud_add(rec, "written", n->written);
+	aud_add(rec, "begun", n->begun);
+	aud_add(rec, "tries", n->tries);
+	aud_add(rec, "tries_max", n->tries_max);
+	aud_add(rec, "budget_milli", n->budget_milli);
+	aud_add(rec, "remaining_us", n->remaining_us);
+	aud_add(rec, "usable", n->usable);
+}
--- a/src/rty.h
+++ b/src/rty.h
@@ -10,6 +10,7 @@
 #ifndef RTY_H
 #define RTY_H
 
+#include "aud.h"
 #include "fs_err.h"
 #include "fs_types.h"
 
@@ -54,4 +55,8 @@
  */
 bool rty_allowed(const struct rty_numbers *n);
 
+/** Adds the numbers and the choice to a record of the rule. */
+void rty_add_numbers(struct aud_record *rec, const struct rty_numbers *n,
+		     bool allowed);
+
 #endif
--- a/tests/fleet_measure.h
+++ b/tests/fleet_measure.h
@@ -19,6 +19,9 @@
 
 #define FLEET_NO_TARGET (-1.0)
 
+/* Returns the CPU time that a process has used, in seconds. */
+double fleet_cpu_s(pid_t pid);
+
 void fleet_print_figure(const struct fleet_figure *figure);
 
 /* Added latency at the median and the 99th percentile, direct and through the
--- a/tests/fleet_measure_control.c
+++ b/tests/fleet_measure_control.c
@@ -25,7 +25,7 @@
 	double platform_calls;
 };
 
-static double cpu_of(pid_t pid)
+double fleet_cpu_s(pid_t pid)
 {
 	g_autofree char *path = g_strdup_printf("/proc/%d/stat", (int)pid);
 	g_autofree char *text = NULL;
@@ -87,7 +87,7 @@
 
 		if (!node->process.pid)
 			continue;
-		s.cpu_s += cpu_of(node->process.pid);
+		s.cpu_s += fleet_cpu_s(node->process.pid);
 		s.rss_mb = MAX(s.rss_mb, rss_of(node->process.pid));
 		s.bytes += counter_sum(node, "_sent_bytes") +
 			   counter_sum(node, "_received_bytes");
--- a/tests/fleet_measure_path.c
+++ b/tests/fleet_measure_path.c
@@ -150,6 +150,15 @@
 	return sum;
 }
 
+static double nodes_cpu_s(const struct fleet *f)
+{
+	double sum = 0;
+
+	for (unsigned int i = 0; i < f->node_count; i++)
+		sum += fleet_cpu_s(f->nodes[i].process.pid);
+	return sum;
+}
+
 static void run_goodput(const struct fleet *f, const struct fleet_deployment *d,
 			unsigned int times)
 {
@@ -169,6 +178,7 @@
 		.seed = 2,
 	};
 	unsigned int overruns = sum_stat(f, s->name, "overruns");
+	double cpu_s = nodes_cpu_s(f);
 	g_autofree char *what = g_strdup_printf("%ux_capacity", times);
 	g_autofree char *load = g_strdup_printf(
 		"%.0f POST/s offered for 5 s to a capacity of %.0f/s",
@@ -189,6 +199,11 @@
 	figure.target = times > 1 ? GOODPUT_SHARE_TARGET : FLEET_NO_TARGET;
 	figure.at_least = true;
 	fleet_print_figure(&figure);
+	figure.measure = "request_cpu";
+	figure.value = (nodes_cpu_s(f) - cpu_s) / results->len * 1e6;
+	figure.unit = "us of CPU per request, all nodes";
+	figure.target = FLEET_NO_TARGET;
+	fleet_print_figure(&figure);
 	figure.measure = "slot_overrun";
 	figure.value = sum_stat(f, s->name, "overruns") - overruns;
 	figure.unit = "requests above the slots";
--- a/tests/standin_target.c
+++ b/tests/standin_target.c
@@ -18,6 +18,7 @@
 #include <unistd.h>
 
 #include "fleet_body.h"
+#include "net.h"
 #include "set.h"
 
 #define REQUEST_MAX (512 * 1024)
@@ -421,18 +422,11 @@
 static int listen_on(const char *address, char *bound)
 {
 	struct sockaddr_in at;
-	socklen_t size = sizeof(at);
-	int one = 1;
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-	if (fd < 0 || set_parse_address(address, &at))
-		return -1;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (bind(fd, (struct sockaddr *)&at, size) || listen(fd, 1024) ||
-	    getsockname(fd, (struct sockaddr *)&at, &size)) {
-		close(fd);
-		return -1;
-	}
+	int fd;
+
+	if (set_parse_address(address, &at))
+		return FS_E_INVALID;
+	fd = net_listen(&at, &at);
 	set_format_address(&at, bound);
 	return fd;
 }
