--- a/tests/fleet_load.c
+++ b/tests/fleet_load.c
@@ -241,11 +241,11 @@
 GArray *fleet_load_run_parallel(const struct fleet_plan *plan,
 				unsigned int threads)
 {
-	g_autofree struct fleet_plan *parts =
-		g_new0(struct fleet_plan, threads);
-	g_autofree GThread **running = g_new0(GThread *, threads);
+	struct fleet_plan parts[FLEET_THREADS_MAX];
+	GThread *running[FLEET_THREADS_MAX];
 	GArray *all = g_array_new(FALSE, TRUE, sizeof(struct fleet_result));
 
+	g_assert_cmpuint(threads, <=, FLEET_THREADS_MAX);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	for (unsigned int i = 0; i < threads; i++) {
 		parts[i] = *plan;
--- a/tests/fleet_load.h
+++ b/tests/fleet_load.h
@@ -7,6 +7,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#define FLEET_THREADS_MAX 16 /* of one load */
+
 /* One kind of request of a load. */
 struct fleet_kind {
 	const char *method;
