--- a/src/ejc_impl.h
+++ b/src/ejc_impl.h
@@ -53,7 +53,7 @@
 };
 
 struct ejc_service *ejc_service_new(struct ejc *ejc, const char *name);
-void ejc_service_free(void *service);
+void ejc_service_free(void *data);
 
 /** Makes the next call and tells dispatch of the record. */
 void ejc_service_tick(struct ejc_service *service, int64_t now_us);
--- a/src/flr_sync.c
+++ b/src/flr_sync.c
@@ -217,7 +217,7 @@
 		record = flr_record_new();
 		revision = 0;
 	} else if (!err) {
-		err = flr_record_parse(value, &record);
+		flr_record_parse(value, &record);
 	}
 	if (!record) {
 		sync->read_due = true;
