--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 #   tests/unit_*.c                            GLib tests of one module
 #   tests/prop_*.cpp                          property tests (RapidCheck)
 #   tests/run_*.c                             GLib tests over real processes
-#   tests/tool_*.c                            demo, measure, soak
+#   tests/tool_*.c                            demo, measures
 #   examples/*.c                              one feature each
 
 # No built-in rules: they make make search for minutes.
@@ -57,7 +57,7 @@
 	$(patsubst examples/%.c,$(BUILD)/example_%,$(EXAMPLE_SRC)) \
 	$(patsubst tests/%.cpp,$(BUILD)/%,$(PROP_SRC))
 
-.PHONY: all test test-sanitized demo measure soak check format format-check lint doc clean
+.PHONY: all test test-sanitized demo measure check format format-check lint doc clean
 .SECONDARY:
 all: $(PROGS)
 
@@ -111,9 +111,6 @@
 measure: all
 	$(BUILD)/tool_measure $(BUILD)
 
-soak: all
-	$(BUILD)/tool_soak $(BUILD)
-
 SOURCES := $(wildcard src/*.[ch] tests/*.[ch] tests/*.cpp examples/*.c)
 
 check: format-check lint doc
