--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # Builds the daemon, the command-line tool, the stand-ins and the tests.
 #
 #   make            everything
+#   make gateway    the users' platform's program alone
 #   make test       all tests; closes with "N passed, N failed"
 #   make test-sanitized  a part of them under ASan and UBSan
 #   make demo       one deployment in separate processes, for a look
@@ -11,6 +12,7 @@
 # A file's name says what it is:
 #   src/fescuesaddled.c, src/fescuesaddle.c   the two programs
 #   src/*.c                                   the library both link
+#   platform/*.c                              the users' platform: names, wire
 #   tests/fleet*.c                            helpers for process tests
 #   tests/standin_*.c                         stand-in programs
 #   tests/unit_*.c                            GLib tests of one module
@@ -27,7 +29,7 @@
 
 comma := ,
 ASAN ?=
-BUILD := build$(if $(ASAN),-asan)
+BUILD ?= build$(if $(ASAN),-asan)
 SAN := $(if $(ASAN),-fsanitize=address$(comma)undefined -fno-sanitize-recover=all)
 
 PKGS := msgpack libmicrohttpd libcurl argtable2 glib-2.0 libcyaml \
@@ -38,7 +40,7 @@
 WARN := -Wall -Wextra -Werror -Wshadow -Wvla -Wpointer-arith -Wformat=2
 CWARN := $(WARN) -Wstrict-prototypes -Wmissing-prototypes -Wold-style-definition
 CFLAGS := -std=gnu11 -O2 -g -fno-omit-frame-pointer -fno-strict-aliasing \
-	-D_GNU_SOURCE -DG_LOG_USE_STRUCTURED -Isrc -Itests $(PKG_CFLAGS) $(SAN)
+	-D_GNU_SOURCE -DG_LOG_USE_STRUCTURED -Isrc -Iplatform -Itests $(PKG_CFLAGS) $(SAN)
 CXXFLAGS := -std=c++17 -O1 -g -D_GNU_SOURCE -Isrc -Itests $(PKG_CFLAGS) $(SAN)
 
 MAINS := src/fescuesaddled.c src/fescuesaddle.c
@@ -52,12 +54,16 @@
 obj = $(patsubst %,$(BUILD)/%.o,$(1))
 LIB := $(BUILD)/libfescuesaddle.a
 FLEET := $(BUILD)/libfleet.a
-PROGS := $(patsubst src/%.c,$(BUILD)/%,$(wildcard $(MAINS))) \
+PLF_SRC := $(filter-out platform/plf_main.c,$(wildcard platform/*.c))
+PLF := $(BUILD)/libplatform.a
+GATEWAY := $(BUILD)/fescuesaddle-gateway
+PROGS := $(patsubst src/%.c,$(BUILD)/%,$(wildcard $(MAINS))) $(GATEWAY) \
 	$(patsubst tests/%.c,$(BUILD)/%,$(PROG_SRC)) \
 	$(patsubst examples/%.c,$(BUILD)/example_%,$(EXAMPLE_SRC)) \
 	$(patsubst tests/%.cpp,$(BUILD)/%,$(PROP_SRC))
 
-.PHONY: all test test-sanitized demo measure check format format-check lint doc clean
+# Where everything is built; the platform wants its own folder.
+.PHONY: all gateway test test-sanitized demo measure check format format-check lint doc clean
 .SECONDARY:
 all: $(PROGS)
 
@@ -79,6 +85,16 @@
 	@rm -f $@
 	@$(AR) rcs $@ $^
 
+$(PLF): $(call obj,$(PLF_SRC))
+	@rm -f $@
+	@$(AR) rcs $@ $^
+
+# The users' platform: the daemon's tasks behind its protocol.
+gateway: $(GATEWAY)
+
+$(GATEWAY): $(BUILD)/platform/plf_main.c.o $(PLF) $(LIB)
+	@$(CC) $(SAN) -o $@ $^ $(LIBS)
+
 $(BUILD)/%: $(BUILD)/src/%.c.o $(LIB)
 	@$(CC) $(SAN) -o $@ $^ $(LIBS)
 
@@ -111,7 +127,7 @@
 measure: all
 	$(BUILD)/tool_measure $(BUILD)
 
-SOURCES := $(wildcard src/*.[ch] tests/*.[ch] tests/*.cpp examples/*.c)
+SOURCES := $(wildcard src/*.[ch] platform/*.[ch] tests/*.[ch] tests/*.cpp examples/*.c)
 
 check: format-check lint doc
 
@@ -121,9 +137,9 @@
 format-check:
 	@clang-format --dry-run -Werror $(SOURCES)
 
-TIDY := $(patsubst %,$(BUILD)/%.tidy,$(wildcard src/*.c tests/*.c examples/*.c))
+TIDY := $(patsubst %,$(BUILD)/%.tidy,$(wildcard src/*.c platform/*.c tests/*.c examples/*.c))
 
-$(BUILD)/%.tidy: % .clang-tidy $(wildcard src/*.h tests/*.h)
+$(BUILD)/%.tidy: % .clang-tidy $(wildcard src/*.h platform/*.h tests/*.h)
 	@mkdir -p $(@D)
 	@echo "  TIDY $<"
 	@clang-tidy --quiet $< -- $(CFLAGS) -Wno-unknown-warning-option \
@@ -133,13 +149,13 @@
 lint: $(TIDY)
 	cppcheck --quiet --error-exitcode=1 --std=c11 --inline-suppr -j 8 \
 		--enable=warning,performance,portability \
-		--library=gtk --suppress=missingInclude -Isrc -Itests src tests examples
+		--library=gtk --suppress=missingInclude -Isrc -Iplatform -Itests src platform tests examples
 
 doc:
 	@mkdir -p $(BUILD)
 	doxygen docs/Doxyfile
 
 clean:
-	rm -rf build build-asan
+	rm -rf build build-asan target
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/src/bud.c
@@ -0,0 +1,52 @@
+#include "bud.h"
+
+#include <string.h>
+
+/* A tenth is left unused: a node may count more nodes as lost than are. */
+#define USED_SHARE 0.9
+
+/* Clears the buckets that have passed since the last call. */
+static uint32_t turn(struct bud *bud, const struct bud_rule *rule,
+		     int64_t now_us)
+{
+	int64_t width_us = MAX(rule->window_us / BUD_BUCKETS, 1);
+	int64_t bucket = now_us / width_us;
+
+	if (bucket - bud->bucket >= BUD_BUCKETS) {
+		memset(bud->requests, 0, sizeof(bud->requests));
+		memset(bud->repeats, 0, sizeof(bud->repeats));
+		bud->bucket = bucket;
+	}
+	while (bud->bucket < bucket) {
+		bud->bucket++;
+		bud->requests[bud->bucket % BUD_BUCKETS] = 0;
+		bud->repeats[bud->bucket % BUD_BUCKETS] = 0;
+	}
+	return (uint32_t)(bucket % BUD_BUCKETS);
+}
+
+void bud_request(struct bud *bud, const struct bud_rule *rule, int64_t now_us)
+{
+	bud->requests[turn(bud, rule, now_us)]++;
+}
+
+void bud_repeat(struct bud *bud, const struct bud_rule *rule, int64_t now_us)
+{
+	bud->repeats[turn(bud, rule, now_us)]++;
+}
+
+double bud_left(struct bud *bud, const struct bud_rule *rule, uint32_t nodes,
+		int64_t now_us)
+{
+	double requests = 0;
+	double repeats = 0;
+
+	turn(bud, rule, now_us);
+	for (int i = 0; i < BUD_BUCKETS; i++) {
+		requests += bud->requests[i];
+		repeats += bud->repeats[i];
+	}
+	return USED_SHARE *
+		       (rule->ratio * requests + rule->slack / MAX(nodes, 1)) -
+	       repeats;
+}
--- a/src/cfg.c
+++ b/src/cfg.c
@@ -2,6 +2,20 @@
 
 #include <string.h>
 
+struct cfg *cfg_new(const char *text, uint64_t version)
+{
+	struct cfg *cfg = g_new0(struct cfg, 1);
+
+	cfg->refs = 1;
+	cfg->version = version;
+	cfg->text = g_strdup(text);
+	cfg->strings = g_string_chunk_new(4096);
+	cfg->service_index = g_hash_table_new(g_str_hash, g_str_equal);
+	cfg->server_index = g_hash_table_new(g_str_hash, g_str_equal);
+	cfg->route_index = g_hash_table_new(g_str_hash, g_str_equal);
+	return cfg;
+}
+
 struct cfg *cfg_ref(const struct cfg *cfg)
 {
 	struct cfg *own = (struct cfg *)cfg;
@@ -24,6 +38,8 @@
 		g_free(cfg->services[i].depends_on);
 		g_free(cfg->services[i].not_run_status);
 	}
+	for (uint32_t i = 0; i < cfg->route_count; i++)
+		g_free(cfg->routes[i].shares);
 	free_index(cfg->service_index);
 	free_index(cfg->server_index);
 	free_index(cfg->route_index);
--- a/src/cfg.h
+++ b/src/cfg.h
@@ -90,6 +90,12 @@
 	bool leaving; /* being taken out of use */
 };
 
+/** One part of a route whose requests go to several services. */
+struct cfg_share {
+	handle service;
+	uint32_t weight; /* share of the route's requests, relative */
+};
+
 /** A route: which requests go to which service, under which rules. */
 struct cfg_route {
 	char *name;	  /* unique in the text */
@@ -102,6 +108,19 @@
 	bool repeatable;   /* false: at most one run, whatever the method */
 	uint32_t tries;	   /* at most this many; 1 unless repeatable */
 	uint32_t body_max; /* bytes of the request body */
+	/* Only of configurations that the platform holds (cfg_draft.h) */
+	uint32_t rank;		  /* 0: the most urgent */
+	int64_t objective_us;	  /* an answer is worth most until then */
+	struct cfg_share *shares; /* NULL: all requests go to service */
+	uint32_t share_count;
+};
+
+/** What callers may send and how long they may take; 0: no limit told. */
+struct cfg_limits {
+	uint64_t header_bytes;
+	uint64_t body_bytes;
+	int64_t header_us; /* from the first byte to the last header field */
+	int64_t idle_us;   /* a connection without a request is kept open */
 };
 
 /** One accepted text. */
@@ -118,6 +137,7 @@
 	uint32_t server_count;
 	struct cfg_route *routes;
 	uint32_t route_count;
+	struct cfg_limits limits;
 	GStringChunk *strings;	   /* holds all names, addresses and paths */
 	GHashTable *service_index; /* name to handle + 1; NULL: none */
 	GHashTable *server_index;
@@ -156,6 +176,9 @@
 int cfg_check_change(const struct cfg *before, const struct cfg *after,
 		     GPtrArray *problems);
 
+/** Makes an empty configuration, to be filled by a loader. */
+struct cfg *cfg_new(const char *text, uint64_t version);
+
 /** Takes a reference and returns @p cfg. */
 struct cfg *cfg_ref(const struct cfg *cfg);
 
--- a/src/cfg_load.c
+++ b/src/cfg_load.c
@@ -3,20 +3,6 @@
 #include "cfg_build.h"
 #include "cfg_scan.h"
 
-static struct cfg *cfg_new(const char *text, uint64_t version)
-{
-	struct cfg *cfg = g_new0(struct cfg, 1);
-
-	cfg->refs = 1;
-	cfg->version = version;
-	cfg->text = g_strdup(text);
-	cfg->strings = g_string_chunk_new(4096);
-	cfg->service_index = g_hash_table_new(g_str_hash, g_str_equal);
-	cfg->server_index = g_hash_table_new(g_str_hash, g_str_equal);
-	cfg->route_index = g_hash_table_new(g_str_hash, g_str_equal);
-	return cfg;
-}
-
 static void build(struct cfg *cfg, const struct cfg_raw *raw,
 		  GPtrArray *problems)
 {
--- a/src/cfg_read.c
+++ b/src/cfg_read.c
@@ -125,6 +125,24 @@
 	*out = value;
 }
 
+void cfg_read_number(struct cfg_reader *r, const char *key, const char *text,
+		     double min, double max, double *out)
+{
+	char *end = NULL;
+	double value = 0;
+
+	if (!text)
+		return;
+	if (g_ascii_isdigit(*text))
+		value = g_ascii_strtod(text, &end);
+	if (!end || *end || value < min || value > max) {
+		cfg_problem(r, key, "\"%.64s\" is not a number from %g to %g",
+			    text, min, max);
+		return;
+	}
+	*out = value;
+}
+
 void cfg_read_bool(struct cfg_reader *r, const char *key, const char *text,
 		   bool *out)
 {
--- a/src/cfg_read.h
+++ b/src/cfg_read.h
@@ -52,6 +52,10 @@
 void cfg_read_percent(struct cfg_reader *r, const char *key, const char *text,
 		      double min, double max, double *out);
 
+/** Reads a number, such as "0.2", within bounds. */
+void cfg_read_number(struct cfg_reader *r, const char *key, const char *text,
+		     double min, double max, double *out);
+
 /** Reads true or false. */
 void cfg_read_bool(struct cfg_reader *r, const char *key, const char *text,
 		   bool *out);
--- a/src/ent.h
+++ b/src/ent.h
@@ -19,6 +19,7 @@
 #include "ent_check.h"
 #include "ent_pick.h"
 #include "htd.h"
+#include "htd_gone.h"
 #include "node.h"
 #include "rte.h"
 #include "rty.h"
@@ -93,7 +94,7 @@
 	bool noted;
 	/* Watchers */
 	ev_timer timer;
-	ev_io gone; /* the caller's socket, while suspended */
+	struct htd_gone gone; /* the caller's socket, while suspended */
 };
 
 struct ent {
--- a/src/ent_request.c
+++ b/src/ent_request.c
@@ -1,6 +1,3 @@
-#include <errno.h>
-#include <sys/socket.h>
-
 #include "ent.h"
 
 static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
@@ -10,19 +7,9 @@
 	ent_lost_time(timer->data, fs_now_us());
 }
 
-/* MHD does not look at the socket of a suspended connection. Bytes there are
- * a next request; an end or an error means that the caller is gone. */
-static void on_gone(struct ev_loop *loop, ev_io *io, int events)
+static void on_gone(void *arg)
 {
-	char byte;
-	ssize_t got = recv(io->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-
-	(void)events;
-	if (got < 0 && (errno == EAGAIN || errno == EINTR))
-		return;
-	ev_io_stop(loop, io);
-	if (got <= 0)
-		ent_lost_caller(io->data);
+	ent_lost_caller(arg);
 }
 
 struct ent_request *ent_request_new(struct ent *ent, const char *target,
@@ -41,8 +28,7 @@
 	req->route = req->service = req->shard = FS_NONE;
 	ev_init(&req->timer, on_timer);
 	req->timer.data = req;
-	ev_init(&req->gone, on_gone);
-	req->gone.data = req;
+	htd_gone_init(&req->gone, on_gone, req);
 	g_queue_init(&req->stream.pieces);
 	ent->open++;
 	return req;
@@ -53,7 +39,7 @@
 	struct ent *ent = req->ent;
 
 	ent_request_end(req);
-	ev_io_stop(ent->node->loop, &req->gone);
+	htd_gone_stop(&req->gone, ent->node->loop);
 	ent->open--;
 	ent->body_bytes -= req->body->len;
 	g_byte_array_unref(req->body);
@@ -70,17 +56,11 @@
 
 void ent_request_suspend(struct ent_request *req)
 {
-	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-		req->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-
 	if (req->suspended)
 		return;
 	req->suspended = true;
 	MHD_suspend_connection(req->connection);
-	if (!info)
-		return;
-	ev_io_set(&req->gone, info->connect_fd, EV_READ);
-	ev_io_start(req->ent->node->loop, &req->gone);
+	htd_gone_start(&req->gone, req->ent->node->loop, req->connection);
 }
 
 void ent_request_resume(struct ent_request *req)
@@ -88,7 +68,7 @@
 	if (!req->suspended)
 		return;
 	req->suspended = false;
-	ev_io_stop(req->ent->node->loop, &req->gone);
+	htd_gone_stop(&req->gone, req->ent->node->loop);
 	MHD_resume_connection(req->connection);
 	htd_kick(req->ent->htd);
 }
--- /dev/null
+++ b/src/fed.c
@@ -0,0 +1,251 @@
+#include "fed_impl.h"
+
+#include "fs_log.h"
+#include "shd.h"
+
+/* splitmix64 */
+int64_t fed_random(struct fed *fed, int64_t limit)
+{
+	uint64_t z = fed->random += 0x9e3779b97f4a7c15ULL;
+
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+	z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+	return (int64_t)((z ^ (z >> 31)) % (uint64_t)limit);
+}
+
+void fed_take_config(struct fed *fed, const char *text, size_t size,
+		     const char *source, int64_t now_us)
+{
+	uint64_t known = fed->cfg ? fed->cfg->version : 0;
+	struct cfg *cfg = fed->platform.decode_config(text, size);
+	struct aud_record rec;
+
+	if (!cfg) {
+		fs_log_eventf("fed", G_LOG_LEVEL_WARNING, "config_refused",
+			      "\"source\":\"%s\",\"known\":%" G_GUINT64_FORMAT
+			      ",\"reason\":\"malformed\"",
+			      source, known);
+		return;
+	}
+	if (cfg->version <= known) {
+		cfg_unref(cfg);
+		return;
+	}
+	aud_begin(&rec, AUD_CONFIG, AUD_R_CONFIG_TAKEN, cfg->version, now_us);
+	g_strlcpy(rec.choice, "taken", sizeof(rec.choice));
+	aud_add(&rec, "version", (int64_t)cfg->version);
+	aud_add(&rec, "known", (int64_t)known);
+	aud_add(&rec, "problems", 0);
+	aud_emit(fed->node->aud, &rec);
+	cfg_unref(fed->cfg);
+	fed->cfg = cfg;
+	fs_log_eventf("fed", G_LOG_LEVEL_MESSAGE, "config_in_force",
+		      "\"version\":%" G_GUINT64_FORMAT
+		      ",\"routes\":%u,\"services\":%u,\"source\":\"%s\"",
+		      cfg->version, cfg->route_count, cfg->service_count,
+		      source);
+	bus_send_all(fed->node->bus, MSG_CONFIG, cfg);
+	fed_tell_config(fed);
+}
+
+struct cfg *fed_config(const struct fed *fed)
+{
+	return fed->cfg;
+}
+
+bool fed_is_ready(const struct fed *fed)
+{
+	return fed->cfg && fed->directory_known;
+}
+
+static bool is_candidate(const struct mem_member *m, const char *domain)
+{
+	return m->state == MEM_ALIVE && m->direct &&
+	       !strcmp(m->domain, domain);
+}
+
+/* The reader of a failure domain is the live member with the highest weight;
+ * a node that knows no others reads. */
+static bool is_chosen(const struct fed *fed)
+{
+	const struct node *node = fed->node;
+	uint64_t key = fs_node_id(node->set.domain);
+	uint64_t own = shd_weight(key, node->self);
+
+	if (node->stopping)
+		return false;
+	for (uint32_t i = 0; fed->view && i < fed->view->count; i++) {
+		const struct mem_member *m = &fed->view->members[i];
+
+		if (m->id != node->self &&
+		    is_candidate(m, node->set.domain) &&
+		    shd_weight(key, m->id) > own)
+			return false;
+	}
+	return true;
+}
+
+static void choose(struct fed *fed, int64_t now_us)
+{
+	bool deaf = now_us - fed->heard_us > FED_DEAF_US;
+	bool was = fed->reading;
+
+	if (deaf)
+		fed->deaf_us = now_us;
+	fed->chosen = is_chosen(fed);
+	fed->reading = fed->chosen || deaf ||
+		       (was && now_us - fed->deaf_us < FED_CALM_US);
+	if (was != fed->reading)
+		fs_log_eventf("fed", G_LOG_LEVEL_INFO, "reading",
+			      "\"on\":%s,\"chosen\":%s,\"heard_ms_ago\":%lld",
+			      fed->reading ? "true" : "false",
+			      fed->chosen ? "true" : "false",
+			      (long long)((now_us - fed->heard_us) /
+					  FS_US_PER_MS));
+}
+
+static void log_ready(struct fed *fed)
+{
+	if (fed->node->ready || !fed_is_ready(fed))
+		return;
+	fed->node->ready = true;
+	fs_log_eventf("fed", G_LOG_LEVEL_MESSAGE, "ready",
+		      "\"version\":%" G_GUINT64_FORMAT ",\"targets\":%u",
+		      fed->cfg->version, dir_count(fed->dir));
+}
+
+static void on_tick(void *task, int64_t now_us)
+{
+	struct fed *fed = task;
+
+	choose(fed, now_us);
+	fed_read_tick(fed, now_us);
+	fed_tell_tick(fed, now_us);
+	fed_node_tick(fed, now_us);
+	log_ready(fed);
+}
+
+static void ask_config(struct fed *fed, node_id peer, uint64_t version,
+		       int64_t now_us)
+{
+	struct msg *m;
+
+	if ((fed->cfg && version <= fed->cfg->version) ||
+	    now_us - fed->asked_config_us < FED_ASK_US)
+		return;
+	fed->asked_config_us = now_us;
+	m = msg_new(MSG_CONFIG_ASK, peer, MSG_TASK_CONFIG);
+	m->config_ask.known = fed->cfg ? fed->cfg->version : 0;
+	bus_send(fed->node->bus, m);
+}
+
+static void send_config(struct fed *fed, const struct msg *ask)
+{
+	struct msg *m;
+
+	if (!fed->cfg || fed->cfg->version <= ask->config_ask.known)
+		return;
+	m = msg_new(MSG_CONFIG_TEXT, ask->from, MSG_TASK_CONFIG);
+	m->config_text.version = fed->cfg->version;
+	m->config_text.text = g_strdup(fed->cfg->text);
+	bus_send(fed->node->bus, m);
+}
+
+static void receive(void *task, struct msg *m, int64_t now_us)
+{
+	struct fed *fed = task;
+
+	switch (m->type) {
+	case MSG_VIEW:
+		mem_view_unref(fed->view);
+		fed->view = mem_view_ref(m->view.view);
+		break;
+	case MSG_CONFIG_HINT:
+		ask_config(fed, m->config_hint.node, m->config_hint.version,
+			   now_us);
+		break;
+	case MSG_CONFIG_ASK:
+		send_config(fed, m);
+		break;
+	case MSG_CONFIG_TEXT:
+		if (m->config_text.text)
+			fed_take_config(fed, m->config_text.text,
+					strlen(m->config_text.text), "peer",
+					now_us);
+		break;
+	case MSG_FEED_BEAT:
+		ask_config(fed, m->from, m->feed_beat.config_version, now_us);
+		fed_tell_beat(fed, m, now_us);
+		break;
+	case MSG_FEED_ENTRIES:
+		fed_tell_entries(fed, m, now_us);
+		break;
+	case MSG_FEED_ASK:
+		fed_tell_asked(fed, m, now_us);
+		break;
+	default:
+		break;
+	}
+}
+
+static const struct bus_task_ops ops = {
+	.name = "feed",
+	.receive = receive,
+};
+
+static void write_status(const void *task, GString *out, int64_t now_us)
+{
+	const struct fed *fed = task;
+
+	g_string_append_printf(
+		out,
+		"{\"version\":%" G_GUINT64_FORMAT
+		",\"targets\":%u,\"reading\":%s,\"chosen\":%s,\"away\":%s,"
+		"\"heard_ms_ago\":%lld,\"calls\":%" G_GUINT64_FORMAT "}",
+		fed->cfg ? fed->cfg->version : 0, dir_count(fed->dir),
+		fed->reading ? "true" : "false", fed->chosen ? "true" : "false",
+		fed->away ? "true" : "false",
+		(long long)((now_us - fed->heard_us) / FS_US_PER_MS),
+		fed->platform.kvs.ops->calls(fed->platform.kvs.store));
+}
+
+struct fed *fed_new(struct node *node, const struct fed_platform *platform,
+		    struct dir *dir)
+{
+	struct fed *fed = g_new0(struct fed, 1);
+	int64_t now_us = fs_now_us();
+
+	fed->node = node;
+	fed->platform = *platform;
+	fed->dir = dir;
+	fed->random = node->self ^ node->incarnation;
+	fed->started_us = now_us;
+	/* Reads at once: nobody has been heard yet. */
+	fed->heard_us = now_us - 2 * FED_DEAF_US;
+	fed_read_init(fed);
+	dir_on_gone(dir, fed_tell_gone, fed);
+	bus_attach(node->bus, MSG_TASK_CONFIG, &ops, fed);
+	node_add_status(node, "feed", write_status, fed);
+	node_add_tick(node, on_tick, fed);
+	return fed;
+}
+
+void fed_free(struct fed *fed)
+{
+	struct kvs *kvs;
+
+	if (!fed)
+		return;
+	kvs = &fed->platform.kvs;
+	dir_on_gone(fed->dir, NULL, NULL);
+	kvs->ops->forget(kvs->store, &fed->targets);
+	kvs->ops->forget(kvs->store, &fed->config);
+	kvs->ops->forget(kvs->store, fed);
+	node_remove_tick(fed->node, fed);
+	msg_free(fed->changes);
+	g_free(fed->targets.page_after);
+	g_free(fed->config.page_after);
+	cfg_unref(fed->cfg);
+	mem_view_unref(fed->view);
+	g_free(fed);
+}
--- /dev/null
+++ b/src/fed_impl.h
@@ -0,0 +1,114 @@
+/**
+ * @file fed_impl.h
+ * @brief Parts of the feed task that its files share.
+ */
+#ifndef FED_IMPL_H
+#define FED_IMPL_H
+
+#include "fed.h"
+
+/* How often a reader tells its freshness: twice within FED_DEAF_US. */
+#define FED_BEAT_US (500 * FS_US_PER_MS)
+/* Without a fresh reader for so long a node reads for itself; leaves half of
+ * the 2 s in which a change has to be in force for its own calls. */
+#define FED_DEAF_US (1200 * FS_US_PER_MS)
+/* A reader is fresh if the service answered it within this time. */
+#define FED_FRESH_US (900 * FS_US_PER_MS)
+/* Heard readers this long before its own reading ends, so that it does not
+ * stop and start by turns. */
+#define FED_CALM_US (3 * FS_US_PER_S)
+
+/* Servers report every 1.5 s or so, hence a watch on them returns at once:
+ * the pause bounds the calls of a reader to about three a second. */
+#define FED_TARGET_PAUSE_US (300 * FS_US_PER_MS)
+#define FED_TARGET_WAIT_US (600 * FS_US_PER_MS)
+/* Changes of the configuration are rare: the watch waits for one. */
+#define FED_CONFIG_WAIT_US (1000 * FS_US_PER_MS)
+#define FED_RETRY_MIN_US (150 * FS_US_PER_MS) /* after a failed call */
+#define FED_RETRY_MAX_US (1000 * FS_US_PER_MS)
+
+/* A lapsed entry is back within 2 s of the service's return. */
+#define FED_GRACE_US (2200 * FS_US_PER_MS)
+
+#define FED_ASK_US (300 * FS_US_PER_MS) /* between two questions to peers */
+
+/* A node's own key: renewed three times within its lease. */
+#define FED_LEASE_US (12 * FS_US_PER_S)
+#define FED_KEEP_US (4 * FS_US_PER_S)
+#define FED_LIST_NODES_US (3 * FS_US_PER_S) /* while few members are known */
+
+/** One reading of a prefix: a list, then watches from its revision. */
+struct fed_loop {
+	struct fed *fed;
+	const char *prefix;
+	bool config;	   /* of the configuration; else of the targets */
+	bool running;	   /* a call is under way */
+	bool listed;	   /* the list is complete: watch */
+	bool answered;	   /* at least once */
+	uint64_t from_rev; /* where the watch goes on */
+	uint64_t list_rev; /* of the first page of the list */
+	char *page_after;  /* last key of the previous page, or NULL */
+	uint32_t failed;   /* calls in a row */
+	int64_t next_us;
+	int64_t answered_us;
+	int64_t grace_until_us; /* removals take effect only then */
+};
+
+struct fed {
+	struct node *node;
+	struct fed_platform platform;
+	struct dir *dir;
+	struct cfg *cfg;
+	struct mem_view *view;
+	struct fed_loop targets;
+	struct fed_loop config;
+	uint64_t random;
+	bool chosen;	     /* this node is a reader by its weight */
+	bool reading;	     /* it reads, chosen or not */
+	bool away;	     /* the service does not answer this node */
+	bool directory_known; /* listed, or told by a peer */
+	int64_t started_us;
+	int64_t heard_us;      /* last beat of a fresh reader */
+	int64_t deaf_us;       /* last time without one */
+	int64_t beat_us;       /* last own beat */
+	int64_t changed_us;    /* last change of the directory */
+	int64_t asked_us;
+	int64_t asked_config_us;
+	bool merging;	       /* what changes now came from a peer */
+	struct msg *changes;   /* MSG_FEED_ENTRIES to be told, or NULL */
+	/* This node's own key */
+	uint64_t lease;
+	bool lease_running;
+	int64_t lease_next_us;
+	bool nodes_running;
+	int64_t nodes_next_us;
+};
+
+/* Configuration (fed.c) */
+
+/** Takes a configuration's text if its version is newer. */
+void fed_take_config(struct fed *fed, const char *text, size_t size,
+		     const char *source, int64_t now_us);
+
+/* Reading (fed_read.c) */
+void fed_read_init(struct fed *fed);
+void fed_read_tick(struct fed *fed, int64_t now_us);
+
+/* Telling peers (fed_tell.c) */
+
+/** Notes a changed or removed target, to be told with the next tick. */
+void fed_tell_entry(struct fed *fed, const struct dir_entry *entry);
+void fed_tell_gone(void *fed, const struct dir_target *target, uint64_t rev);
+void fed_tell_config(struct fed *fed);
+void fed_tell_tick(struct fed *fed, int64_t now_us);
+void fed_tell_beat(struct fed *fed, const struct msg *m, int64_t now_us);
+void fed_tell_entries(struct fed *fed, const struct msg *m, int64_t now_us);
+void fed_tell_asked(struct fed *fed, const struct msg *m, int64_t now_us);
+
+/* This node's key (fed_node.c) */
+void fed_node_tick(struct fed *fed, int64_t now_us);
+
+/** Returns a random number below @p limit. */
+int64_t fed_random(struct fed *fed, int64_t limit);
+
+#endif
--- /dev/null
+++ b/src/fed_node.c
@@ -0,0 +1,108 @@
+#include "fed_impl.h"
+
+#include <string.h>
+
+#include "fs_log.h"
+
+static void next_keep(struct fed *fed, int err)
+{
+	fed->lease_running = false;
+	fed->lease_next_us =
+		fs_now_us() + (err ? FED_RETRY_MAX_US : FED_KEEP_US) +
+		fed_random(fed, FED_RETRY_MAX_US);
+}
+
+static void on_put(void *arg, int err, uint64_t lease)
+{
+	struct fed *fed = arg;
+
+	(void)lease;
+	if (err)
+		fed->lease = 0;
+	next_keep(fed, err);
+}
+
+static void on_leased(void *arg, int err, uint64_t lease)
+{
+	struct fed *fed = arg;
+	struct kvs *kvs = &fed->platform.kvs;
+	g_autofree char *key = NULL;
+	char address[FS_ADDRESS_MAX];
+
+	if (err) {
+		next_keep(fed, err);
+		return;
+	}
+	fed->lease = lease;
+	set_format_address(&fed->node->peer, address);
+	key = g_strdup_printf("%s%s", fed->platform.node_prefix,
+			      fed->node->set.name);
+	kvs->ops->put(kvs->store, key, address, lease, on_put, fed);
+}
+
+static void on_kept(void *arg, int err, uint64_t lease)
+{
+	struct fed *fed = arg;
+
+	(void)lease;
+	if (err == FS_E_NOT_FOUND)
+		fed->lease = 0;
+	next_keep(fed, err);
+}
+
+/* Gives the membership task the addresses of all nodes as contacts. */
+static void on_nodes(void *arg, int err, const struct kvs_page *page)
+{
+	struct fed *fed = arg;
+	struct msg *m;
+
+	fed->nodes_running = false;
+	if (err)
+		return;
+	m = msg_new(MSG_CONTACTS, fed->node->self, MSG_TASK_MEMBERS);
+	m->contacts.addresses =
+		g_array_new(FALSE, TRUE, sizeof(struct sockaddr_in));
+	for (uint32_t i = 0; i < page->count; i++) {
+		struct sockaddr_in at;
+
+		if (page->items[i].value &&
+		    !set_parse_address(page->items[i].value, &at))
+			g_array_append_val(m->contacts.addresses, at);
+	}
+	fs_log_eventf("fed", G_LOG_LEVEL_INFO, "nodes_listed",
+		      "\"count\":%u", m->contacts.addresses->len);
+	bus_send(fed->node->bus, m);
+}
+
+static uint32_t others_alive(const struct fed *fed)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; fed->view && i < fed->view->count; i++)
+		n += fed->view->members[i].state == MEM_ALIVE &&
+		     fed->view->members[i].id != fed->node->self;
+	return n;
+}
+
+void fed_node_tick(struct fed *fed, int64_t now_us)
+{
+	struct kvs *kvs = &fed->platform.kvs;
+
+	if (fed->node->stopping)
+		return;
+	if (!fed->lease_running && now_us >= fed->lease_next_us) {
+		fed->lease_running = true;
+		if (fed->lease)
+			kvs->ops->keep(kvs->store, fed->lease, on_kept, fed);
+		else
+			kvs->ops->lease(kvs->store, FED_LEASE_US, on_leased,
+					fed);
+	}
+	if (!fed->nodes_running && now_us >= fed->nodes_next_us &&
+	    !others_alive(fed)) {
+		fed->nodes_running = true;
+		fed->nodes_next_us = now_us + FED_LIST_NODES_US;
+		kvs->ops->range(kvs->store, fed->platform.node_prefix, NULL,
+				on_nodes, fed);
+	}
+}
--- a/src/fescuesaddled.c
+++ b/src/fescuesaddled.c
@@ -107,33 +107,12 @@
 	ev_signal_start(d->node.loop, watcher);
 }
 
-static void node_init(struct node *node)
-{
-	node->loop = ev_default_loop(EVFLAG_AUTO);
-	node->self = fs_node_id(node->set.name);
-	node->incarnation = (uint64_t)fs_wall_us();
-	node->bus = bus_new(node->loop, node->self);
-	node->ctr = ctr_new();
-	node->aud = aud_new();
-	node->brn = brn_new();
-	node->platform = plt_new(node->loop, node->set.platform);
-}
-
-static void node_close(struct node *node)
-{
-	plt_free(node->platform);
-	brn_free(node->brn);
-	aud_free(node->aud);
-	ctr_free(node->ctr);
-	bus_free(node->bus);
-	ev_loop_destroy(node->loop);
-}
-
 static int run(struct daemon *d)
 {
 	int status = EXIT_FAILURE;
 
-	node_init(&d->node);
+	node_open(&d->node);
+	d->node.platform = plt_new(d->node.loop, d->node.set.platform);
 	bus_attach(d->node.bus, MSG_TASK_NODE, &ops, d);
 	watch_signal(d, &d->term, SIGTERM);
 	watch_signal(d, &d->interrupt, SIGINT);
@@ -143,6 +122,7 @@
 		status = EXIT_SUCCESS;
 	}
 	free_tasks(d);
+	plt_free(d->node.platform);
 	node_close(&d->node);
 	return status;
 }
--- /dev/null
+++ b/src/gwy.c
@@ -0,0 +1,147 @@
+#include "gwy_impl.h"
+
+#include "fs_log.h"
+
+/* Holds the header fields of the configured limit both ways. */
+#define CONNECTION_MEMORY (40 * 1024) /* bytes */
+/* Descriptors left for targets, peers, the store and files. */
+#define OTHER_FDS 700
+#define CONNECTIONS_MIN 64
+#define BODY_SHARE 4 /* bodies take a quarter of the memory at most */
+
+static void take_config(struct gwy *gwy, struct cfg *cfg)
+{
+	cfg_unref(gwy->cfg);
+	gwy->cfg = cfg_ref(cfg);
+}
+
+static void take_view(struct gwy *gwy, struct mem_view *view)
+{
+	mem_view_unref(gwy->view);
+	gwy->view = mem_view_ref(view);
+	gwy->alive = 0;
+	for (uint32_t i = 0; i < view->count; i++)
+		gwy->alive += view->members[i].state != MEM_DEAD;
+}
+
+static void receive(void *task, struct msg *m, int64_t now_us)
+{
+	struct gwy *gwy = task;
+
+	switch (m->type) {
+	case MSG_CONFIG:
+		take_config(gwy, m->config.cfg);
+		break;
+	case MSG_VIEW:
+		take_view(gwy, m->view.view);
+		break;
+	case MSG_STOP:
+		gwy_stop_begin(gwy, now_us);
+		break;
+	default:
+		break;
+	}
+}
+
+static const struct bus_task_ops ops = {
+	.name = "gateway",
+	.receive = receive,
+};
+
+static void write_status(const void *task, GString *out, int64_t now_us)
+{
+	const struct gwy *gwy = task;
+
+	(void)now_us;
+	g_string_append_printf(out,
+			       "{\"requests\":%u,\"connections\":%u,"
+			       "\"body_bytes\":%zu,\"stopping\":%s}",
+			       g_hash_table_size(gwy->requests),
+			       htd_connections(gwy->htd), gwy->body_bytes,
+			       gwy->stopping ? "true" : "false");
+}
+
+static struct htd_limits limits_of(const struct set *set)
+{
+	unsigned int fds = set->max_fds > OTHER_FDS + CONNECTIONS_MIN ?
+				   set->max_fds - OTHER_FDS :
+				   CONNECTIONS_MIN;
+
+	return (struct htd_limits){
+		.connections = MIN(fds, FS_CALLER_CONNECTIONS_MAX),
+		.idle_s = FS_CALLER_IDLE_S,
+		.connection_memory = CONNECTION_MEMORY,
+	};
+}
+
+struct gwy *gwy_new(struct node *node, const struct gwy_fields *fields,
+		    struct dir *dir)
+{
+	const struct htd_limits limits = limits_of(&node->set);
+	struct gwy *gwy = g_new0(struct gwy, 1);
+
+	gwy->node = node;
+	gwy->fields = *fields;
+	gwy->dir = dir;
+	gwy->random = (node->self ^ node->incarnation) | 1;
+	gwy->alive = 1;
+	gwy->body_bytes_max = node->set.memory_bytes / BODY_SHARE;
+	gwy->budget_rule = (struct bud_rule){
+		.ratio = node->set.retry_ratio,
+		.slack = node->set.retry_slack,
+		.window_us = node->set.retry_window_us,
+	};
+	gwy->budgets =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	gwy->sizes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	gwy->requests = g_hash_table_new(NULL, NULL);
+	gwy->pool = tgt_pool_new(node->loop, TGT_POOL_CONNECTIONS);
+	gwy->lod = lod_new(node, dir);
+	if (gwy->lod)
+		gwy->htd = htd_start(node->loop, &node->set.caller_listen,
+				     &limits, &gwy_http_ops, gwy,
+				     &node->caller);
+	if (!gwy->htd) {
+		fs_log_event("gwy", G_LOG_LEVEL_CRITICAL, "listen_failed", "");
+		gwy_free(gwy);
+		return NULL;
+	}
+	bus_attach(node->bus, MSG_TASK_ENTRY, &ops, gwy);
+	node_add_status(node, "gateway", write_status, gwy);
+	return gwy;
+}
+
+/* MHD may not be stopped while connections are suspended. */
+static void end_requests(struct gwy *gwy)
+{
+	g_autoptr(GList) all = g_hash_table_get_keys(gwy->requests);
+	int64_t now_us = fs_now_us();
+
+	for (GList *l = all; l; l = l->next) {
+		struct gwy_request *req = l->data;
+
+		gwy_request_stop_tries(req);
+		req->stream_failed = true;
+		if (!req->response && req->begun)
+			gwy_answer_refuse(req, FS_E_DISPATCHER_LOST, 0, now_us);
+		gwy_request_resume(req);
+	}
+}
+
+void gwy_free(struct gwy *gwy)
+{
+	if (!gwy)
+		return;
+	end_requests(gwy);
+	gwy_stop_end(gwy);
+	htd_stop(gwy->htd);
+	tgt_pool_free(gwy->pool);
+	lod_free(gwy->lod);
+	g_hash_table_unref(gwy->requests);
+	g_hash_table_unref(gwy->budgets);
+	g_hash_table_unref(gwy->sizes);
+	cfg_unref(gwy->cfg);
+	mem_view_unref(gwy->view);
+	g_free(gwy);
+}
--- /dev/null
+++ b/src/gwy_answer.c
@@ -0,0 +1,172 @@
+#include <string.h>
+
+#include "ent_check.h"
+#include "fs_log.h"
+#include "gwy_impl.h"
+
+#define BLOCK_SIZE (16 * 1024) /* bytes MHD asks for at a time */
+#define SIZE_WEIGHT 0.1	       /* of one more answer in a route's mean size */
+
+static void add(struct MHD_Response *response, const char *name,
+		const char *value)
+{
+	MHD_add_response_header(response, name, value);
+}
+
+static void answer_with(struct gwy_request *req, struct MHD_Response *response,
+			unsigned int status)
+{
+	if (req->gwy->stopping)
+		add(response, "Connection", "close");
+	g_clear_pointer(&req->response, MHD_destroy_response);
+	req->response = response;
+	req->status = status;
+	gwy_request_resume(req);
+}
+
+static void end(struct gwy_request *req, const char *outcome, int64_t now_us)
+{
+	ev_timer_stop(req->gwy->node->loop, &req->timer);
+	req->state = GWY_ENDED;
+	gwy_request_log(req, outcome, now_us);
+}
+
+static void add_fields(struct MHD_Response *response, struct tgt *tgt)
+{
+	g_autoptr(GArray) headers = tgt_take_headers(tgt);
+	g_autoptr(GArray) kept = ent_end_to_end(headers);
+
+	for (guint i = 0; i < kept->len; i++) {
+		const struct msg_header *h =
+			&g_array_index(kept, struct msg_header, i);
+
+		/* MHD refuses what could break the framing. */
+		if (MHD_add_response_header(response, h->name, h->value) !=
+		    MHD_YES)
+			fs_log_eventf("gwy", G_LOG_LEVEL_WARNING,
+				      "answer_field_dropped",
+				      "\"name\":\"%s\"", h->name);
+	}
+}
+
+int64_t gwy_answer_mean_bytes(const struct gwy_request *req)
+{
+	const double *mean = g_hash_table_lookup(req->gwy->sizes,
+						 gwy_route_of(req)->name);
+
+	return mean ? (int64_t)*mean : 0;
+}
+
+static void note_size(struct gwy_request *req, int64_t bytes)
+{
+	const char *route = gwy_route_of(req)->name;
+	double *mean = g_hash_table_lookup(req->gwy->sizes, route);
+
+	if (!mean) {
+		mean = g_new(double, 1);
+		*mean = (double)bytes;
+		g_hash_table_insert(req->gwy->sizes, g_strdup(route), mean);
+	}
+	*mean += SIZE_WEIGHT * ((double)bytes - *mean);
+}
+
+static void count_time(struct gwy_request *req, int64_t now_us)
+{
+	struct ctr *ctr = req->gwy->node->ctr;
+	g_autofree char *name = g_strdup_printf("gwy_answer{service=%s}",
+						gwy_service_name(req));
+
+	ctr_observe(ctr, ctr_histogram(ctr, name), now_us - req->started_us);
+}
+
+void gwy_answer_whole(struct gwy_try *t, int64_t now_us)
+{
+	struct gwy_request *req = t->req;
+	g_autoptr(GBytes) body = tgt_take(t->tgt, SIZE_MAX);
+	gsize size;
+	const void *data = g_bytes_get_data(body, &size);
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+		size, (void *)data, MHD_RESPMEM_MUST_COPY);
+
+	add_fields(response, t->tgt);
+	if (t->status < 300)
+		note_size(req, (int64_t)size);
+	req->status = t->status;
+	count_time(req, now_us);
+	ctr_count(req->gwy->node->ctr, "gwy_answers", 1);
+	end(req, "answered", now_us);
+	answer_with(req, response, t->status);
+}
+
+void gwy_answer_refuse(struct gwy_request *req, int err, int64_t retry_after_us,
+		       int64_t now_us)
+{
+	const struct fs_answer *row = fs_answer_of(err);
+	g_autofree char *name =
+		g_strdup_printf("gwy_refusals{err=%s}", row->name);
+	char *body = g_strdup_printf("{\"error\":\"%s\",\"text\":\"%s\"}\n",
+				     row->name, row->text);
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+		strlen(body), body, MHD_RESPMEM_MUST_FREE);
+
+	ctr_count(req->gwy->node->ctr, name, 1);
+	add(response, "Content-Type", "application/json");
+	if (retry_after_us > 0) {
+		char text[G_ASCII_DTOSTR_BUF_SIZE];
+
+		g_ascii_formatd(text, sizeof(text), "%.2f",
+				(double)retry_after_us / FS_US_PER_S);
+		add(response, "Retry-After", text);
+	}
+	if (err == FS_E_BAD_REQUEST || err == FS_E_HEADERS_TOO_LARGE ||
+	    err == FS_E_BODY_TOO_LARGE || err == FS_E_CALLER_GONE)
+		add(response, "Connection", "close");
+	req->status = row->status;
+	end(req, row->name, now_us);
+	answer_with(req, response, row->status);
+}
+
+/* Gives MHD what there is. A stream that failed ends with an error: MHD closes
+ * the connection before the announced length or the last chunk. */
+static ssize_t read_body(void *arg, uint64_t at, char *buf, size_t max)
+{
+	struct gwy_request *req = arg;
+	struct tgt *tgt = req->stream ? req->stream->tgt : NULL;
+	g_autoptr(GBytes) part = NULL;
+	gsize size;
+	const void *data;
+
+	(void)at;
+	if (req->stream_failed || !tgt)
+		return req->stream_ended && !req->stream_failed ?
+			       MHD_CONTENT_READER_END_OF_STREAM :
+			       MHD_CONTENT_READER_END_WITH_ERROR;
+	part = tgt_take(tgt, max);
+	data = g_bytes_get_data(part, &size);
+	if (size) {
+		memcpy(buf, data, size);
+		tgt_resume(tgt);
+		return (ssize_t)size;
+	}
+	if (req->stream_ended)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	gwy_request_suspend(req);
+	return 0;
+}
+
+void gwy_answer_stream(struct gwy_try *t, int64_t now_us)
+{
+	struct gwy_request *req = t->req;
+	int64_t length = tgt_length(t->tgt);
+	struct MHD_Response *response = MHD_create_response_from_callback(
+		length < 0 ? MHD_SIZE_UNKNOWN : (uint64_t)length, BLOCK_SIZE,
+		read_body, req, NULL);
+
+	add_fields(response, t->tgt);
+	if (length > 0)
+		note_size(req, length);
+	req->state = GWY_STREAMING;
+	req->stream = t;
+	gwy_request_timer(req, req->deadline_us, now_us);
+	answer_with(req, response, t->status);
+}
--- /dev/null
+++ b/src/gwy_http.c
@@ -0,0 +1,279 @@
+#include <string.h>
+
+#include "ent_check.h"
+#include "fs_log.h"
+#include "gwy_impl.h"
+#include "rte.h"
+
+#define ID_MAX 128 /* bytes of a caller's request id that are passed on */
+
+/* A connection is closed a little after the time that callers are told. */
+#define IDLE_MARGIN_S 1
+#define US_PER_S_ROUND_UP (FS_US_PER_S - 1)
+
+static void *on_target(void *arg, const char *target,
+		       struct MHD_Connection *connection)
+{
+	return gwy_request_new(arg, target, connection);
+}
+
+static enum MHD_Result add_header(void *arg, enum MHD_ValueKind kind,
+				  const char *name, size_t name_size,
+				  const char *value, size_t value_size)
+{
+	struct gwy_request *req = arg;
+
+	(void)kind;
+	if (!value)
+		value = "";
+	if (strlen(name) != name_size || strlen(value) != value_size)
+		req->err = FS_E_BAD_REQUEST;
+	msg_headers_add(req->m->request.headers, name, value);
+	return MHD_YES;
+}
+
+static bool is_own_field(const struct gwy_fields *fields, const char *name)
+{
+	return !g_ascii_strcasecmp(name, fields->target.request_id) ||
+	       !g_ascii_strcasecmp(name, fields->target.deadline_ms) ||
+	       !g_ascii_strcasecmp(name, fields->instance);
+}
+
+/* Fields that the fleet sets itself do not go through as the caller sent
+ * them. */
+static GArray *passed_on(const struct gwy *gwy, const GArray *headers)
+{
+	g_autoptr(GArray) kept = ent_end_to_end(headers);
+	GArray *out = msg_headers_new();
+
+	for (guint i = 0; i < kept->len; i++) {
+		const struct msg_header *h =
+			&g_array_index(kept, struct msg_header, i);
+
+		if (!is_own_field(&gwy->fields, h->name))
+			msg_headers_add(out, h->name, h->value);
+	}
+	return out;
+}
+
+static void take_id(struct gwy_request *req, const GArray *headers)
+{
+	struct gwy *gwy = req->gwy;
+	const char *id =
+		msg_headers_get(headers, gwy->fields.target.request_id);
+
+	if (id && *id && strlen(id) <= ID_MAX)
+		req->id = g_strdup(id);
+	else
+		req->id = g_strdup_printf("%" G_GINT64_MODIFIER "x-%"
+					  G_GINT64_MODIFIER "x-%"
+					  G_GINT64_MODIFIER "x",
+					  gwy->node->self,
+					  gwy->node->incarnation,
+					  ++gwy->counter);
+}
+
+static void take_deadline(struct gwy_request *req, const GArray *headers)
+{
+	const char *text = msg_headers_get(
+		headers, req->gwy->fields.target.deadline_ms);
+	int64_t given_us = GWY_DEADLINE_DEFAULT_US;
+	int64_t limit_us = gwy_route_of(req)->deadline_us;
+	guint64 ms;
+
+	if (text && g_ascii_string_to_unsigned(text, 10, 1, G_MAXINT32, &ms,
+					       NULL)) {
+		req->client_us = (int64_t)ms * FS_US_PER_MS;
+		given_us = MAX(req->client_us - GWY_DEADLINE_MARGIN_US,
+			       req->client_us / 2);
+	}
+	if (limit_us > 0)
+		given_us = MIN(given_us, limit_us);
+	req->deadline_us = req->started_us + given_us;
+}
+
+/* Shares of a route are met on average: each request draws its service. */
+static handle draw_service(struct gwy *gwy, const struct cfg_route *route)
+{
+	uint64_t total = 0;
+	uint64_t at;
+
+	for (uint32_t i = 0; i < route->share_count; i++)
+		total += route->shares[i].weight;
+	if (!total)
+		return route->service;
+	gwy->random = gwy->random * 6364136223846793005ULL + 1442695040888963407ULL;
+	at = (gwy->random >> 33) % total;
+	for (uint32_t i = 0; i < route->share_count; i++) {
+		if (at < route->shares[i].weight)
+			return route->shares[i].service;
+		at -= route->shares[i].weight;
+	}
+	return route->service;
+}
+
+static int find_route(struct gwy_request *req, const char *host,
+		      const char *path, int64_t body_length)
+{
+	const struct cfg *cfg = req->cfg;
+	int err = rte_find(cfg, host, path, rte_method(req->m->request.method),
+			   &req->route);
+
+	if (err)
+		return err;
+	req->service = draw_service(req->gwy, gwy_route_of(req));
+	if (cfg->limits.body_bytes && body_length > 0 &&
+	    (uint64_t)body_length > cfg->limits.body_bytes)
+		return FS_E_BODY_TOO_LARGE;
+	return 0;
+}
+
+static void set_idle_time(struct gwy_request *req)
+{
+	int64_t idle_us = req->cfg->limits.idle_us;
+
+	if (idle_us > 0)
+		MHD_set_connection_option(
+			req->connection, MHD_CONNECTION_OPTION_TIMEOUT,
+			(unsigned int)((idle_us + US_PER_S_ROUND_UP) /
+				       FS_US_PER_S) +
+				IDLE_MARGIN_S);
+}
+
+static int check(struct gwy_request *req, const char *version)
+{
+	struct gwy *gwy = req->gwy;
+	struct msg_request *request = &req->m->request;
+	g_autofree char *path = NULL;
+	struct ent_head head;
+	int err = req->err;
+
+	if (!err)
+		err = ent_check_headers(version, request->headers, &head);
+	if (!err)
+		err = ent_check_target(req->target, &path);
+	if (err)
+		return err;
+	if (!gwy->cfg || !gwy->node->ready)
+		return FS_E_NOT_READY;
+	req->cfg = cfg_ref(gwy->cfg);
+	set_idle_time(req);
+	request->host = g_strdup(head.host);
+	return find_route(req, head.host, path, head.body_length);
+}
+
+/* Everything that can be refused before the body is read. */
+static void begin(struct gwy_request *req, const char *method,
+		  const char *version)
+{
+	struct msg_request *request;
+	GArray *headers;
+	int err;
+
+	req->begun = true;
+	req->m = msg_new(MSG_REQUEST, req->gwy->node->self, MSG_TASK_ENTRY);
+	request = &req->m->request;
+	request->method = g_strdup(method);
+	request->target = g_strdup(req->target);
+	request->headers = msg_headers_new();
+	MHD_get_connection_values_n(req->connection, MHD_HEADER_KIND,
+				    add_header, req);
+	take_id(req, request->headers);
+	err = check(req, version);
+	if (err) {
+		gwy_answer_refuse(req, err, err == FS_E_NOT_READY ?
+						    FS_US_PER_S / 2 :
+						    0,
+				  fs_now_us());
+		return;
+	}
+	take_deadline(req, request->headers);
+	headers = passed_on(req->gwy, request->headers);
+	g_array_unref(request->headers);
+	request->headers = headers;
+}
+
+static void take_body(struct gwy_request *req, const char *data, size_t size)
+{
+	struct gwy *gwy = req->gwy;
+	uint64_t limit = req->cfg->limits.body_bytes;
+
+	if (limit && req->body->len + size > limit)
+		req->err = FS_E_BODY_TOO_LARGE;
+	else if (gwy->body_bytes + size > gwy->body_bytes_max)
+		req->err = FS_E_ENTRY_FULL;
+	if (req->err)
+		return;
+	gwy->body_bytes += size;
+	g_byte_array_append(req->body, (const guint8 *)data, (guint)size);
+}
+
+static void send_or_refuse(struct gwy_request *req)
+{
+	int64_t now_us = fs_now_us();
+
+	if (req->err) {
+		gwy_answer_refuse(req, req->err,
+				  req->err == FS_E_ENTRY_FULL ? FS_US_PER_S : 0,
+				  now_us);
+		return;
+	}
+	req->m->request.body = g_bytes_new(req->body->data, req->body->len);
+	gwy_send_first(req, now_us);
+}
+
+static enum MHD_Result queue(struct gwy_request *req)
+{
+	return MHD_queue_response(req->connection, req->status, req->response);
+}
+
+/* Called with the header fields, with each part of the body, at its end, and
+ * after each resume. */
+static enum MHD_Result on_access(void *arg, struct MHD_Connection *connection,
+				 const char *url, const char *method,
+				 const char *version, const char *upload_data,
+				 size_t *upload_size, void **context)
+{
+	struct gwy_request *req = *context;
+
+	(void)arg;
+	(void)connection;
+	(void)url;
+	if (!req->begun) {
+		begin(req, method, version);
+		return req->response ? queue(req) : MHD_YES;
+	}
+	if (*upload_size) {
+		take_body(req, upload_data, *upload_size);
+		*upload_size = 0;
+		return MHD_YES;
+	}
+	if (req->state == GWY_READING)
+		send_or_refuse(req);
+	if (req->response)
+		return queue(req);
+	gwy_request_suspend(req);
+	return MHD_YES;
+}
+
+static void on_completed(void *arg, struct MHD_Connection *connection,
+			 void **context, enum MHD_RequestTerminationCode code)
+{
+	struct gwy_request *req = *context;
+
+	(void)arg;
+	(void)connection;
+	if (!req)
+		return;
+	*context = NULL;
+	if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && req->begun)
+		gwy_request_log(req, fs_err_name(FS_E_CALLER_GONE),
+				fs_now_us());
+	gwy_request_free(req);
+}
+
+const struct htd_ops gwy_http_ops = {
+	.access = on_access,
+	.completed = on_completed,
+	.target = on_target,
+};
--- /dev/null
+++ b/src/gwy_impl.h
@@ -0,0 +1,160 @@
+/**
+ * @file gwy_impl.h
+ * @brief Parts of the gateway task that its files share.
+ */
+#ifndef GWY_IMPL_H
+#define GWY_IMPL_H
+
+#include "bal.h"
+#include "bud.h"
+#include "fed.h"
+#include "gwy.h"
+#include "htd.h"
+#include "htd_gone.h"
+#include "lod.h"
+
+#define GWY_TRIES_MAX 6 /* sends of one request; a route allows fewer */
+
+/* A caller's clock runs while the answer travels to it. */
+#define GWY_DEADLINE_MARGIN_US (25 * FS_US_PER_MS)
+/* Requests without a route's limit and without the caller's. */
+#define GWY_DEADLINE_DEFAULT_US (30 * FS_US_PER_S)
+/* Less time than this left: no target can answer. */
+#define GWY_LEFT_MIN_US (20 * FS_US_PER_MS)
+
+struct gwy_request;
+
+/** One send of a request. */
+struct gwy_try {
+	struct gwy_request *req;
+	struct dir_target *target; /* referenced */
+	struct tgt *tgt;	   /* NULL: ended */
+	int64_t started_us;
+	bool held;    /* counts among the target's requests */
+	bool overdue; /* told so already */
+	int err;      /* how it ended */
+	uint32_t status;
+	bool not_run; /* the target said so, or nothing was written */
+	int64_t took_us;
+};
+
+enum gwy_state {
+	GWY_READING,   /* header fields and body come in */
+	GWY_WAITING,   /* at targets */
+	GWY_STREAMING, /* the answer goes out as it comes in */
+	GWY_ENDED,     /* the answer is complete, or there will be none */
+};
+
+/** One request of a caller. */
+struct gwy_request {
+	struct gwy *gwy;
+	struct MHD_Connection *connection;
+	enum gwy_state state;
+	bool begun;
+	bool suspended;
+	bool logged;
+	/* The request */
+	char *target; /* path and query as received */
+	char *id;     /* the caller's request id */
+	struct msg *m; /* MSG_REQUEST: method, host, target, fields, body */
+	GByteArray *body;
+	int64_t started_us;
+	int64_t deadline_us;
+	int64_t client_us; /* time the caller gives, 0: not told */
+	struct cfg *cfg;
+	handle route;
+	handle service;
+	int err; /* found while the body came in */
+	/* Sends */
+	struct gwy_try tries[GWY_TRIES_MAX];
+	uint32_t try_count;
+	uint32_t running; /* tries under way */
+	uint32_t sent;	  /* tries that may count as sent to a server */
+	bool may_have_run;
+	const char *no_retry; /* why it was not sent again, for the log */
+	ev_timer timer;
+	struct htd_gone gone; /* the caller's connection, while suspended */
+	/* The answer */
+	struct MHD_Response *response;
+	unsigned int status;
+	struct gwy_try *stream; /* whose body is being passed on */
+	bool stream_ended;
+	bool stream_failed;
+};
+
+struct gwy {
+	struct node *node;
+	struct gwy_fields fields;
+	struct dir *dir;
+	struct htd *htd;
+	struct tgt_pool *pool;
+	struct lod *lod;
+	struct cfg *cfg;
+	struct mem_view *view;
+	GHashTable *budgets; /* service name to struct bud */
+	GHashTable *sizes;   /* route name to double *, mean answer bytes */
+	struct bud_rule budget_rule;
+	GHashTable *requests; /* struct gwy_request */
+	uint64_t random;
+	uint64_t counter; /* of requests without an id */
+	size_t body_bytes;
+	size_t body_bytes_max;
+	uint32_t alive; /* members, this one included */
+	bool stopping;
+	int64_t stop_us; /* when the stop began */
+	ev_timer stop_timer;
+	bool quiesced;
+};
+
+/* Callers (gwy_http.c) */
+extern const struct htd_ops gwy_http_ops;
+
+/* Requests (gwy_request.c) */
+struct gwy_request *gwy_request_new(struct gwy *gwy, const char *target,
+				    struct MHD_Connection *connection);
+void gwy_request_free(struct gwy_request *req);
+void gwy_request_suspend(struct gwy_request *req);
+void gwy_request_resume(struct gwy_request *req);
+/** Sets the one timer of a request. */
+void gwy_request_timer(struct gwy_request *req, int64_t at_us, int64_t now_us);
+/** Stops all sends: no answer of theirs is wanted any more. */
+void gwy_request_stop_tries(struct gwy_request *req);
+/** Writes the one line of the log that tells how a request went. */
+void gwy_request_log(struct gwy_request *req, const char *outcome,
+		     int64_t now_us);
+
+/* Sending (gwy_send.c) */
+/** Sends a complete request for the first time. */
+void gwy_send_first(struct gwy_request *req, int64_t now_us);
+/** Something is due: the deadline, or an answer that does not come. */
+void gwy_send_timer(struct gwy_request *req, int64_t now_us);
+/** Ends a try's hold on its target. */
+void gwy_send_release(struct gwy_try *t);
+
+/* Answers (gwy_answer.c) */
+/** Passes on a target's whole answer. */
+void gwy_answer_whole(struct gwy_try *t, int64_t now_us);
+/** Answers for the fleet. @param retry_after_us 0: no advice */
+void gwy_answer_refuse(struct gwy_request *req, int err,
+		       int64_t retry_after_us, int64_t now_us);
+/** Returns the mean size of the answers of a request's route, 0 if unknown. */
+int64_t gwy_answer_mean_bytes(const struct gwy_request *req);
+/** Begins to pass on an answer while it comes in. */
+void gwy_answer_stream(struct gwy_try *t, int64_t now_us);
+
+/* Planned stop (gwy_stop.c) */
+void gwy_stop_begin(struct gwy *gwy, int64_t now_us);
+void gwy_stop_end(struct gwy *gwy);
+
+static inline const struct cfg_route *
+gwy_route_of(const struct gwy_request *req)
+{
+	return &req->cfg->routes[req->route];
+}
+
+static inline const char *gwy_service_name(const struct gwy_request *req)
+{
+	return req->cfg->services[req->service].name;
+}
+
+#endif
--- /dev/null
+++ b/src/gwy_request.c
@@ -0,0 +1,163 @@
+#include "gwy_impl.h"
+
+#include <string.h>
+
+#include "fs_log.h"
+
+static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	gwy_send_timer(timer->data, fs_now_us());
+}
+
+/* The caller is gone: work for it ends, and nothing more is sent. */
+static void on_gone(void *arg)
+{
+	struct gwy_request *req = arg;
+	int64_t now_us = fs_now_us();
+
+	if (req->state == GWY_ENDED)
+		return;
+	gwy_request_stop_tries(req);
+	gwy_request_log(req, fs_err_name(FS_E_CALLER_GONE), now_us);
+	ctr_count(req->gwy->node->ctr, "gwy_callers_gone", 1);
+	req->state = GWY_ENDED;
+	req->stream_failed = true;
+	if (!req->response)
+		gwy_answer_refuse(req, FS_E_CALLER_GONE, 0, now_us);
+	gwy_request_resume(req);
+}
+
+struct gwy_request *gwy_request_new(struct gwy *gwy, const char *target,
+				    struct MHD_Connection *connection)
+{
+	struct gwy_request *req = g_new0(struct gwy_request, 1);
+
+	req->gwy = gwy;
+	req->connection = connection;
+	req->started_us = fs_now_us();
+	req->target = g_strdup(target);
+	req->body = g_byte_array_new();
+	req->route = req->service = FS_NONE;
+	ev_init(&req->timer, on_timer);
+	req->timer.data = req;
+	htd_gone_init(&req->gone, on_gone, req);
+	g_hash_table_add(gwy->requests, req);
+	return req;
+}
+
+void gwy_request_free(struct gwy_request *req)
+{
+	struct gwy *gwy = req->gwy;
+
+	gwy_request_stop_tries(req);
+	for (uint32_t i = 0; i < req->try_count; i++)
+		dir_target_unref(req->tries[i].target);
+	ev_timer_stop(gwy->node->loop, &req->timer);
+	htd_gone_stop(&req->gone, gwy->node->loop);
+	g_hash_table_remove(gwy->requests, req);
+	gwy->body_bytes -= req->body->len;
+	g_byte_array_unref(req->body);
+	g_clear_pointer(&req->response, MHD_destroy_response);
+	msg_free(req->m);
+	cfg_unref(req->cfg);
+	g_free(req->target);
+	g_free(req->id);
+	g_free(req);
+}
+
+void gwy_request_suspend(struct gwy_request *req)
+{
+	if (req->suspended)
+		return;
+	req->suspended = true;
+	MHD_suspend_connection(req->connection);
+	htd_gone_start(&req->gone, req->gwy->node->loop, req->connection);
+}
+
+void gwy_request_resume(struct gwy_request *req)
+{
+	if (!req->suspended)
+		return;
+	req->suspended = false;
+	htd_gone_stop(&req->gone, req->gwy->node->loop);
+	MHD_resume_connection(req->connection);
+	htd_kick(req->gwy->htd);
+}
+
+void gwy_request_timer(struct gwy_request *req, int64_t at_us, int64_t now_us)
+{
+	struct ev_loop *loop = req->gwy->node->loop;
+
+	ev_timer_stop(loop, &req->timer);
+	ev_timer_set(&req->timer, (double)MAX(at_us - now_us, 0) / 1e6, 0.0);
+	ev_timer_start(loop, &req->timer);
+}
+
+void gwy_request_stop_tries(struct gwy_request *req)
+{
+	for (uint32_t i = 0; i < req->try_count; i++) {
+		struct gwy_try *t = &req->tries[i];
+
+		if (!t->tgt)
+			continue;
+		/* Closing the connection ends the work at the target. */
+		if (tgt_free(t->tgt) && t->held)
+			req->may_have_run = true;
+		t->tgt = NULL;
+		if (t->held)
+			t->err = FS_E_CANCELLED;
+		gwy_send_release(t);
+	}
+	req->stream = NULL;
+}
+
+static void add_tries(const struct gwy_request *req, GString *out)
+{
+	g_string_append(out, ",\"tries\":[");
+	for (uint32_t i = 0; i < req->try_count; i++) {
+		const struct gwy_try *t = &req->tries[i];
+
+		g_string_append_printf(
+			out,
+			"%s{\"target\":\"%s\",\"at_ms\":%lld,\"took_ms\":%lld,"
+			"\"status\":%u,\"end\":\"%s\",\"not_run\":%s}",
+			i ? "," : "", t->target->entry.id,
+			(long long)((t->started_us - req->started_us) /
+				    FS_US_PER_MS),
+			(long long)(t->took_us / FS_US_PER_MS), t->status,
+			fs_err_name(t->err), t->not_run ? "true" : "false");
+	}
+	g_string_append_c(out, ']');
+}
+
+void gwy_request_log(struct gwy_request *req, const char *outcome,
+		     int64_t now_us)
+{
+	g_autoptr(GString) out = g_string_new("\"request\":");
+
+	if (req->logged)
+		return;
+	req->logged = true;
+	fs_json_string(out, req->id ? req->id : "");
+	g_string_append_printf(out, ",\"outcome\":\"%s\",\"status\":%u",
+			       outcome, req->status);
+	if (req->cfg && req->route != FS_NONE)
+		g_string_append_printf(
+			out,
+			",\"route\":\"%s\",\"service\":\"%s\",\"version\":%"
+			G_GUINT64_FORMAT,
+			gwy_route_of(req)->name, gwy_service_name(req),
+			req->cfg->version);
+	g_string_append_printf(
+		out, ",\"took_ms\":%lld,\"given_ms\":%lld",
+		(long long)((now_us - req->started_us) / FS_US_PER_MS),
+		(long long)((req->deadline_us - req->started_us) /
+			    FS_US_PER_MS));
+	if (req->no_retry)
+		g_string_append_printf(out, ",\"no_retry\":\"%s\"",
+				       req->no_retry);
+	add_tries(req, out);
+	fs_log_event("gwy", G_LOG_LEVEL_INFO, "request", out->str);
+}
--- /dev/null
+++ b/src/gwy_send.c
@@ -0,0 +1,505 @@
+#include "gwy_impl.h"
+
+#include <string.h>
+
+#include "fs_log.h"
+#include "rty.h"
+
+/* A failure costs a request that may not be repeated its whole worth, several
+ * times the time it is allowed; another one costs it a second send, which the
+ * budget may not have. In objectives of the route. */
+#define FAILURE_ONCE 6
+#define FAILURE_REPEATABLE 3
+/* Another failure domain costs a way of 1 ms, and what its load is not known
+ * so well; a long answer costs its bytes between domains, which the dearer
+ * deployment prices at half a request for 90 kB. */
+#define CROSS_US (60 * FS_US_PER_MS)
+#define CROSS_BYTE_US 7
+#define OBJECTIVE_DEFAULT_US FS_US_PER_S /* of routes that tell none */
+
+/* An answer is overdue at two and a half times the mean, where one request in
+ * twenty of the deployments' work still runs, but not before half of the
+ * route's objective. */
+#define OVERDUE_MEANS 2.5
+#define OVERDUE_SHARE 0.5
+/* The first target is likely gray: a second send may answer sooner. */
+#define HEDGE_GRAY 0.35
+
+/* Callers come back spread over this time, so that they do not meet again. */
+#define COME_BACK_MIN_US (200 * FS_US_PER_MS)
+#define COME_BACK_SPREAD_US (400 * FS_US_PER_MS)
+
+static uint64_t next_random(struct gwy *gwy)
+{
+	gwy->random ^= gwy->random << 13;
+	gwy->random ^= gwy->random >> 7;
+	gwy->random ^= gwy->random << 17;
+	return gwy->random;
+}
+
+static int64_t come_back(struct gwy *gwy)
+{
+	return COME_BACK_MIN_US +
+	       (int64_t)(next_random(gwy) % COME_BACK_SPREAD_US);
+}
+
+static struct bud *budget_of(struct gwy_request *req)
+{
+	struct gwy *gwy = req->gwy;
+	const char *name = gwy_service_name(req);
+	struct bud *bud = g_hash_table_lookup(gwy->budgets, name);
+
+	if (!bud) {
+		bud = g_new0(struct bud, 1);
+		g_hash_table_insert(gwy->budgets, g_strdup(name), bud);
+	}
+	return bud;
+}
+
+static int64_t objective_of(const struct gwy_request *req)
+{
+	int64_t us = gwy_route_of(req)->objective_us;
+
+	return us > 0 ? us : OBJECTIVE_DEFAULT_US;
+}
+
+void gwy_send_release(struct gwy_try *t)
+{
+	if (!t->held)
+		return;
+	t->held = false;
+	t->req->running--;
+	if (t->target->gone)
+		return;
+	bal_of(t->target, t->started_us)->own--;
+	lod_change(t->req->gwy->lod, t->target);
+}
+
+static uint32_t tried(const struct gwy_request *req,
+		      const struct dir_target *out[GWY_TRIES_MAX])
+{
+	for (uint32_t i = 0; i < req->try_count; i++)
+		out[i] = req->tries[i].target;
+	return req->try_count;
+}
+
+static struct bal_choice choose(struct gwy_request *req, int64_t now_us)
+{
+	struct gwy *gwy = req->gwy;
+	const struct dir_target *avoid[GWY_TRIES_MAX];
+	const char *service = gwy_service_name(req);
+	int64_t objective_us = objective_of(req);
+	struct bal_wish wish = {
+		.domain = gwy->node->set.domain,
+		.mean_us = lod_mean(gwy->lod, service),
+		.failure_us = objective_us * (gwy_route_of(req)->repeatable ?
+						      FAILURE_REPEATABLE :
+						      FAILURE_ONCE),
+		.cross_us = CROSS_US +
+			    CROSS_BYTE_US * gwy_answer_mean_bytes(req),
+		.avoid = avoid,
+		.avoid_count = tried(req, avoid),
+		.now_us = now_us,
+		.random = next_random(gwy),
+	};
+
+	return bal_choose(dir_find(gwy->dir, service), &wish);
+}
+
+static int64_t overdue_us(const struct gwy_request *req)
+{
+	int64_t mean_us = lod_mean(req->gwy->lod, gwy_service_name(req));
+
+	return (int64_t)MAX((double)mean_us * OVERDUE_MEANS,
+			    (double)objective_of(req) * OVERDUE_SHARE);
+}
+
+static void set_timer(struct gwy_request *req, int64_t now_us)
+{
+	int64_t at_us = req->deadline_us;
+	int64_t late_us = overdue_us(req);
+
+	for (uint32_t i = 0; i < req->try_count; i++) {
+		const struct gwy_try *t = &req->tries[i];
+
+		if (t->held && !t->overdue)
+			at_us = MIN(at_us, t->started_us + late_us);
+	}
+	gwy_request_timer(req, at_us, now_us);
+}
+
+static const struct tgt_ops try_ops;
+
+static bool start_tgt(struct gwy_try *t, int64_t now_us)
+{
+	struct gwy_request *req = t->req;
+	struct gwy *gwy = req->gwy;
+	const struct dir_entry *entry = &t->target->entry;
+	struct msg_request *m = &req->m->request;
+	bool repeatable = gwy_route_of(req)->repeatable;
+	struct tgt_request request = {
+		.address = entry->address,
+		.m = m,
+		.id = req->id,
+		.repeatable = repeatable,
+		.fresh = req->try_count > 1,
+		.deadline_us = req->deadline_us,
+		.head_us = req->deadline_us,
+		.dialect = &gwy->fields.target,
+	};
+
+	msg_headers_add(m->headers, gwy->fields.instance, entry->id);
+	t->tgt = tgt_start(gwy->pool, &request, &try_ops, t, now_us);
+	g_array_remove_index(m->headers, m->headers->len - 1);
+	return t->tgt != NULL;
+}
+
+/* Starts a send to the target of a choice. */
+static void start_try(struct gwy_request *req, const struct bal_choice *choice,
+		      int64_t now_us)
+{
+	struct gwy_try *t = &req->tries[req->try_count++];
+
+	t->req = req;
+	t->target = dir_target_ref(choice->target);
+	t->started_us = now_us;
+	t->held = true;
+	req->running++;
+	bal_of(t->target, now_us)->own++;
+	lod_change(req->gwy->lod, t->target);
+	if (req->sent) {
+		bud_repeat(budget_of(req), &req->gwy->budget_rule, now_us);
+		lod_sent(req->gwy->lod, gwy_service_name(req), 0, 1);
+	}
+	req->sent++;
+	ctr_count(req->gwy->node->ctr, "gwy_sends", 1);
+	if (!start_tgt(t, now_us)) {
+		t->err = FS_E_NO_MEMORY;
+		t->not_run = true;
+		gwy_send_release(t);
+	}
+}
+
+/* Returns why a request can't be sent now, or 0. */
+static int cannot_send(const struct gwy_request *req,
+		       const struct bal_choice *choice, int64_t now_us)
+{
+	int64_t left_us = req->deadline_us - now_us;
+
+	if (left_us < GWY_LEFT_MIN_US)
+		return req->may_have_run ? FS_E_DEADLINE : FS_E_DEADLINE_QUEUED;
+	if (!choice->target)
+		return FS_E_NO_TARGET;
+	if (choice->wait_us > left_us)
+		return FS_E_WAIT_TOO_LONG;
+	return 0;
+}
+
+static const char *reason(const struct rty_numbers *n)
+{
+	if (!n->repeatable && n->written)
+		return "may_have_run";
+	if (n->tries >= n->tries_max)
+		return "attempts";
+	if (n->budget_milli < RTY_COST_MILLI)
+		return "budget";
+	if (n->remaining_us <= 0)
+		return "deadline";
+	return "no_target";
+}
+
+/* A node's own share is always its own. While the whole fleet has more left
+ * than one repeat for each node, a node may take more: what the others take
+ * before it hears of them then stays within the budget. */
+static double budget_left(struct gwy_request *req, int64_t now_us)
+{
+	struct gwy *gwy = req->gwy;
+	double own = bud_left(budget_of(req), &gwy->budget_rule, gwy->alive,
+			      now_us);
+	double pool = lod_budget_left(gwy->lod, gwy_service_name(req),
+				      &gwy->budget_rule, now_us);
+
+	return MAX(own, pool - gwy->alive);
+}
+
+/* Sends a request once more, if the rule of retries allows it. */
+static bool send_again(struct gwy_request *req, int64_t now_us)
+{
+	struct gwy *gwy = req->gwy;
+	const struct cfg_route *route = gwy_route_of(req);
+	struct bal_choice choice = choose(req, now_us);
+	struct rty_numbers n = {
+		.repeatable = route->repeatable,
+		.written = req->may_have_run,
+		.begun = req->state == GWY_STREAMING,
+		.tries = req->sent,
+		.tries_max = MAX(route->tries, 1),
+		.budget_milli = (int64_t)(budget_left(req, now_us) *
+					  RTY_COST_MILLI),
+		.remaining_us = req->deadline_us - now_us - GWY_LEFT_MIN_US,
+		.usable = choice.target ? 1 : 0,
+	};
+
+	/* A send that reached nobody is not repeated by the next one. */
+	if (!req->sent)
+		n.budget_milli = RTY_COST_MILLI;
+	if (req->try_count == GWY_TRIES_MAX ||
+	    cannot_send(req, &choice, now_us) || !rty_allowed(&n)) {
+		req->no_retry = reason(&n);
+		return false;
+	}
+	ctr_count(gwy->node->ctr, "gwy_sent_again", 1);
+	start_try(req, &choice, now_us);
+	set_timer(req, now_us);
+	return true;
+}
+
+void gwy_send_first(struct gwy_request *req, int64_t now_us)
+{
+	struct bal_choice choice = choose(req, now_us);
+	int err = cannot_send(req, &choice, now_us);
+
+	req->state = GWY_WAITING;
+	bud_request(budget_of(req), &req->gwy->budget_rule, now_us);
+	lod_sent(req->gwy->lod, gwy_service_name(req), 1, 0);
+	if (err) {
+		gwy_answer_refuse(req, err, come_back(req->gwy), now_us);
+		return;
+	}
+	start_try(req, &choice, now_us);
+	if (req->running)
+		set_timer(req, now_us);
+	else
+		gwy_answer_refuse(req, FS_E_NO_TARGET, come_back(req->gwy),
+				  now_us);
+}
+
+/* What an ended send says of its target. */
+static enum gry_outcome outcome_of(const struct gwy_try *t)
+{
+	if (t->err == FS_E_CONNECT)
+		return GRY_UNREACHABLE;
+	if (t->err == FS_E_DEADLINE || (!t->err && t->status == 504))
+		return GRY_OVERDUE;
+	if (t->err)
+		return GRY_BROKEN;
+	if (t->not_run)
+		return t->status == 421 ? GRY_OTHER : GRY_FULL;
+	return t->status >= 500 ? GRY_FAILED : GRY_GOOD;
+}
+
+static void tell_outcome(struct gwy_try *t)
+{
+	enum gry_outcome outcome = outcome_of(t);
+
+	if (outcome == GRY_OVERDUE && t->overdue)
+		return;
+	t->overdue |= outcome == GRY_OVERDUE;
+	lod_outcome(t->req->gwy->lod, t->target, outcome, t->took_us);
+}
+
+static bool is_not_run(const struct gwy_try *t, const struct tgt_end *end,
+		       const GArray *headers)
+{
+	if (end->err)
+		return !end->written;
+	return t->status == 421 ||
+	       msg_headers_get(headers, t->req->gwy->fields.not_run);
+}
+
+/* The answer of the fleet when no send gave one that can be passed on. */
+static int final_err(const struct gwy_try *t)
+{
+	if (!t->req->may_have_run)
+		return t->err && t->err != FS_E_CONNECT ? FS_E_DEADLINE_QUEUED :
+		       t->err				? FS_E_NO_TARGET :
+							  FS_E_TARGET_REFUSED;
+	if (!t->err || t->not_run)
+		return FS_E_TARGET_RESET;
+	return t->err;
+}
+
+static void finish(struct gwy_try *t, int64_t now_us)
+{
+	struct gwy_request *req = t->req;
+	int err;
+
+	if (!t->err && !t->not_run) {
+		gwy_answer_whole(t, now_us);
+		return;
+	}
+	err = final_err(t);
+	gwy_answer_refuse(req, err,
+			  req->may_have_run ? 0 : come_back(req->gwy), now_us);
+}
+
+/* A failure answer is passed on only if no better one can be had. */
+static bool is_good(const struct gwy_try *t)
+{
+	return !t->err && !t->not_run && t->status < 500;
+}
+
+static void on_stream_end(struct gwy_try *t)
+{
+	struct gwy_request *req = t->req;
+
+	req->stream_ended = true;
+	req->stream_failed = t->err != 0;
+	gwy_request_log(req, t->err ? fs_err_name(t->err) : "answered",
+			fs_now_us());
+	ev_timer_stop(req->gwy->node->loop, &req->timer);
+	req->state = GWY_ENDED;
+	gwy_request_resume(req);
+}
+
+static void on_done(void *arg, struct tgt *tgt, const struct tgt_end *end)
+{
+	struct gwy_try *t = arg;
+	struct gwy_request *req = t->req;
+	int64_t now_us = fs_now_us();
+	bool streaming = req->stream == t;
+	g_autoptr(GArray) headers = NULL;
+
+	t->err = end->err;
+	t->status = end->err ? 0 : tgt_status(tgt);
+	t->took_us = end->took_us;
+	if (!streaming)
+		headers = tgt_peek_headers(tgt);
+	t->not_run = !streaming && is_not_run(t, end, headers);
+	/* Nothing was written: the server never saw this send. */
+	if (end->err && !end->written)
+		req->sent--;
+	else if (!t->not_run)
+		req->may_have_run = true;
+	tell_outcome(t);
+	gwy_send_release(t);
+	if (streaming) {
+		on_stream_end(t);
+		return;
+	}
+	if (req->state != GWY_WAITING)
+		return;
+	if (is_good(t)) {
+		gwy_answer_whole(t, now_us);
+		gwy_request_stop_tries(req);
+		return;
+	}
+	/* Another send is still under way, or follows now. */
+	if (req->running || send_again(req, now_us))
+		return;
+	finish(t, now_us);
+}
+
+/* The body is long: pass it on while it comes in. */
+static void on_begun(void *arg, struct tgt *tgt)
+{
+	struct gwy_try *t = arg;
+	struct gwy_request *req = t->req;
+
+	if (req->state != GWY_WAITING)
+		return;
+	t->status = tgt_status(tgt);
+	gwy_answer_stream(t, fs_now_us());
+	for (uint32_t i = 0; i < req->try_count; i++) {
+		struct gwy_try *other = &req->tries[i];
+
+		if (other == t || !other->tgt)
+			continue;
+		tgt_free(other->tgt);
+		other->tgt = NULL;
+		other->err = FS_E_CANCELLED;
+		gwy_send_release(other);
+	}
+}
+
+static void on_more(void *arg, struct tgt *tgt)
+{
+	const struct gwy_try *t = arg;
+
+	(void)tgt;
+	if (t->req->stream == t)
+		gwy_request_resume(t->req);
+}
+
+static bool on_silent(void *arg, struct tgt *tgt)
+{
+	(void)arg;
+	(void)tgt;
+	return false;
+}
+
+static const struct tgt_ops try_ops = {
+	.begun = on_begun,
+	.more = on_more,
+	.silent = on_silent,
+	.done = on_done,
+};
+
+static void note_overdue(struct gwy_request *req, int64_t now_us)
+{
+	int64_t late_us = overdue_us(req);
+
+	for (uint32_t i = 0; i < req->try_count; i++) {
+		struct gwy_try *t = &req->tries[i];
+
+		if (!t->held || t->overdue ||
+		    now_us - t->started_us < late_us)
+			continue;
+		t->overdue = true;
+		lod_outcome(req->gwy->lod, t->target, GRY_OVERDUE, 0);
+	}
+}
+
+/* A second send beside the first one: only if that one's target is likely
+ * gray, and only to a target with room. */
+static void hedge(struct gwy_request *req, int64_t now_us)
+{
+	const struct gwy_try *t = &req->tries[req->try_count - 1];
+	struct bal_choice choice;
+
+	if (!gwy_route_of(req)->repeatable || req->running != 1 ||
+	    t->target->gone ||
+	    gry_failure(&bal_of(t->target, now_us)->gry, now_us) < HEDGE_GRAY)
+		return;
+	choice = choose(req, now_us);
+	if (choice.target && !choice.wait_us && choice.failure < HEDGE_GRAY)
+		send_again(req, now_us);
+}
+
+static void give_up(struct gwy_request *req, int64_t now_us)
+{
+	if (req->state == GWY_STREAMING) {
+		gwy_request_stop_tries(req);
+		req->stream_failed = true;
+		gwy_request_log(req, fs_err_name(FS_E_DEADLINE), now_us);
+		req->state = GWY_ENDED;
+		gwy_request_resume(req);
+		return;
+	}
+	for (uint32_t i = 0; i < req->try_count; i++) {
+		struct gwy_try *t = &req->tries[i];
+
+		if (t->held && !t->overdue)
+			lod_outcome(req->gwy->lod, t->target, GRY_OVERDUE, 0);
+	}
+	gwy_request_stop_tries(req);
+	gwy_answer_refuse(req,
+			  req->may_have_run ? FS_E_DEADLINE :
+					      FS_E_DEADLINE_QUEUED,
+			  0, now_us);
+}
+
+void gwy_send_timer(struct gwy_request *req, int64_t now_us)
+{
+	if (req->state == GWY_ENDED)
+		return;
+	if (now_us >= req->deadline_us) {
+		give_up(req, now_us);
+		return;
+	}
+	if (req->state == GWY_WAITING) {
+		note_overdue(req, now_us);
+		hedge(req, now_us);
+	}
+	set_timer(req, now_us);
+}
--- /dev/null
+++ b/src/gwy_stop.c
@@ -0,0 +1,63 @@
+#include "gwy_impl.h"
+
+#include "fs_log.h"
+
+#define TICK_US (50 * FS_US_PER_MS)
+/* Callers keep an answer with this node's address for two seconds; until then
+ * new connections are still taken. */
+#define LISTEN_US (2200 * FS_US_PER_MS)
+/* Connections without a request are then closed by the end of the process;
+ * a request that crosses the close has not been read. */
+#define QUIET_US (300 * FS_US_PER_MS)
+/* Work still under way is cut only shortly before the process is killed. */
+#define MARGIN_US (350 * FS_US_PER_MS)
+
+static bool may_end(struct gwy *gwy, int64_t now_us)
+{
+	int64_t since_us = now_us - gwy->stop_us;
+
+	if (since_us >= gwy->node->set.stop_grace_us - MARGIN_US)
+		return true;
+	if (since_us < LISTEN_US)
+		return false;
+	if (!gwy->quiesced) {
+		htd_quiesce(gwy->htd);
+		gwy->quiesced = true;
+	}
+	return !g_hash_table_size(gwy->requests) &&
+	       since_us >= LISTEN_US + QUIET_US;
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct gwy *gwy = timer->data;
+	struct msg *m;
+
+	(void)events;
+	if (!may_end(gwy, fs_now_us()))
+		return;
+	ev_timer_stop(loop, timer);
+	fs_log_eventf("gwy", G_LOG_LEVEL_MESSAGE, "gateway_stopped",
+		      "\"requests_left\":%u",
+		      g_hash_table_size(gwy->requests));
+	m = msg_new(MSG_STOPPED, gwy->node->self, MSG_TASK_NODE);
+	m->stopped.task = MSG_TASK_ENTRY;
+	bus_send(gwy->node->bus, m);
+}
+
+void gwy_stop_begin(struct gwy *gwy, int64_t now_us)
+{
+	if (gwy->stopping)
+		return;
+	gwy->stopping = true;
+	gwy->stop_us = now_us;
+	ev_timer_init(&gwy->stop_timer, on_timer, TICK_US / 1e6, TICK_US / 1e6);
+	gwy->stop_timer.data = gwy;
+	ev_timer_start(gwy->node->loop, &gwy->stop_timer);
+}
+
+void gwy_stop_end(struct gwy *gwy)
+{
+	if (gwy->stopping)
+		ev_timer_stop(gwy->node->loop, &gwy->stop_timer);
+}
--- /dev/null
+++ b/src/lod.c
@@ -0,0 +1,506 @@
+#include "lod_impl.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "fs_log.h"
+
+#define BURST_MAX 128	      /* datagrams of one turn of the loop */
+#define EVIDENCE_KEPT_MAX 128 /* rows that wait for a report */
+/* Of the fleet's budget a part is kept back for what is not known here yet. */
+#define POOL_SHARE 0.85
+
+void lod_begin(struct lod *lod, struct lod_packet *packet, enum lod_type type)
+{
+	lod_packet_init(packet, type);
+	packet->sender = lod->node->self;
+	packet->incarnation = lod->node->incarnation;
+	packet->serial = ++lod->serial;
+	packet->domain = lod->domain;
+}
+
+void lod_change(struct lod *lod, struct dir_target *target)
+{
+	void *key = GUINT_TO_POINTER(target->hash);
+
+	lod->changed = true;
+	if (target->judge && bal_of(target, 0)->own)
+		g_hash_table_add(lod->busy, key);
+	else
+		g_hash_table_remove(lod->busy, key);
+}
+
+static void keep_evidence(struct lod *lod, const struct lod_evidence *e)
+{
+	for (guint i = 0; i < lod->evidence->len; i++) {
+		struct lod_evidence *row =
+			&g_array_index(lod->evidence, struct lod_evidence, i);
+
+		if (row->target != e->target || row->outcome != e->outcome)
+			continue;
+		row->count += e->count;
+		row->took_us += e->took_us;
+		return;
+	}
+	if (lod->evidence->len < EVIDENCE_KEPT_MAX)
+		g_array_append_val(lod->evidence, *e);
+	else
+		ctr_count(lod->node->ctr, "lod_evidence_dropped", 1);
+}
+
+void lod_outcome(struct lod *lod, struct dir_target *target,
+		 enum gry_outcome outcome, int64_t took_us)
+{
+	struct lod_evidence e = {
+		.origin = lod->node->self,
+		.target = target->hash,
+		.outcome = outcome,
+		.count = 1,
+		.took_us = outcome == GRY_GOOD ? took_us : 0,
+	};
+
+	lod->changed = true;
+	lod->urgent |= outcome != GRY_GOOD && outcome != GRY_FULL;
+	lod_judge(lod, &e, true);
+	keep_evidence(lod, &e);
+}
+
+void lod_add_sends(GHashTable *table, const struct lod_sends *sends)
+{
+	void *key = GUINT_TO_POINTER(sends->service);
+	struct lod_sends *row = g_hash_table_lookup(table, key);
+
+	if (!row) {
+		row = g_new0(struct lod_sends, 1);
+		row->service = sends->service;
+		g_hash_table_insert(table, key, row);
+	}
+	row->requests += sends->requests;
+	row->repeats += sends->repeats;
+}
+
+void lod_sent(struct lod *lod, const char *service, uint32_t requests,
+	      uint32_t repeats)
+{
+	const struct lod_sends sends = {lod_service_hash(service), requests,
+					repeats};
+
+	lod_add_sends(lod->sends, &sends);
+	lod->changed = true;
+}
+
+static struct bud *pool_of(struct lod *lod, uint32_t service)
+{
+	void *key = GUINT_TO_POINTER(service);
+	struct bud *pool = g_hash_table_lookup(lod->pools, key);
+
+	if (!pool) {
+		pool = g_new0(struct bud, 1);
+		g_hash_table_insert(lod->pools, key, pool);
+	}
+	return pool;
+}
+
+double lod_budget_left(struct lod *lod, const char *service,
+		       const struct bud_rule *rule, int64_t now_us)
+{
+	struct bud_rule part = *rule;
+
+	lod->rule = *rule;
+	part.ratio *= POOL_SHARE;
+	part.slack *= POOL_SHARE;
+	return bud_left(pool_of(lod, lod_service_hash(service)), &part, 1,
+			now_us);
+}
+
+static void take_sends(struct lod *lod, const struct lod_sends *sends,
+		       int64_t now_us)
+{
+	struct bud *pool = pool_of(lod, sends->service);
+
+	if (!lod->rule.window_us)
+		return;
+	for (uint32_t i = 0; i < sends->requests; i++)
+		bud_request(pool, &lod->rule, now_us);
+	for (uint32_t i = 0; i < sends->repeats; i++)
+		bud_repeat(pool, &lod->rule, now_us);
+}
+
+/* Sets what others have at a target: all domains' counts but this node's. */
+static void set_others(struct lod *lod, void *hash)
+{
+	struct dir_target *target =
+		dir_target_by_hash(lod->dir, GPOINTER_TO_UINT(hash));
+	uint32_t own = GPOINTER_TO_UINT(g_hash_table_lookup(lod->own, hash));
+	uint32_t total = 0;
+	GHashTableIter iter;
+	void *value;
+
+	if (!target)
+		return;
+	g_hash_table_iter_init(&iter, lod->domains);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		total += GPOINTER_TO_UINT(g_hash_table_lookup(
+			((struct lod_domain *)value)->counts, hash));
+	bal_of(target, fs_now_us())->others = total - MIN(own, total);
+}
+
+static struct lod_domain *domain_of(struct lod *lod, uint32_t hash)
+{
+	void *key = GUINT_TO_POINTER(hash);
+	struct lod_domain *domain = g_hash_table_lookup(lod->domains, key);
+
+	if (!domain) {
+		domain = g_new0(struct lod_domain, 1);
+		domain->hash = hash;
+		domain->counts = g_hash_table_new(NULL, NULL);
+		g_hash_table_insert(lod->domains, key, domain);
+	}
+	return domain;
+}
+
+static bool is_old(const struct lod_domain *domain,
+		   const struct lod_packet *packet)
+{
+	return domain->hub == packet->sender &&
+	       (domain->incarnation > packet->incarnation ||
+		(domain->incarnation == packet->incarnation &&
+		 (int32_t)(packet->serial - domain->serial) <= 0));
+}
+
+void lod_take_digest(struct lod *lod, const struct lod_packet *packet,
+		     int64_t now_us)
+{
+	struct lod_domain *domain = domain_of(lod, packet->domain);
+
+	if (is_old(domain, packet))
+		return;
+	domain->hub = packet->sender;
+	domain->incarnation = packet->incarnation;
+	domain->serial = packet->serial;
+	domain->heard_us = now_us;
+	if (packet->domain == lod->domain &&
+	    packet->sender != lod->node->self)
+		lod->hub_heard_us = now_us;
+	for (guint i = 0; i < packet->counts->len; i++) {
+		const struct lod_count *c =
+			&g_array_index(packet->counts, struct lod_count, i);
+
+		g_hash_table_insert(domain->counts,
+				    GUINT_TO_POINTER(c->target),
+				    GUINT_TO_POINTER(c->requests));
+		set_others(lod, GUINT_TO_POINTER(c->target));
+	}
+	for (guint i = 0; i < packet->evidence->len; i++) {
+		const struct lod_evidence *e = &g_array_index(
+			packet->evidence, struct lod_evidence, i);
+
+		if (e->origin != lod->node->self)
+			lod_judge(lod, e, false);
+	}
+	for (guint i = 0; i < packet->sends->len; i++)
+		take_sends(lod,
+			   &g_array_index(packet->sends, struct lod_sends, i),
+			   now_us);
+}
+
+static void drop_stale(struct lod *lod, int64_t now_us)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, lod->domains);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct lod_domain *domain = value;
+		g_autoptr(GList) targets = NULL;
+
+		if (now_us - domain->heard_us <= LOD_STALE_US ||
+		    !g_hash_table_size(domain->counts))
+			continue;
+		targets = g_hash_table_get_keys(domain->counts);
+		g_hash_table_remove_all(domain->counts);
+		for (GList *l = targets; l; l = l->next)
+			set_others(lod, l->data);
+	}
+}
+
+static void send_to(struct lod *lod, const GByteArray *data,
+		    const struct mem_member *m)
+{
+	struct sockaddr_in to = m->peer;
+
+	to.sin_port = lod->port;
+	/* Lost, as datagrams may be. */
+	(void)sendto(lod->fd, data->data, data->len, 0,
+		     (const struct sockaddr *)&to, sizeof(to));
+	ctr_add(lod->node->ctr, lod->sent, 1);
+}
+
+void lod_send(struct lod *lod, const GByteArray *data, node_id to)
+{
+	const struct mem_member *m =
+		lod->view ? mem_view_find(lod->view, to) : NULL;
+
+	if (m && to != lod->node->self)
+		send_to(lod, data, m);
+}
+
+void lod_send_domain(struct lod *lod, const GByteArray *data)
+{
+	for (uint32_t i = 0; i < lod->view->count; i++) {
+		const struct mem_member *m = &lod->view->members[i];
+
+		if (m->id != lod->node->self && m->state != MEM_DEAD &&
+		    lod_service_hash(m->domain) == lod->domain)
+			send_to(lod, data, m);
+	}
+}
+
+static void take_packet(struct lod *lod, const struct lod_packet *packet,
+			const uint8_t *data, size_t size, int64_t now_us)
+{
+	bool local = packet->domain == lod->domain;
+
+	if (packet->type == LOD_REPORT) {
+		lod_hub_report(lod, packet, now_us);
+		return;
+	}
+	if (packet->type != LOD_DIGEST || packet->sender == lod->node->self)
+		return;
+	/* A digest of another domain comes to the hub, which passes it on. */
+	if (!local && lod->hubs[0] == lod->node->self) {
+		g_autoptr(GByteArray) copy = g_byte_array_new();
+
+		g_byte_array_append(copy, data, (guint)size);
+		lod_send_domain(lod, copy);
+	}
+	lod_take_digest(lod, packet, now_us);
+}
+
+static void on_datagram(struct ev_loop *loop, ev_io *io, int events)
+{
+	struct lod *lod = io->data;
+	uint8_t data[FS_DATAGRAM_MAX + 1];
+	int64_t now_us = fs_now_us();
+
+	(void)loop;
+	(void)events;
+	for (int i = 0; i < BURST_MAX && lod->view; i++) {
+		ssize_t n = recv(lod->fd, data, sizeof(data), 0);
+		struct lod_packet packet;
+
+		if (n < 0)
+			return;
+		if (lod_wire_decode(data, (size_t)n, lod->node->set.fleet_key,
+				    &packet))
+			ctr_add(lod->node->ctr, lod->refused, 1);
+		else
+			take_packet(lod, &packet, data, (size_t)n, now_us);
+		ctr_add(lod->node->ctr, lod->received, 1);
+		lod_packet_clear(&packet);
+	}
+}
+
+static void add_own_counts(struct lod *lod, struct lod_packet *packet)
+{
+	GHashTableIter iter;
+	void *hash;
+
+	g_hash_table_remove_all(lod->own);
+	g_hash_table_iter_init(&iter, lod->busy);
+	while (g_hash_table_iter_next(&iter, &hash, NULL)) {
+		struct dir_target *target =
+			dir_target_by_hash(lod->dir, GPOINTER_TO_UINT(hash));
+		struct lod_count c = {GPOINTER_TO_UINT(hash), 0};
+
+		if (!target || packet->counts->len >= LOD_COUNTS_MAX)
+			continue;
+		c.requests = bal_of(target, 0)->own;
+		g_array_append_val(packet->counts, c);
+		g_hash_table_insert(lod->own, hash,
+				    GUINT_TO_POINTER(c.requests));
+	}
+}
+
+static void add_sends(struct lod *lod, struct lod_packet *packet)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, lod->sends);
+	while (packet->sends->len < LOD_SENDS_MAX &&
+	       g_hash_table_iter_next(&iter, NULL, &value)) {
+		g_array_append_val(packet->sends, *(struct lod_sends *)value);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+static void add_evidence(struct lod *lod, struct lod_packet *packet)
+{
+	guint n = MIN(lod->evidence->len, LOD_EVIDENCE_MAX);
+
+	g_array_append_vals(packet->evidence, lod->evidence->data, n);
+	if (n)
+		g_array_remove_range(lod->evidence, 0, n);
+}
+
+static void report(struct lod *lod, int64_t now_us)
+{
+	g_autoptr(GByteArray) data = g_byte_array_new();
+	struct lod_packet packet;
+
+	lod_begin(lod, &packet, LOD_REPORT);
+	add_own_counts(lod, &packet);
+	add_evidence(lod, &packet);
+	add_sends(lod, &packet);
+	if (lod->hubs[0] == lod->node->self ||
+	    lod->hubs[1] == lod->node->self)
+		lod_hub_report(lod, &packet, now_us);
+	if (!lod_wire_encode(&packet, lod->node->set.fleet_key, data)) {
+		lod_send(lod, data, lod->hubs[0]);
+		lod_send(lod, data, lod->hubs[1]);
+	}
+	lod_packet_clear(&packet);
+	lod->changed = lod->evidence->len > 0;
+	lod->urgent = false;
+	lod->reported_us = now_us;
+}
+
+static int64_t pause_us(const struct lod *lod)
+{
+	if (lod->urgent)
+		return 0;
+	if (!lod->changed)
+		return LOD_REPEAT_US;
+	return MAX(LOD_REPORT_US, lod->domain_nodes * LOD_REPORT_PEER_US);
+}
+
+static void on_tick(void *task, int64_t now_us)
+{
+	struct lod *lod = task;
+
+	if (!lod->view)
+		return;
+	drop_stale(lod, now_us);
+	if ((lod->changed || g_hash_table_size(lod->busy)) &&
+	    now_us - lod->reported_us >= pause_us(lod))
+		report(lod, now_us);
+	lod_hub_tick(lod, now_us);
+}
+
+static void receive(void *task, struct msg *m, int64_t now_us)
+{
+	struct lod *lod = task;
+
+	(void)now_us;
+	if (m->type != MSG_VIEW)
+		return;
+	mem_view_unref(lod->view);
+	lod->view = mem_view_ref(m->view.view);
+	lod_hub_choose(lod);
+}
+
+static const struct bus_task_ops ops = {
+	.name = "load",
+	.receive = receive,
+};
+
+static int open_socket(const struct sockaddr_in *at)
+{
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd >= 0 && bind(fd, (const struct sockaddr *)at, sizeof(*at))) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+static void peer_free(void *data)
+{
+	struct lod_peer *peer = data;
+
+	g_hash_table_unref(peer->counts);
+	g_free(peer);
+}
+
+static void domain_free(void *data)
+{
+	struct lod_domain *domain = data;
+
+	g_hash_table_unref(domain->counts);
+	g_free(domain);
+}
+
+static void make_tables(struct lod *lod)
+{
+	lod->own = g_hash_table_new(NULL, NULL);
+	lod->busy = g_hash_table_new(NULL, NULL);
+	lod->evidence = g_array_new(FALSE, TRUE, sizeof(struct lod_evidence));
+	lod->sends = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	lod->domains = g_hash_table_new_full(NULL, NULL, NULL, domain_free);
+	lod->trust = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   g_free);
+	lod->means =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	lod->pools = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	lod->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   peer_free);
+	lod->told = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	lod->hub_evidence =
+		g_array_new(FALSE, TRUE, sizeof(struct lod_evidence));
+	lod->hub_sends = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+}
+
+struct lod *lod_new(struct node *node, struct dir *dir)
+{
+	int fd = open_socket(&node->set.load_listen);
+	struct lod *lod;
+
+	if (fd < 0) {
+		fs_log_eventf("lod", G_LOG_LEVEL_CRITICAL, "bind_failed",
+			      "\"reason\":\"%s\"", g_strerror(errno));
+		return NULL;
+	}
+	lod = g_new0(struct lod, 1);
+	lod->node = node;
+	lod->dir = dir;
+	lod->domain = lod_service_hash(node->set.domain);
+	lod->fd = fd;
+	lod->port = node->set.load_listen.sin_port;
+	make_tables(lod);
+	lod->sent = ctr_counter(node->ctr, "lod_sent_datagrams");
+	lod->received = ctr_counter(node->ctr, "lod_received_datagrams");
+	lod->refused = ctr_counter(node->ctr, "lod_refused_datagrams");
+	bus_attach(node->bus, MSG_TASK_LOAD, &ops, lod);
+	ev_io_init(&lod->io, on_datagram, fd, EV_READ);
+	lod->io.data = lod;
+	ev_io_start(node->loop, &lod->io);
+	node_add_tick(node, on_tick, lod);
+	return lod;
+}
+
+void lod_free(struct lod *lod)
+{
+	if (!lod)
+		return;
+	ev_io_stop(lod->node->loop, &lod->io);
+	node_remove_tick(lod->node, lod);
+	close(lod->fd);
+	g_hash_table_unref(lod->own);
+	g_hash_table_unref(lod->busy);
+	g_array_unref(lod->evidence);
+	g_hash_table_unref(lod->sends);
+	g_hash_table_unref(lod->domains);
+	g_hash_table_unref(lod->trust);
+	g_hash_table_unref(lod->means);
+	g_hash_table_unref(lod->pools);
+	g_hash_table_unref(lod->peers);
+	g_hash_table_unref(lod->told);
+	g_array_unref(lod->hub_evidence);
+	g_hash_table_unref(lod->hub_sends);
+	mem_view_unref(lod->view);
+	g_free(lod);
+}
--- /dev/null
+++ b/src/lod_impl.h
@@ -0,0 +1,116 @@
+/**
+ * @file lod_impl.h
+ * @brief Parts of the load exchange that its files share.
+ */
+#ifndef LOD_IMPL_H
+#define LOD_IMPL_H
+
+#include "lod.h"
+#include "lod_wire.h"
+
+/* A node reports changes at most so often; with many nodes less often, so that
+ * a hub takes at most two hundred reports a second. */
+#define LOD_REPORT_US (200 * FS_US_PER_MS)
+#define LOD_REPORT_PEER_US (5 * FS_US_PER_MS)
+#define LOD_REPEAT_US (1000 * FS_US_PER_MS) /* unchanged counts again */
+#define LOD_DIGEST_US (200 * FS_US_PER_MS)  /* between digests of a hub */
+/* The second choice speaks when the hub was silent for so long. */
+#define LOD_SILENT_US (700 * FS_US_PER_MS)
+
+/** Another node of this failure domain, as a hub knows it. */
+struct lod_peer {
+	uint64_t incarnation;
+	uint32_t serial;
+	int64_t heard_us;
+	GHashTable *counts; /* target hash to requests */
+};
+
+/** Where the digests of a failure domain stand. */
+struct lod_domain {
+	uint32_t hash;
+	uint64_t incarnation; /* of the hub heard last */
+	node_id hub;
+	uint32_t serial;
+	int64_t heard_us;
+	GHashTable *counts; /* target hash to requests in that domain */
+};
+
+/** Mean time of good answers of a service. */
+struct lod_mean {
+	double us;
+	uint32_t count;
+};
+
+/** What a hub told last of a target. */
+struct lod_told {
+	uint32_t requests;
+	int64_t at_us;
+};
+
+struct lod {
+	struct node *node;
+	struct dir *dir;
+	struct mem_view *view;
+	uint32_t domain; /* hash of this node's failure domain */
+	int fd;
+	uint16_t port; /* network order; the same on all nodes */
+	ev_io io;
+	uint32_t serial;
+	/* This node */
+	GHashTable *own;   /* target hash to requests, as last reported */
+	GHashTable *busy;  /* target hashes with requests of this node */
+	GArray *evidence;  /* struct lod_evidence, to be reported */
+	GHashTable *sends; /* service hash to struct lod_sends */
+	bool changed;
+	bool urgent; /* an outcome that others should know at once */
+	int64_t reported_us;
+	/* What is known */
+	GHashTable *domains; /* hash to struct lod_domain */
+	GHashTable *trust;   /* node_id * to double *, see lod_judge.c */
+	GHashTable *means;   /* service name to struct lod_mean */
+	GHashTable *pools;   /* service hash to struct bud, of the fleet */
+	struct bud_rule rule;
+	/* As a hub */
+	node_id hubs[2]; /* of this domain: first and second choice */
+	uint32_t domain_nodes;
+	GHashTable *peers;     /* node_id * to struct lod_peer */
+	GHashTable *told;      /* target hash to struct lod_told */
+	GArray *hub_evidence;  /* struct lod_evidence, to be told */
+	GHashTable *hub_sends; /* service hash to struct lod_sends */
+	bool hub_urgent;
+	int64_t digest_us;
+	int64_t hub_heard_us; /* last digest of this domain's hub */
+	handle sent, received, refused;
+};
+
+static inline uint32_t lod_service_hash(const char *name)
+{
+	return (uint32_t)fs_node_id(name);
+}
+
+/* Judging (lod_judge.c) */
+
+/** Applies outcomes to a target that this node sees. */
+void lod_judge(struct lod *lod, const struct lod_evidence *e, bool own);
+
+/* This domain's hub (lod_hub.c) */
+void lod_hub_choose(struct lod *lod);
+void lod_hub_report(struct lod *lod, const struct lod_packet *packet,
+		    int64_t now_us);
+void lod_hub_tick(struct lod *lod, int64_t now_us);
+
+/* Sockets (lod.c) */
+void lod_send(struct lod *lod, const GByteArray *data, node_id to);
+void lod_send_domain(struct lod *lod, const GByteArray *data);
+
+/** Starts a packet from this node. */
+void lod_begin(struct lod *lod, struct lod_packet *packet, enum lod_type type);
+
+/** Takes a digest, told by a hub or passed on by one. */
+void lod_take_digest(struct lod *lod, const struct lod_packet *packet,
+		     int64_t now_us);
+
+/** Adds sends to a table of struct lod_sends. */
+void lod_add_sends(GHashTable *table, const struct lod_sends *sends);
+
+#endif
--- /dev/null
+++ b/src/lod_judge.c
@@ -0,0 +1,101 @@
+#include "lod_impl.h"
+
+#include "fs_log.h"
+
+/* How far an outcome that another node told counts. A failure answer is the
+ * target's. What that node's own way to it may explain counts little: a node
+ * that is cut from a target alone goes on telling of it. It does not count at
+ * all once two in five of that node's outcomes are of that kind. */
+#define PATH_TRUST 0.25
+#define UNREACHABLE_TRUST 0.05
+#define PATH_DISTRUST 2.5
+#define PATH_WEIGHT 0.15 /* of one more outcome in a node's share of them */
+
+#define MEAN_WEIGHT 0.03 /* of one more answer in a service's mean time */
+/* The first answers count by their number, and say nothing of slowness. */
+#define MEAN_FIRST 20
+/* Such an answer did no work; it says nothing about the time that work takes. */
+#define WORK_MIN_US (10 * FS_US_PER_MS)
+
+static double weight_of(struct lod *lod, const struct lod_evidence *e)
+{
+	double *bad = g_hash_table_lookup(lod->trust, &e->origin);
+	bool path = gry_is_path(e->outcome);
+
+	if (!bad) {
+		bad = g_new0(double, 1);
+		g_hash_table_insert(lod->trust,
+				    g_memdup2(&e->origin, sizeof(e->origin)),
+				    bad);
+	}
+	for (uint32_t i = 0; i < e->count; i++)
+		*bad += PATH_WEIGHT * ((path ? 1.0 : 0.0) - *bad);
+	if (!path)
+		return 1.0;
+	return (e->outcome == GRY_UNREACHABLE ? UNREACHABLE_TRUST :
+						PATH_TRUST) *
+	       MAX(1.0 - PATH_DISTRUST * *bad, 0.0);
+}
+
+static void add_time(struct lod *lod, struct dir_target *target, int64_t us,
+		     int64_t now_us)
+{
+	struct lod_mean *mean =
+		g_hash_table_lookup(lod->means, target->entry.service);
+
+	if (us < WORK_MIN_US)
+		return;
+	if (!mean) {
+		mean = g_new0(struct lod_mean, 1);
+		g_hash_table_insert(lod->means,
+				    g_strdup(target->entry.service), mean);
+	}
+	if (mean->count >= MEAN_FIRST)
+		gry_note_time(&bal_of(target, now_us)->gry, us,
+			      (int64_t)mean->us, now_us);
+	mean->count++;
+	mean->us += MAX(MEAN_WEIGHT, 1.0 / mean->count) *
+		    ((double)us - mean->us);
+}
+
+static void log_change(const struct lod *lod, const struct dir_target *target,
+		       const struct lod_evidence *e, bool own, bool suspect,
+		       double failure)
+{
+	ctr_count(lod->node->ctr, suspect ? "lod_suspected" : "lod_trusted", 1);
+	fs_log_eventf("lod", G_LOG_LEVEL_INFO,
+		      suspect ? "target_suspected" : "target_trusted",
+		      "\"target\":\"%s\",\"service\":\"%s\",\"outcome\":\"%s\","
+		      "\"source\":\"%s\",\"failure_share\":%.2f",
+		      target->entry.id, target->entry.service,
+		      gry_outcome_name(e->outcome), own ? "own" : "peer",
+		      failure);
+}
+
+void lod_judge(struct lod *lod, const struct lod_evidence *e, bool own)
+{
+	struct dir_target *target = dir_target_by_hash(lod->dir, e->target);
+	double weight = own ? 1.0 : weight_of(lod, e);
+	int64_t now_us = fs_now_us();
+	struct gry *gry;
+	bool was;
+
+	if (!target)
+		return;
+	gry = &bal_of(target, now_us)->gry;
+	was = gry_is_suspect(gry, now_us);
+	for (uint32_t i = 0; i < e->count; i++) {
+		gry_note(gry, e->outcome, weight, now_us);
+		if (e->outcome == GRY_GOOD)
+			add_time(lod, target, e->took_us / e->count, now_us);
+	}
+	if (was != gry_is_suspect(gry, now_us))
+		log_change(lod, target, e, own, !was, gry_failure(gry, now_us));
+}
+
+int64_t lod_mean(const struct lod *lod, const char *service)
+{
+	const struct lod_mean *mean = g_hash_table_lookup(lod->means, service);
+
+	return mean ? (int64_t)mean->us : 0;
+}
--- /dev/null
+++ b/src/lod_wire.h
@@ -0,0 +1,70 @@
+/**
+ * @file lod_wire.h
+ * @brief Datagrams of the load exchange, encoded with msgpack and signed.
+ *
+ * A report comes from a node, a digest from a hub. Both carry the same kinds
+ * of rows; rows that do not fit go with the next datagram.
+ */
+#ifndef LOD_WIRE_H
+#define LOD_WIRE_H
+
+#include "fs_types.h"
+#include "gry.h"
+
+enum lod_type {
+	LOD_REPORT = 1, /* of one node, to its hub */
+	LOD_DIGEST,	/* of one failure domain, to all nodes */
+};
+
+/** Requests at a target. */
+struct lod_count {
+	uint32_t target; /* dir_target.hash */
+	uint32_t requests;
+};
+
+/** Outcomes at a target, seen by one node. */
+struct lod_evidence {
+	node_id origin;
+	uint32_t target;
+	enum gry_outcome outcome;
+	uint32_t count;
+	int64_t took_us; /* sum, of good outcomes */
+};
+
+/** Sends to a service. */
+struct lod_sends {
+	uint32_t service; /* hash of its name */
+	uint32_t requests;
+	uint32_t repeats;
+};
+
+/** One datagram. */
+struct lod_packet {
+	enum lod_type type;
+	node_id sender;
+	uint64_t incarnation;
+	uint32_t serial;
+	uint32_t domain;  /* hash of the sender's failure domain */
+	GArray *counts;	  /* struct lod_count */
+	GArray *evidence; /* struct lod_evidence */
+	GArray *sends;	  /* struct lod_sends */
+};
+
+/** Room for rows in one datagram, by their largest size. */
+#define LOD_COUNTS_MAX 48
+#define LOD_EVIDENCE_MAX 24
+#define LOD_SENDS_MAX 16
+
+void lod_packet_init(struct lod_packet *packet, enum lod_type type);
+void lod_packet_clear(struct lod_packet *packet);
+
+/** Encodes and signs. @param out  bytes are appended @return 0 or an error */
+int lod_wire_encode(const struct lod_packet *packet, const char *key,
+		    GByteArray *out);
+
+/** Checks and decodes. @param packet  out: to be cleared, also after an error
+ *  @return 0 or FS_E_PROTOCOL */
+int lod_wire_decode(const uint8_t *data, size_t size, const char *key,
+		    struct lod_packet *packet);
+
+#endif
--- a/src/mem.c
+++ b/src/mem.c
@@ -11,6 +11,7 @@
 #include "sig.h"
 
 G_STATIC_ASSERT(SIG_SIZE == MEM_SIGNATURE_SIZE);
+G_STATIC_ASSERT(MEM_TICK_US == NODE_TICK_US);
 
 #define RECEIVE_BURST 256	     /* datagrams of one turn of the loop */
 #define RECEIVE_BUFFER (1024 * 1024) /* bytes, holds a burst of joins */
@@ -21,7 +22,7 @@
 	struct mem_core *core;
 	int fd;
 	ev_io io;
-	ev_timer tick;
+	ev_timer start;
 	struct mem_view *view; /* the last one told */
 	handle sent, sent_bytes, received, received_bytes, refused;
 };
@@ -102,13 +103,11 @@
 	tell_hint(mem);
 }
 
-static void on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+static void on_tick(void *task, int64_t now_us)
 {
-	struct mem *mem = timer->data;
+	struct mem *mem = task;
 
-	(void)loop;
-	(void)events;
-	mem_core_tick(mem->core, fs_now_us());
+	mem_core_tick(mem->core, now_us);
 	tell_view(mem);
 }
 
@@ -141,8 +140,7 @@
 	for (uint32_t i = 0; i < node->set.seed_count; i++)
 		mem_core_add_seed(mem->core, &node->set.seeds[i]);
 	ev_io_start(loop, &mem->io);
-	ev_timer_init(timer, on_tick, 0.0, MEM_TICK_US / 1e6);
-	ev_timer_start(loop, timer);
+	node_add_tick(mem->node, on_tick, mem);
 }
 
 static void receive(void *task, struct msg *m, int64_t now_us)
@@ -223,9 +221,9 @@
 	node_add_status(node, "members", write_status, mem);
 	ev_io_init(&mem->io, on_datagram, fd, EV_READ);
 	mem->io.data = mem;
-	ev_timer_init(&mem->tick, on_start, 0.0, 0.0);
-	mem->tick.data = mem;
-	ev_timer_start(node->loop, &mem->tick);
+	ev_timer_init(&mem->start, on_start, 0.0, 0.0);
+	mem->start.data = mem;
+	ev_timer_start(node->loop, &mem->start);
 	return mem;
 }
 
@@ -234,7 +232,8 @@
 	if (!mem)
 		return;
 	ev_io_stop(mem->node->loop, &mem->io);
-	ev_timer_stop(mem->node->loop, &mem->tick);
+	ev_timer_stop(mem->node->loop, &mem->start);
+	node_remove_tick(mem->node, mem);
 	close(mem->fd);
 	mem_core_free(mem->core);
 	mem_view_unref(mem->view);
--- a/src/msg.c
+++ b/src/msg.c
@@ -28,6 +28,11 @@
 		m->handover.keys =
 			g_array_new(FALSE, TRUE, sizeof(struct msg_key));
 		g_array_set_clear_func(m->handover.keys, key_clear);
+	} else if (type == MSG_FEED_ENTRIES) {
+		m->feed_entries.entries =
+			g_array_new(FALSE, TRUE, sizeof(struct dir_entry));
+		m->feed_entries.removed =
+			g_array_new(FALSE, TRUE, sizeof(struct msg_removed));
 	}
 	return m;
 }
@@ -125,6 +130,10 @@
 	case MSG_TARGETS_LEAVING:
 		g_clear_pointer(&m->targets_leaving.servers, g_ptr_array_unref);
 		break;
+	case MSG_FEED_ENTRIES:
+		g_array_unref(m->feed_entries.entries);
+		g_array_unref(m->feed_entries.removed);
+		break;
 	case MSG_CONFIG:
 		cfg_unref(m->config.cfg);
 		break;
--- a/src/msg.h
+++ b/src/msg.h
@@ -11,6 +11,7 @@
 #define MSG_H
 
 #include "cfg.h"
+#include "dir.h"
 #include "fs_err.h"
 #include "fs_types.h"
 #include "mem.h"
@@ -34,6 +35,10 @@
 	MSG_CONFIG_TEXT, /* the newest text I know */
 	/* Leaving targets: from the pollers of the VM list to dispatchers */
 	MSG_TARGETS_LEAVING,
+	/* Directory of targets: between the feed tasks of nodes */
+	MSG_FEED_BEAT,	  /* what the sender knows, and how fresh it is */
+	MSG_FEED_ENTRIES, /* entries that changed, or all of them */
+	MSG_FEED_ASK,	  /* send me all you have */
 	MSG_REMOTE_COUNT,
 	/* Local only */
 	MSG_CONFIG = 64, /* a new configuration is in force */
@@ -70,6 +75,7 @@
 	MSG_TASK_OPERATOR,
 	MSG_TASK_LINK,
 	MSG_TASK_NODE, /* the daemon itself */
+	MSG_TASK_LOAD, /* load exchange of a gateway */
 	MSG_TASK_COUNT,
 };
 
@@ -193,6 +199,25 @@
 	GPtrArray *servers; /* char *, names */
 };
 
+/** MSG_FEED_BEAT. */
+struct msg_feed_beat {
+	uint64_t digest;	 /* dir_digest() of the sender */
+	uint64_t config_version; /* 0: none */
+	bool fresh;		 /* the store answered it a moment ago */
+};
+
+/** A target that was removed. */
+struct msg_removed {
+	char id[FS_NAME_MAX];
+	uint64_t rev;
+};
+
+/** MSG_FEED_ENTRIES. */
+struct msg_feed_entries {
+	GArray *entries; /* struct dir_entry; cold_us from now on */
+	GArray *removed; /* struct msg_removed */
+};
+
 /** MSG_CONFIG. */
 struct msg_config {
 	struct cfg *cfg;
@@ -249,6 +274,8 @@
 		struct msg_config_ask config_ask;
 		struct msg_config_text config_text;
 		struct msg_targets_leaving targets_leaving;
+		struct msg_feed_beat feed_beat;
+		struct msg_feed_entries feed_entries;
 		struct msg_config config;
 		struct msg_view view;
 		struct msg_eject_ask eject_ask;
--- a/src/msg_codec_in.c
+++ b/src/msg_codec_in.c
@@ -134,6 +134,58 @@
 	msg_end_array(r, &inner);
 }
 
+static void read_feed_beat(struct msg_reader *r, struct msg *m)
+{
+	m->feed_beat.digest = msg_get_u64(r, UINT64_MAX);
+	m->feed_beat.config_version = msg_get_u64(r, UINT64_MAX);
+	m->feed_beat.fresh = msg_get_bool(r);
+}
+
+/* A text that does not fit its field makes the message malformed. */
+static void read_into(struct msg_reader *r, char *out, size_t size)
+{
+	g_autofree char *text = msg_get_text(r);
+
+	if (text && g_strlcpy(out, text, size) >= size)
+		r->bad = true;
+}
+
+static void read_feed_entries(struct msg_reader *r, struct msg *m)
+{
+	struct msg_reader inner = msg_get_array(r, 9);
+
+	while (!inner.bad && inner.left) {
+		struct dir_entry e = {0};
+
+		read_into(&inner, e.id, sizeof(e.id));
+		read_into(&inner, e.service, sizeof(e.service));
+		read_into(&inner, e.address, sizeof(e.address));
+		read_into(&inner, e.domain, sizeof(e.domain));
+		e.born = msg_get_u64(&inner, UINT64_MAX);
+		e.rev = msg_get_u64(&inner, UINT64_MAX);
+		e.slots = msg_get_u32(&inner);
+		e.cold_us = msg_get_i64(&inner);
+		e.leaving = msg_get_bool(&inner);
+		g_array_append_val(m->feed_entries.entries, e);
+	}
+	msg_end_array(r, &inner);
+	inner = msg_get_array(r, 2);
+	while (!inner.bad && inner.left) {
+		struct msg_removed removed = {0};
+
+		read_into(&inner, removed.id, sizeof(removed.id));
+		removed.rev = msg_get_u64(&inner, UINT64_MAX);
+		g_array_append_val(m->feed_entries.removed, removed);
+	}
+	msg_end_array(r, &inner);
+}
+
+static void read_feed_ask(struct msg_reader *r, struct msg *m)
+{
+	(void)r;
+	(void)m;
+}
+
 static const msg_read_fn readers[MSG_REMOTE_COUNT] = {
 	[MSG_REQUEST] = read_request,
 	[MSG_CANCEL] = read_cancel,
@@ -147,6 +199,9 @@
 	[MSG_CONFIG_ASK] = read_config_ask,
 	[MSG_CONFIG_TEXT] = read_config_text,
 	[MSG_TARGETS_LEAVING] = read_targets_leaving,
+	[MSG_FEED_BEAT] = read_feed_beat,
+	[MSG_FEED_ENTRIES] = read_feed_entries,
+	[MSG_FEED_ASK] = read_feed_ask,
 };
 
 msg_read_fn msg_reader_of(enum msg_type type)
--- a/src/msg_codec_out.c
+++ b/src/msg_codec_out.c
@@ -120,6 +120,49 @@
 		msg_put_text(w, g_ptr_array_index(servers, i));
 }
 
+static void write_feed_beat(struct msg_writer *w, const struct msg *m)
+{
+	msg_put_u64(w, m->feed_beat.digest);
+	msg_put_u64(w, m->feed_beat.config_version);
+	msg_put_bool(w, m->feed_beat.fresh);
+}
+
+static void write_feed_entries(struct msg_writer *w, const struct msg *m)
+{
+	const GArray *entries = m->feed_entries.entries;
+	const GArray *removed = m->feed_entries.removed;
+
+	msgpack_pack_array(&w->packer, (size_t)9 * entries->len);
+	for (guint i = 0; i < entries->len; i++) {
+		const struct dir_entry *e =
+			&g_array_index(entries, struct dir_entry, i);
+
+		msg_put_text(w, e->id);
+		msg_put_text(w, e->service);
+		msg_put_text(w, e->address);
+		msg_put_text(w, e->domain);
+		msg_put_u64(w, e->born);
+		msg_put_u64(w, e->rev);
+		msg_put_u64(w, e->slots);
+		msg_put_i64(w, e->cold_us);
+		msg_put_bool(w, e->leaving);
+	}
+	msgpack_pack_array(&w->packer, (size_t)2 * removed->len);
+	for (guint i = 0; i < removed->len; i++) {
+		const struct msg_removed *r =
+			&g_array_index(removed, struct msg_removed, i);
+
+		msg_put_text(w, r->id);
+		msg_put_u64(w, r->rev);
+	}
+}
+
+static void write_feed_ask(struct msg_writer *w, const struct msg *m)
+{
+	(void)w;
+	(void)m;
+}
+
 /** Writer of one type. */
 struct writer_row {
 	uint32_t members;
@@ -139,6 +182,9 @@
 	[MSG_CONFIG_ASK] = {1, write_config_ask},
 	[MSG_CONFIG_TEXT] = {2, write_config_text},
 	[MSG_TARGETS_LEAVING] = {1, write_targets_leaving},
+	[MSG_FEED_BEAT] = {3, write_feed_beat},
+	[MSG_FEED_ENTRIES] = {2, write_feed_entries},
+	[MSG_FEED_ASK] = {0, write_feed_ask},
 };
 
 msg_write_fn msg_writer_of(enum msg_type type, uint32_t *members)
--- a/src/node.h
+++ b/src/node.h
@@ -15,6 +15,9 @@
 #include "set.h"
 
 #define NODE_STATUS_MAX 12
+#define NODE_TICKS_MAX 8
+/* One timer for all periodic work: fewer wake-ups of a small machine. */
+#define NODE_TICK_US (100 * FS_US_PER_MS)
 
 /** A part of the operator interface's status page. */
 struct node_status {
@@ -24,6 +27,12 @@
 	const void *task;
 };
 
+/** Periodic work of a task. */
+struct node_tick {
+	void (*fn)(void *task, int64_t now_us);
+	void *task;
+};
+
 /** Shared by the tasks of one process; set up once, before they start. */
 struct node {
 	struct ev_loop *loop;
@@ -37,6 +46,9 @@
 	struct brn *brn;
 	struct node_status status[NODE_STATUS_MAX];
 	uint32_t status_count;
+	struct node_tick ticks[NODE_TICKS_MAX];
+	uint32_t tick_count;
+	ev_timer tick;
 	bool ready;		   /* a configuration is in force */
 	bool stopping;		   /* a planned stop has begun */
 	struct sockaddr_in caller; /* bound addresses */
@@ -44,12 +56,25 @@
 	struct sockaddr_in operator;
 };
 
+/** Makes what all tasks share, from node->set; no platform client yet. */
+void node_open(struct node *node);
+
+/** Frees it, after the tasks. */
+void node_close(struct node *node);
+
 /** Adds a part to the status page. */
 void node_add_status(struct node *node, const char *name,
 		     void (*write)(const void *task, GString *out,
 				   int64_t now_us),
 		     const void *task);
 
+/** Calls @p fn every NODE_TICK_US from now on. */
+void node_add_tick(struct node *node, void (*fn)(void *task, int64_t now_us),
+		   void *task);
+
+/** Calls it no more. */
+void node_remove_tick(struct node *node, const void *task);
+
 /** Begins a planned stop, as SIGTERM does; may be called again. */
 void node_begin_stop(struct node *node);
 
--- a/src/opi.c
+++ b/src/opi.c
@@ -80,7 +80,7 @@
 	(void)after;
 	g_string_append_printf(out, "{\"version\":%" PRIu64 ",\"text\":",
 			       opi->cfg ? opi->cfg->version : 0);
-	fs_json_string(out, opi->cfg ? opi->cfg->text : "");
+	fs_json_string(out, opi->cfg && opi->cfg->text ? opi->cfg->text : "");
 	g_string_append_c(out, '}');
 }
 
--- a/src/set.c
+++ b/src/set.c
@@ -11,6 +11,11 @@
 #define TTL_MIN_MS 1000
 #define TTL_MAX_MS 3600000
 #define FLEET_KEY_MIN 16 /* bytes */
+/* Bounds against slips of the pen; no machine of the deployments is near. */
+#define SECONDS_MAX 3600.0
+#define MEMORY_MB_MAX (1024.0 * 1024.0)
+#define FDS_MAX (1024 * 1024)
+#define SLACK_MAX 1e6
 
 /** The file as libcyaml reads it; see set.h for the meaning. */
 struct set_raw {
@@ -26,6 +31,15 @@
 	char **seeds;
 	unsigned int seeds_count;
 	char *answer_ttl_ms;
+	char *ready_listen;
+	char *resolve_listen;
+	char *load_listen;
+	char *memory_mb;
+	char *max_fds;
+	char *stop_grace_s;
+	char *retry_ratio;
+	char *retry_slack;
+	char *retry_window_s;
 };
 
 #define TEXT(key)                                                              \
@@ -50,6 +64,15 @@
 			     struct set_raw, seeds, &seed_entry, 0,
 			     CYAML_UNLIMITED),
 	TEXT(answer_ttl_ms),
+	TEXT(ready_listen),
+	TEXT(resolve_listen),
+	TEXT(load_listen),
+	TEXT(memory_mb),
+	TEXT(max_fds),
+	TEXT(stop_grace_s),
+	TEXT(retry_ratio),
+	TEXT(retry_slack),
+	TEXT(retry_window_s),
 	CYAML_FIELD_END,
 };
 
@@ -131,6 +154,43 @@
 	out->seed_count = raw->seeds_count;
 }
 
+static void read_listen(struct cfg_reader *r, const char *key,
+			const char *text, struct sockaddr_in *out)
+{
+	if (text)
+		read_address(r, key, text, out);
+}
+
+static void read_seconds(struct cfg_reader *r, const char *key,
+			 const char *text, int64_t *out_us)
+{
+	double s = 0;
+
+	cfg_read_number(r, key, text, 0, SECONDS_MAX, &s);
+	*out_us = (int64_t)(s * FS_US_PER_S);
+}
+
+static void read_gateway(struct cfg_reader *r, const struct set_raw *raw,
+			 struct set *out)
+{
+	double mb = 0;
+
+	read_listen(r, "ready_listen", raw->ready_listen, &out->ready_listen);
+	read_listen(r, "resolve_listen", raw->resolve_listen,
+		    &out->resolve_listen);
+	read_listen(r, "load_listen", raw->load_listen, &out->load_listen);
+	cfg_read_number(r, "memory_mb", raw->memory_mb, 1, MEMORY_MB_MAX, &mb);
+	out->memory_bytes = (uint64_t)(mb * 1024 * 1024);
+	cfg_read_u32(r, "max_fds", raw->max_fds, 64, FDS_MAX, "", &out->max_fds);
+	read_seconds(r, "stop_grace_s", raw->stop_grace_s, &out->stop_grace_us);
+	read_seconds(r, "retry_window_s", raw->retry_window_s,
+		     &out->retry_window_us);
+	cfg_read_number(r, "retry_ratio", raw->retry_ratio, 0, 1,
+			&out->retry_ratio);
+	cfg_read_number(r, "retry_slack", raw->retry_slack, 0, SLACK_MAX,
+			&out->retry_slack);
+}
+
 static char *join_problems(const char *path, const GPtrArray *problems)
 {
 	GString *all = g_string_new(NULL);
@@ -167,6 +227,7 @@
 	read_names(r, raw, out);
 	read_addresses(r, raw, out);
 	read_seeds(r, raw, out);
+	read_gateway(r, raw, out);
 	out->answer_ttl_us = TTL_DEFAULT_MS * FS_US_PER_MS;
 	cfg_read_ms(r, "answer_ttl_ms", raw->answer_ttl_ms, TTL_MIN_MS,
 		    TTL_MAX_MS, &out->answer_ttl_us);
--- a/src/set.h
+++ b/src/set.h
@@ -28,6 +28,16 @@
 	uint32_t seed_count;
 	int64_t answer_ttl_us; /* entry addresses may be kept this
 					     * long; default 30 s */
+	/* Only of gateways (gwy.h); all zero if absent */
+	struct sockaddr_in ready_listen;   /* the platform's own checks */
+	struct sockaddr_in resolve_listen; /* callers ask for addresses */
+	struct sockaddr_in load_listen;	   /* UDP, load exchange */
+	uint64_t memory_bytes;		   /* the process may use */
+	uint32_t max_fds;		   /* descriptors it may open */
+	int64_t stop_grace_us;		   /* from SIGTERM to SIGKILL */
+	double retry_ratio;	 /* repeats of the fleet for each request */
+	double retry_slack;	 /* and for each window besides */
+	int64_t retry_window_us; /* in which repeats are counted */
 };
 
 /**
--- a/src/tgt.c
+++ b/src/tgt.c
@@ -48,6 +48,8 @@
 		return FS_E_ANSWER_INVALID;
 	if (tgt_has_body(tgt) && !tgt->chunked && tgt->received < tgt->length)
 		return FS_E_TRUNCATED;
+	if (tgt->dialect)
+		return 0;
 	return has_surplus(tgt) ? FS_E_ANSWER_INVALID : 0;
 }
 
@@ -189,7 +191,10 @@
 {
 	CURL *easy = tgt->easy;
 	int64_t left_us = request->deadline_us - now_us;
-	int64_t connect_us = MIN(TGT_CONNECT_MAX_US, left_us / 2);
+	int64_t connect_max_us = request->dialect ?
+					 request->dialect->connect_us :
+					 TGT_CONNECT_MAX_US;
+	int64_t connect_us = MIN(connect_max_us, left_us / 2);
 	bool fresh = !request->repeatable || request->fresh;
 
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
@@ -201,7 +206,9 @@
 	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
 	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE,
 			 request->repeatable ? 0L : 1L);
-	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, (long)FS_POOL_IDLE_AGE_S);
+	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
+			 request->dialect ? request->dialect->idle_s :
+					    (long)FS_POOL_IDLE_AGE_S);
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)MAX(connect_us / FS_US_PER_MS, 1));
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_write);
@@ -225,6 +232,7 @@
 	tgt->easy = curl_easy_init();
 	tgt_pool_attach(pool, tgt->easy, &tgt->fd);
 	tgt->id = g_strdup(request->id);
+	tgt->dialect = request->dialect;
 	tgt->ops = ops;
 	tgt->arg = arg;
 	tgt->started_us = now_us;
@@ -268,6 +276,11 @@
 	return tgt->status;
 }
 
+GArray *tgt_peek_headers(struct tgt *tgt)
+{
+	return g_array_ref(tgt->headers);
+}
+
 GArray *tgt_take_headers(struct tgt *tgt)
 {
 	GArray *headers = tgt->headers;
--- a/src/tgt.h
+++ b/src/tgt.h
@@ -18,6 +18,8 @@
  * Bytes that arrive behind the last chunk, or behind an answer to HEAD, are
  * dropped: the answer itself is whole.
  *
+ * With a dialect (see struct tgt_dialect) some of this differs.
+ *
  * Limits: an answer's header fields as in TGT_HEADERS_MAX and
  * TGT_HEADER_BYTES_MAX. A body is buffered up to FS_ANSWER_WHOLE_MAX; a longer
  * one is streamed, with at most FS_ANSWER_WINDOW bytes waiting here.
@@ -59,6 +61,19 @@
 	void (*done)(void *arg, struct tgt *tgt, const struct tgt_end *end);
 };
 
+/**
+ * How targets of a platform differ from those of the fleet's own interface.
+ * They name an answer by the caller's request id, may end a body with its
+ * connection, and may send bytes behind an answer that is whole; a connection
+ * with such bytes is not used again.
+ */
+struct tgt_dialect {
+	const char *request_id;	 /* header field, echoed by the target */
+	const char *deadline_ms; /* header field: what is left, in ms */
+	long idle_s;		 /* kept connections are used for so long */
+	int64_t connect_us;	 /* longest time to connect */
+};
+
 /** What an exchange is started with; all of it is copied or referenced. */
 struct tgt_request {
 	const char *address;	     /* "ip:port" of the target */
@@ -68,6 +83,7 @@
 	bool fresh;		     /* use no pooled connection all the same */
 	int64_t deadline_us;	     /* when the whole answer must be here */
 	int64_t head_us;	     /* when its header fields must be here */
+	const struct tgt_dialect *dialect; /* NULL: the fleet's own fields */
 };
 
 /** Returns whether a request can be written as it is: no control bytes. */
@@ -96,6 +112,9 @@
 /** Returns the status of the answer. */
 uint32_t tgt_status(const struct tgt *tgt);
 
+/** Returns the header fields with a new reference; they stay the answer's. */
+GArray *tgt_peek_headers(struct tgt *tgt);
+
 /** Takes the header fields, hop-by-hop ones removed. */
 GArray *tgt_take_headers(struct tgt *tgt);
 
--- a/src/tgt_answer.c
+++ b/src/tgt_answer.c
@@ -23,6 +23,19 @@
 	tgt->length = length;
 }
 
+/* An answer to another request may arrive where this one's is expected. */
+static void read_name(struct tgt *tgt, const char *value)
+{
+	tgt->named = !strcmp(value, tgt->id);
+	if (!tgt->named)
+		tgt->invalid = true;
+}
+
+static const char *name_field(const struct tgt *tgt)
+{
+	return tgt->dialect ? tgt->dialect->request_id : "Fescuesaddle-Request";
+}
+
 static void read_field(struct tgt *tgt, const char *name, const char *value)
 {
 	if (!g_ascii_strcasecmp(name, "Content-Length"))
@@ -31,9 +44,8 @@
 		tgt->chunked = true;
 	else if (!g_ascii_strcasecmp(name, "Draining"))
 		tgt->draining = !strcmp(value, "1");
-	else if (!g_ascii_strcasecmp(name, "Fescuesaddle-Request") &&
-		 strcmp(value, tgt->id))
-		tgt->invalid = true;
+	else if (!g_ascii_strcasecmp(name, name_field(tgt)))
+		read_name(tgt, value);
 	if (tgt_hop_by_hop(name))
 		return;
 	if (tgt->headers->len >= TGT_HEADERS_MAX)
@@ -50,6 +62,7 @@
 	tgt->status = space ? (uint32_t)strtoul(space + 1, NULL, 10) : 0;
 	tgt->length = -1;
 	tgt->chunked = false;
+	tgt->named = false;
 	g_array_set_size(tgt->headers, 0);
 }
 
@@ -61,7 +74,11 @@
 	tgt->headed_us = fs_now_us();
 	if (tgt->chunked && tgt->length >= 0)
 		tgt->invalid = true;
-	if (tgt_has_body(tgt) && !tgt->chunked && tgt->length < 0)
+	if (tgt_has_body(tgt) && !tgt->chunked && tgt->length < 0 &&
+	    !tgt->dialect)
+		tgt->invalid = true;
+	/* A success that does not name its request may be anybody's. */
+	if (tgt->dialect && !tgt->named && tgt->status < 300)
 		tgt->invalid = true;
 }
 
--- a/src/tgt_impl.h
+++ b/src/tgt_impl.h
@@ -15,6 +15,8 @@
 	struct curl_slist *fields;
 	GBytes *body;
 	char *id;
+	const struct tgt_dialect *dialect; /* or NULL */
+	bool named;			   /* the answer names the request */
 	const struct tgt_ops *ops;
 	void *arg;
 	int64_t started_us;
--- a/src/tgt_request.c
+++ b/src/tgt_request.c
@@ -134,6 +134,7 @@
 	const struct msg_request *m = request->m;
 	g_autofree char *url = g_strdup_printf("http://%s/", request->address);
 	int64_t left_us = MAX(request->deadline_us - now_us, 0);
+	const struct tgt_dialect *d = request->dialect;
 	char left[24];
 
 	snprintf(left, sizeof(left), "%lld",
@@ -145,7 +146,7 @@
 	add_field(tgt, "Host",
 		  m->host && *m->host ? m->host : request->address);
 	add_fields(tgt, m);
-	add_field(tgt, "Fescuesaddle-Request", tgt->id);
-	add_field(tgt, "Fescuesaddle-Deadline-Ms", left);
+	add_field(tgt, d ? d->request_id : "Fescuesaddle-Request", tgt->id);
+	add_field(tgt, d ? d->deadline_ms : "Fescuesaddle-Deadline-Ms", left);
 	curl_easy_setopt(tgt->easy, CURLOPT_HTTPHEADER, tgt->fields);
 }
--- /dev/null
+++ b/tests/fleet_gwy.c
@@ -0,0 +1,204 @@
+#include "fleet_gwy.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "cfg_draft.h"
+
+static const struct gwy_fields fields = {
+	.target = {
+		.request_id = "X-Id",
+		.deadline_ms = "X-Left",
+		.idle_s = 3,
+		.connect_us = 300 * FS_US_PER_MS,
+	},
+	.instance = "X-For",
+	.not_run = "X-Not-Run",
+};
+
+static void receive(void *task, struct msg *m, int64_t now_us)
+{
+	struct yard *y = task;
+
+	(void)now_us;
+	if (m->type == MSG_STOPPED)
+		y->stopped = true;
+}
+
+static const struct bus_task_ops ops = {.name = "test", .receive = receive};
+
+static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)timer;
+	(void)events;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+void yard_run(struct yard *y, int64_t us)
+{
+	ev_timer timer;
+
+	ev_timer_init(&timer, on_timer, (double)us / FS_US_PER_S, 0);
+	ev_timer_start(y->loop, &timer);
+	ev_run(y->loop, 0);
+	ev_timer_stop(y->loop, &timer);
+}
+
+static void add_route(struct cfg_draft *draft, const char *name, bool safe)
+{
+	g_autofree char *path = g_strdup_printf("/%s/", name);
+	struct cfg_service service = {.name = (char *)name};
+	struct cfg_route route = {
+		.name = (char *)name,
+		.host = (char *)"h",
+		.path = path,
+		.methods = CFG_GET | CFG_POST,
+		.service = cfg_draft_service(draft, &service),
+		.deadline_us = YARD_TIMEOUT_MS * FS_US_PER_MS,
+		.objective_us = FS_US_PER_S,
+		.repeatable = safe,
+		.tries = 2,
+	};
+
+	g_assert_cmpint(cfg_draft_route(draft, &route), ==, 0);
+}
+
+static void put_in_force(struct yard *y)
+{
+	struct cfg_draft *draft = cfg_draft_new("", 1);
+	struct cfg_limits limits = {.body_bytes = 1 << 20, .idle_us = 5000000};
+	struct cfg *cfg CFG_AUTO = NULL;
+
+	add_route(draft, "pay", false);
+	add_route(draft, "list", true);
+	cfg_draft_limits(draft, &limits);
+	cfg = cfg_draft_end(draft);
+	bus_send_all(y->node.bus, MSG_CONFIG, cfg);
+}
+
+void yard_begin(struct yard *y)
+{
+	struct node *node = &y->node;
+
+	memset(y, 0, sizeof(*y));
+	g_strlcpy(node->set.name, "a", FS_NAME_MAX);
+	g_strlcpy(node->set.domain, "d", FS_DOMAIN_MAX);
+	g_strlcpy(node->set.fleet_key, "0123456789abcdef", FS_NAME_MAX);
+	set_parse_address("127.0.0.1:0", &node->set.caller_listen);
+	set_parse_address("127.0.0.1:0", &node->set.load_listen);
+	node->set.memory_bytes = 64 << 20;
+	node->set.max_fds = 1024;
+	node->set.stop_grace_us = 6 * FS_US_PER_S;
+	node->set.retry_ratio = 0.2;
+	node->set.retry_slack = 10;
+	node->set.retry_window_us = 10 * FS_US_PER_S;
+	node_open(node);
+	y->loop = node->loop;
+	node->ready = true;
+	y->dir = dir_new(g_free);
+	bus_attach(node->bus, MSG_TASK_NODE, &ops, y);
+	y->gwy = gwy_new(node, &fields, y->dir);
+	g_assert_nonnull(y->gwy);
+	put_in_force(y);
+	yard_run(y, 5000);
+}
+
+void yard_end(struct yard *y)
+{
+	gwy_free(y->gwy);
+	dir_free(y->dir);
+	for (uint32_t i = 0; i < y->target_count; i++)
+		fake_free(y->targets[i]);
+	brn_free(y->node.brn);
+	aud_free(y->node.aud);
+	ctr_free(y->node.ctr);
+	bus_free(y->node.bus);
+}
+
+struct fake *yard_target(struct yard *y, const char *service,
+			 fake_serve_fn serve, void *arg)
+{
+	struct fake *fake = fake_new(y->loop, serve, arg);
+	struct dir_entry entry = {.slots = 4, .rev = 1, .born = 1};
+
+	g_snprintf(entry.id, sizeof(entry.id), "s%u", y->target_count);
+	g_strlcpy(entry.service, service, sizeof(entry.service));
+	g_strlcpy(entry.address, fake_address(fake), sizeof(entry.address));
+	g_strlcpy(entry.domain, "d", sizeof(entry.domain));
+	g_assert_true(dir_put(y->dir, &entry, fs_now_us()));
+	y->targets[y->target_count++] = fake;
+	return fake;
+}
+
+void yard_call(struct yard *y, struct yard_caller *c, const char *bytes)
+{
+	memset(c, 0, sizeof(*c));
+	c->got = g_string_new(NULL);
+	c->fd = socket(AF_INET, SOCK_STREAM, 0);
+	g_assert_cmpint(connect(c->fd, (struct sockaddr *)&y->node.caller,
+				sizeof(y->node.caller)),
+			==, 0);
+	fcntl(c->fd, F_SETFL, O_NONBLOCK);
+	g_assert_cmpint(send(c->fd, bytes, strlen(bytes), MSG_NOSIGNAL), ==,
+			(ssize_t)strlen(bytes));
+}
+
+void yard_read(struct yard_caller *c)
+{
+	char buffer[16 * 1024];
+	ssize_t n;
+
+	while ((n = recv(c->fd, buffer, sizeof(buffer), 0)) > 0)
+		g_string_append_len(c->got, buffer, n);
+	c->closed = c->closed || n == 0 || errno != EAGAIN;
+}
+
+void yard_hang_up(struct yard_caller *c)
+{
+	close(c->fd);
+	g_string_free(c->got, TRUE);
+}
+
+void yard_expect(struct yard *y, struct yard_caller *c, int status)
+{
+	g_autofree char *line = g_strdup_printf("HTTP/1.1 %d ", status);
+
+	yard_until(y, (yard_read(c), strstr(c->got->str, "\r\n\r\n")));
+	if (!g_str_has_prefix(c->got->str, line))
+		g_error("expected %d, got: %s", status, c->got->str);
+}
+
+char *yard_field(const struct fake_request *request, const char *name)
+{
+	g_autofree char *start = g_strdup_printf("\r\n%s: ", name);
+	const char *at = strstr(request->head, start);
+
+	if (!at)
+		return NULL;
+	at += strlen(start);
+	return g_strndup(at, strcspn(at, "\r"));
+}
+
+void yard_ok(struct fake_conn *conn, const struct fake_request *request,
+	     const char *body)
+{
+	g_autofree char *id = yard_field(request, "X-Id");
+	g_autofree char *text = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: z\r\n"
+		"Content-Length: %zu\r\n\r\n%s",
+		id ? id : "", strlen(body), body);
+
+	fake_send_text(conn, text);
+}
+
+guint yard_arrivals(const struct yard *y)
+{
+	guint n = 0;
+
+	for (uint32_t i = 0; i < y->target_count; i++)
+		n += fake_requests(y->targets[i])->len;
+	return n;
+}
--- /dev/null
+++ b/tests/fleet_gwy.h
@@ -0,0 +1,71 @@
+/**
+ * @file fleet_gwy.h
+ * @brief A gateway task alone, between raw callers and scripted targets.
+ *
+ * Two services: "pay" at /pay/ is not repeatable, "list" at /list/ is; both
+ * routes may go to two targets. The targets are of the test's making.
+ */
+#ifndef FLEET_GWY_H
+#define FLEET_GWY_H
+
+#include "dir.h"
+#include "fleet_fake.h"
+#include "gwy.h"
+
+#define YARD_TARGETS_MAX 8
+#define YARD_TIMEOUT_MS 1500 /* of both routes */
+
+struct yard {
+	struct ev_loop *loop;
+	struct node node;
+	struct dir *dir;
+	struct gwy *gwy;
+	struct fake *targets[YARD_TARGETS_MAX];
+	uint32_t target_count;
+	bool stopped; /* MSG_STOPPED was seen */
+};
+
+/** One caller's connection. */
+struct yard_caller {
+	int fd;
+	GString *got;
+	bool closed;
+};
+
+void yard_begin(struct yard *y);
+void yard_end(struct yard *y);
+void yard_run(struct yard *y, int64_t us);
+
+/** Starts a target of a service; its id is "s" and its number. */
+struct fake *yard_target(struct yard *y, const char *service,
+			 fake_serve_fn serve, void *arg);
+
+/** Connects and sends bytes. */
+void yard_call(struct yard *y, struct yard_caller *c, const char *bytes);
+void yard_read(struct yard_caller *c);
+void yard_hang_up(struct yard_caller *c);
+
+/** Runs until a condition holds; fails after 5 s. */
+#define yard_until(y, condition)                                 \
+	do {                                                     \
+		int64_t end_us = fs_now_us() + 5 * FS_US_PER_S;  \
+		while (!(condition)) {                           \
+			g_assert_cmpint(fs_now_us(), <, end_us); \
+			yard_run(y, 2000);                       \
+		}                                                \
+	} while (0)
+
+/** Runs until the caller has a whole head, and checks its status. */
+void yard_expect(struct yard *y, struct yard_caller *c, int status);
+
+/** Answers 200 with a body, as a target does: names request and instance. */
+void yard_ok(struct fake_conn *conn, const struct fake_request *request,
+	     const char *body);
+
+/** Returns a header field's value of a request, to be freed, or NULL. */
+char *yard_field(const struct fake_request *request, const char *name);
+
+/** Returns how many requests all targets have read. */
+guint yard_arrivals(const struct yard *y);
+
+#endif
