Fewer store calls and bytes between domains; try all targets while many fail

Cause: all nodes read the store for three seconds after a start and told each other; readers' beats crossed domains twice a second; answers crossed for 60 ms.

--- a/src/bal.c
+++ b/src/bal.c
@@ -15,6 +15,10 @@
 #define JITTER 0.1
 #define MEAN_DEFAULT_US (300 * FS_US_PER_MS) /* until the service is known */
 #define SAMPLE_MAX 64 /* targets looked at in one choice */
+/* A target without work for so long is tried by one request in eight, so that
+ * a service's sound targets all get some within two seconds. */
+#define IDLE_US (900 * FS_US_PER_MS)
+#define EXPLORE_SHARE 0.125
 
 struct bal_target *bal_of(struct dir_target *target, int64_t now_us)
 {
@@ -91,6 +95,35 @@
 	return us;
 }
 
+static bool may_take(const struct dir_target *target,
+		     const struct bal_wish *wish)
+{
+	const struct bal_target *kept = target->judge;
+
+	return !target->entry.leaving && !is_avoided(wish, target) &&
+	       (!kept || wish->now_us - kept->gry.other_us >= OTHER_US);
+}
+
+/* Returns the target that nobody has used for longest, if it is long. */
+static struct dir_target *longest_idle(const struct dir_service *service,
+				       const struct bal_wish *wish)
+{
+	struct dir_target *idle = NULL;
+	int64_t since_us = wish->now_us - IDLE_US;
+
+	for (uint32_t i = 0; i < service->targets->len; i++) {
+		struct dir_target *target =
+			g_ptr_array_index(service->targets, i);
+		const struct bal_target *kept = bal_of(target, wish->now_us);
+
+		if (!may_take(target, wish) || kept->used_us >= since_us)
+			continue;
+		since_us = kept->used_us;
+		idle = target;
+	}
+	return idle;
+}
+
 struct bal_choice bal_choose(const struct dir_service *service,
 			     const struct bal_wish *wish)
 {
@@ -100,15 +133,19 @@
 	uint32_t start = count ? (uint32_t)(wish->random % count) : 0;
 	double best_us = 0;
 
+	if (count && wish->explore && next_random(&random) < EXPLORE_SHARE) {
+		best.target = longest_idle(service, wish);
+		best.usable = count;
+		if (best.target)
+			return best;
+	}
 	for (uint32_t i = 0; i < MIN(count, SAMPLE_MAX); i++) {
 		struct dir_target *target = g_ptr_array_index(
 			service->targets, (start + i) % count);
-		const struct bal_target *kept = target->judge;
 		struct bal_choice one = {.target = target};
 		double us;
 
-		if (target->entry.leaving || is_avoided(wish, target) ||
-		    (kept && wish->now_us - kept->gry.other_us < OTHER_US))
+		if (!may_take(target, wish))
 			continue;
 		best.usable++;
 		us = cost_of(target, wish, &one) *
--- a/src/bal.h
+++ b/src/bal.h
@@ -9,7 +9,8 @@
  * not all choose the same one.
  *
  * A target that has just shown to be another server is passed over. No other
- * target is ever left out altogether: when all look sick, all are used.
+ * target is ever left out altogether: when all look sick, all are used, and
+ * while many requests fail, each target is tried now and then.
  */
 #ifndef BAL_H
 #define BAL_H
@@ -22,6 +23,7 @@
 	struct gry gry;
 	uint32_t own;	 /* requests of this node there now */
 	uint32_t others; /* requests of other nodes there, as last told */
+	int64_t used_us; /* last time that any node is known to use it */
 };
 
 /** What is asked for. */
@@ -32,6 +34,7 @@
 	int64_t cross_us;     /* what another failure domain costs, as time */
 	const struct dir_target *const *avoid; /* targets tried before */
 	uint32_t avoid_count;
+	bool explore; /* also try targets that nobody uses */
 	int64_t now_us;
 	uint64_t random;
 };
--- a/src/fed.c
+++ b/src/fed.c
@@ -66,13 +66,13 @@
 
 /* The reader of a failure domain is the live member with the highest weight;
  * a node that knows no others reads. */
-static bool is_chosen(const struct fed *fed)
+static bool is_chosen(const struct fed *fed, int64_t now_us)
 {
 	const struct node *node = fed->node;
 	uint64_t key = fs_node_id(node->set.domain);
 	uint64_t own = shd_weight(key, node->self);
 
-	if (node->stopping)
+	if (node->stopping || now_us - fed->started_us < FED_SETTLE_US)
 		return false;
 	for (uint32_t i = 0; fed->view && i < fed->view->count; i++) {
 		const struct mem_member *m = &fed->view->members[i];
@@ -92,7 +92,7 @@
 
 	if (deaf)
 		fed->deaf_us = now_us;
-	fed->chosen = is_chosen(fed);
+	fed->chosen = is_chosen(fed, now_us);
 	fed->reading = fed->chosen || deaf ||
 		       (was && now_us - fed->deaf_us < FED_CALM_US);
 	if (was != fed->reading)
--- a/src/fed_impl.h
+++ b/src/fed_impl.h
@@ -9,21 +9,27 @@
 
 /* How often a reader tells its freshness: twice within FED_DEAF_US. */
 #define FED_BEAT_US (500 * FS_US_PER_MS)
+/* Another failure domain has readers of its own: it hears half as often, since
+ * bytes between domains are dear. */
+#define FED_BEAT_FAR_US (1000 * FS_US_PER_MS)
+/* A node that has just started knows few members yet: it reads for itself, but
+ * does not tell others. */
+#define FED_SETTLE_US (2000 * FS_US_PER_MS)
 /* Without a fresh reader for so long a node reads for itself; leaves half of
  * the 2 s in which a change has to be in force for its own calls. */
 #define FED_DEAF_US (1200 * FS_US_PER_MS)
 /* A reader is fresh if the service answered it within this time. */
-#define FED_FRESH_US (900 * FS_US_PER_MS)
+#define FED_FRESH_US (1100 * FS_US_PER_MS)
 /* Heard readers this long before its own reading ends, so that it does not
  * stop and start by turns. */
-#define FED_CALM_US (3 * FS_US_PER_S)
+#define FED_CALM_US (1 * FS_US_PER_S)
 
 /* Servers report every 1.5 s or so, hence a watch on them returns at once:
- * the pause bounds the calls of a reader to about three a second. */
-#define FED_TARGET_PAUSE_US (300 * FS_US_PER_MS)
+ * the pause bounds the calls of a reader to about two a second. */
+#define FED_TARGET_PAUSE_US (450 * FS_US_PER_MS)
 #define FED_TARGET_WAIT_US (600 * FS_US_PER_MS)
 /* Changes of the configuration are rare: the watch waits for one. */
-#define FED_CONFIG_WAIT_US (1000 * FS_US_PER_MS)
+#define FED_CONFIG_WAIT_US (2000 * FS_US_PER_MS)
 #define FED_RETRY_MIN_US (150 * FS_US_PER_MS) /* after a failed call */
 #define FED_RETRY_MAX_US (1000 * FS_US_PER_MS)
 
@@ -71,6 +77,7 @@
 	int64_t heard_us;      /* last beat of a fresh reader */
 	int64_t deaf_us;       /* last time without one */
 	int64_t beat_us;       /* last own beat */
+	int64_t beat_far_us;   /* last own beat to other failure domains */
 	int64_t changed_us;    /* last change of the directory */
 	int64_t asked_us;
 	int64_t asked_config_us;
--- a/src/fed_tell.c
+++ b/src/fed_tell.c
@@ -1,5 +1,7 @@
 #include "fed_impl.h"
 
+#include <string.h>
+
 #include "fs_log.h"
 
 static struct msg *changes_of(struct fed *fed)
@@ -72,11 +74,14 @@
 static void tell_all(struct fed *fed, int64_t now_us)
 {
 	struct bus *bus = fed->node->bus;
+	bool far = fed->changes || !fed->beat_us ||
+		   now_us - fed->beat_far_us >= FED_BEAT_FAR_US;
 
 	for (uint32_t i = 0; fed->view && i < fed->view->count; i++) {
 		const struct mem_member *m = &fed->view->members[i];
 
-		if (m->id == fed->node->self || m->state == MEM_DEAD)
+		if (m->id == fed->node->self || m->state == MEM_DEAD ||
+		    (!far && strcmp(m->domain, fed->node->set.domain) != 0))
 			continue;
 		if (fed->changes)
 			bus_send(bus, copy_entries(fed->changes, m->id));
@@ -84,6 +89,8 @@
 	}
 	g_clear_pointer(&fed->changes, msg_free);
 	fed->beat_us = now_us;
+	if (far)
+		fed->beat_far_us = now_us;
 }
 
 void fed_tell_config(struct fed *fed)
--- a/src/gwy_answer.c
+++ b/src/gwy_answer.c
@@ -27,8 +27,8 @@
 static void end(struct gwy_request *req, const char *outcome, int64_t now_us)
 {
 	ev_timer_stop(req->gwy->node->loop, &req->timer);
-	req->state = GWY_ENDED;
 	gwy_request_log(req, outcome, now_us);
+	req->state = GWY_ENDED;
 }
 
 static void add_fields(struct MHD_Response *response, struct tgt *tgt)
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -10,11 +10,11 @@
  * budget may not have. In objectives of the route. */
 #define FAILURE_ONCE 6
 #define FAILURE_REPEATABLE 3
-/* Another failure domain costs a way of 1 ms, and what its load is not known
- * so well; a long answer costs its bytes between domains, which the dearer
- * deployment prices at half a request for 90 kB. */
-#define CROSS_US (60 * FS_US_PER_MS)
-#define CROSS_BYTE_US 7
+/* Another failure domain is used when waits or failures in the own one cost
+ * more than this. Bytes between domains are dear: an answer of 90 kB costs the
+ * dearer deployment three requests' worth, and waits for its own domain. */
+#define CROSS_US (120 * FS_US_PER_MS)
+#define CROSS_BYTE_US 20
 #define OBJECTIVE_DEFAULT_US FS_US_PER_S /* of routes that tell none */
 
 /* An answer is overdue at two and a half times the mean, where one request in
@@ -25,6 +25,10 @@
 /* The first target is likely gray: a second send may answer sooner. */
 #define HEDGE_GRAY 0.35
 
+/* When this share of a service's requests fails, evidence against targets may
+ * be wrong: all of them are tried now and then. */
+#define EXPLORE_SHARE 0.06
+
 /* Callers come back spread over this time, so that they do not meet again. */
 #define COME_BACK_MIN_US (200 * FS_US_PER_MS)
 #define COME_BACK_SPREAD_US (400 * FS_US_PER_MS)
@@ -99,6 +103,7 @@
 			    CROSS_BYTE_US * gwy_answer_mean_bytes(req),
 		.avoid = avoid,
 		.avoid_count = tried(req, avoid),
+		.explore = lod_unserved(gwy->lod, service) > EXPLORE_SHARE,
 		.now_us = now_us,
 		.random = next_random(gwy),
 	};
@@ -166,10 +171,11 @@
 	t->held = true;
 	req->running++;
 	bal_of(t->target, now_us)->own++;
+	bal_of(t->target, now_us)->used_us = now_us;
 	lod_change(req->gwy->lod, t->target);
 	if (req->sent) {
 		bud_repeat(budget_of(req), &req->gwy->budget_rule, now_us);
-		lod_sent(req->gwy->lod, gwy_service_name(req), 0, 1);
+		lod_sent(req->gwy->lod, gwy_service_name(req), 0, 1, 0);
 	}
 	req->sent++;
 	ctr_count(req->gwy->node->ctr, "gwy_sends", 1);
@@ -261,7 +267,7 @@
 
 	req->state = GWY_WAITING;
 	bud_request(budget_of(req), &req->gwy->budget_rule, now_us);
-	lod_sent(req->gwy->lod, gwy_service_name(req), 1, 0);
+	lod_sent(req->gwy->lod, gwy_service_name(req), 1, 0, 0);
 	if (err) {
 		gwy_answer_refuse(req, err, come_back(req->gwy), now_us);
 		return;
--- a/src/lod.c
+++ b/src/lod.c
@@ -11,6 +11,7 @@
 #define EVIDENCE_KEPT_MAX 128 /* rows that wait for a report */
 /* Of the fleet's budget a part is kept back for what is not known here yet. */
 #define POOL_SHARE 0.85
+#define UNSERVED_WEIGHT 0.02 /* of one more request in the unserved share */
 
 void lod_begin(struct lod *lod, struct lod_packet *packet, enum lod_type type)
 {
@@ -79,25 +80,30 @@
 	}
 	row->requests += sends->requests;
 	row->repeats += sends->repeats;
+	row->unserved += sends->unserved;
 }
 
 void lod_sent(struct lod *lod, const char *service, uint32_t requests,
-	      uint32_t repeats)
+	      uint32_t repeats, uint32_t unserved)
 {
-	const struct lod_sends sends = {lod_service_hash(service), requests,
-					repeats};
+	const struct lod_sends sends = {
+		.service = lod_service_hash(service),
+		.requests = requests,
+		.repeats = repeats,
+		.unserved = unserved,
+	};
 
 	lod_add_sends(lod->sends, &sends);
 	lod->changed = true;
 }
 
-static struct bud *pool_of(struct lod *lod, uint32_t service)
+static struct lod_pool *pool_of(struct lod *lod, uint32_t service)
 {
 	void *key = GUINT_TO_POINTER(service);
-	struct bud *pool = g_hash_table_lookup(lod->pools, key);
+	struct lod_pool *pool = g_hash_table_lookup(lod->pools, key);
 
 	if (!pool) {
-		pool = g_new0(struct bud, 1);
+		pool = g_new0(struct lod_pool, 1);
 		g_hash_table_insert(lod->pools, key, pool);
 	}
 	return pool;
@@ -111,21 +117,32 @@
 	lod->rule = *rule;
 	part.ratio *= POOL_SHARE;
 	part.slack *= POOL_SHARE;
-	return bud_left(pool_of(lod, lod_service_hash(service)), &part, 1,
-			now_us);
+	return bud_left(&pool_of(lod, lod_service_hash(service))->budget, &part,
+			1, now_us);
+}
+
+double lod_unserved(const struct lod *lod, const char *service)
+{
+	const struct lod_pool *pool = g_hash_table_lookup(
+		lod->pools, GUINT_TO_POINTER(lod_service_hash(service)));
+
+	return pool ? pool->unserved : 0.0;
 }
 
 static void take_sends(struct lod *lod, const struct lod_sends *sends,
 		       int64_t now_us)
 {
-	struct bud *pool = pool_of(lod, sends->service);
+	struct lod_pool *pool = pool_of(lod, sends->service);
 
+	for (uint32_t i = 0; i < sends->requests; i++)
+		pool->unserved -= UNSERVED_WEIGHT * pool->unserved;
+	pool->unserved += UNSERVED_WEIGHT * sends->unserved;
 	if (!lod->rule.window_us)
 		return;
 	for (uint32_t i = 0; i < sends->requests; i++)
-		bud_request(pool, &lod->rule, now_us);
+		bud_request(&pool->budget, &lod->rule, now_us);
 	for (uint32_t i = 0; i < sends->repeats; i++)
-		bud_repeat(pool, &lod->rule, now_us);
+		bud_repeat(&pool->budget, &lod->rule, now_us);
 }
 
 /* Sets what others have at a target: all domains' counts but this node's. */
@@ -145,6 +162,8 @@
 		total += GPOINTER_TO_UINT(g_hash_table_lookup(
 			((struct lod_domain *)value)->counts, hash));
 	bal_of(target, fs_now_us())->others = total - MIN(own, total);
+	if (total)
+		bal_of(target, 0)->used_us = fs_now_us();
 }
 
 static struct lod_domain *domain_of(struct lod *lod, uint32_t hash)
--- a/src/lod.h
+++ b/src/lod.h
@@ -37,9 +37,14 @@
 void lod_outcome(struct lod *lod, struct dir_target *target,
 		 enum gry_outcome outcome, int64_t took_us);
 
-/** Notes requests and repeats that this node sent a service. */
+/** Notes requests and repeats that this node sent a service, and requests
+ *  that ended unserved. */
 void lod_sent(struct lod *lod, const char *service, uint32_t requests,
-	      uint32_t repeats);
+	      uint32_t repeats, uint32_t unserved);
+
+/** Returns the share of a service's requests that ends unserved now, in the
+ *  whole fleet. */
+double lod_unserved(const struct lod *lod, const char *service);
 
 /** Returns the mean time of good answers of a service, 0 if unknown. */
 int64_t lod_mean(const struct lod *lod, const char *service);
--- a/src/lod_impl.h
+++ b/src/lod_impl.h
@@ -41,6 +41,12 @@
 	uint32_t count;
 };
 
+/** What the whole fleet sent a service. */
+struct lod_pool {
+	struct bud budget;
+	double unserved; /* share of requests, of the last fifty or so */
+};
+
 /** What a hub told last of a target. */
 struct lod_told {
 	uint32_t requests;
@@ -68,7 +74,7 @@
 	GHashTable *domains; /* hash to struct lod_domain */
 	GHashTable *trust;   /* node_id * to double *, see lod_judge.c */
 	GHashTable *means;   /* service name to struct lod_mean */
-	GHashTable *pools;   /* service hash to struct bud, of the fleet */
+	GHashTable *pools;   /* service hash to struct lod_pool */
 	struct bud_rule rule;
 	/* As a hub */
 	node_id hubs[2]; /* of this domain: first and second choice */
--- a/src/lod_wire.c
+++ b/src/lod_wire.c
@@ -60,7 +60,7 @@
 		put(packer, e->count);
 		put(packer, (uint64_t)MAX(e->took_us, 0));
 	}
-	msgpack_pack_array(packer, (size_t)3 * packet->sends->len);
+	msgpack_pack_array(packer, (size_t)4 * packet->sends->len);
 	for (guint i = 0; i < packet->sends->len; i++) {
 		const struct lod_sends *s =
 			&g_array_index(packet->sends, struct lod_sends, i);
@@ -68,6 +68,7 @@
 		put(packer, s->service);
 		put(packer, s->requests);
 		put(packer, s->repeats);
+		put(packer, s->unserved);
 	}
 }
 
@@ -168,7 +169,7 @@
 
 static void get_sends(struct reader *r, struct lod_packet *packet)
 {
-	struct reader list = get_list(r, 3);
+	struct reader list = get_list(r, 4);
 
 	while (!list.bad && list.left) {
 		struct lod_sends s = {0};
@@ -176,6 +177,7 @@
 		s.service = (uint32_t)get(&list, UINT32_MAX);
 		s.requests = (uint32_t)get(&list, REQUESTS_MAX);
 		s.repeats = (uint32_t)get(&list, REQUESTS_MAX);
+		s.unserved = (uint32_t)get(&list, REQUESTS_MAX);
 		g_array_append_val(packet->sends, s);
 	}
 	r->bad |= list.bad;
--- a/src/lod_wire.h
+++ b/src/lod_wire.h
@@ -36,6 +36,7 @@
 	uint32_t service; /* hash of its name */
 	uint32_t requests;
 	uint32_t repeats;
+	uint32_t unserved;
 };
 
 /** One datagram. */
