--- a/src/bal.c
+++ b/src/bal.c
@@ -15,10 +15,14 @@
 #define JITTER 0.1
 #define MEAN_DEFAULT_US (300 * FS_US_PER_MS) /* until the service is known */
 #define SAMPLE_MAX 64 /* targets looked at in one choice */
-/* A target without work for so long is tried by one request in eight, so that
- * a service's sound targets all get some within two seconds. */
+/* A target without work for so long is tried by a single request, one in
+ * eight of those that come then. */
 #define IDLE_US (900 * FS_US_PER_MS)
 #define EXPLORE_SHARE 0.125
+/* Unless many requests fail, the trial waits until the evidence against the
+ * target has faded: its chance to be gray is near that of any. */
+#define FADED_FAILURE 0.12
+#define FADED_IDLE_US (2500 * FS_US_PER_MS)
 
 struct bal_target *bal_of(struct dir_target *target, int64_t now_us)
 {
@@ -109,7 +113,8 @@
 				       const struct bal_wish *wish)
 {
 	struct dir_target *idle = NULL;
-	int64_t since_us = wish->now_us - IDLE_US;
+	int64_t since_us = wish->now_us -
+			   (wish->explore ? IDLE_US : FADED_IDLE_US);
 
 	for (uint32_t i = 0; i < service->targets->len; i++) {
 		struct dir_target *target =
@@ -118,6 +123,9 @@
 
 		if (!may_take(target, wish) || kept->used_us >= since_us)
 			continue;
+		if (!wish->explore && gry_failure(&kept->gry, wish->now_us) >
+					      FADED_FAILURE)
+			continue;
 		since_us = kept->used_us;
 		idle = target;
 	}
@@ -133,7 +141,7 @@
 	uint32_t start = count ? (uint32_t)(wish->random % count) : 0;
 	double best_us = 0;
 
-	if (count && wish->explore && next_random(&random) < EXPLORE_SHARE) {
+	if (count && next_random(&random) < EXPLORE_SHARE) {
 		best.target = longest_idle(service, wish);
 		best.usable = count;
 		if (best.target)
--- a/src/bal.h
+++ b/src/bal.h
@@ -34,7 +34,7 @@
 	int64_t cross_us;     /* what another failure domain costs, as time */
 	const struct dir_target *const *avoid; /* targets tried before */
 	uint32_t avoid_count;
-	bool explore; /* also try targets that nobody uses */
+	bool explore; /* try idle targets whatever the evidence */
 	int64_t now_us;
 	uint64_t random;
 };
