End a hedge's other send outside of libcurl's callbacks

Cause: a body that begins to stream ended the other sends at once, from inside libcurl's write callback, where it refuses to remove a handle; the handle was freed all the same. A single overdue answer (failure 0.34) never reached the bar of 0.35 for a second send either. Test: stream_ends_other_sends.

--- a/src/gwy_answer.c
+++ b/src/gwy_answer.c
@@ -167,6 +167,7 @@
 		note_size(req, length);
 	req->state = GWY_STREAMING;
 	req->stream = t;
-	gwy_request_timer(req, req->deadline_us, now_us);
+	/* Other sends are ended by the timer, outside of this callback. */
+	gwy_request_timer(req, now_us, now_us);
 	answer_with(req, response, t->status);
 }
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -22,8 +22,9 @@
  * route's objective. */
 #define OVERDUE_MEANS 2.5
 #define OVERDUE_SHARE 0.5
-/* The first target is likely gray: a second send may answer sooner. */
-#define HEDGE_GRAY 0.35
+/* The first target is as likely to fail as one with a first overdue answer: a
+ * second send may answer sooner. */
+#define HEDGE_FAILURE 0.3
 
 /* When this share of a service's requests fails, evidence against targets may
  * be wrong: all of them are tried now and then. */
@@ -406,15 +407,21 @@
 		return;
 	t->status = tgt_status(tgt);
 	gwy_answer_stream(t, fs_now_us());
+}
+
+/* Ends the sends whose answer is not the one that is passed on. libcurl does
+ * not let go of a transfer inside a callback, where streams begin. */
+static void stop_others(struct gwy_request *req)
+{
 	for (uint32_t i = 0; i < req->try_count; i++) {
-		struct gwy_try *other = &req->tries[i];
+		struct gwy_try *t = &req->tries[i];
 
-		if (other == t || !other->tgt)
+		if (t == req->stream || !t->held)
 			continue;
-		tgt_free(other->tgt);
-		other->tgt = NULL;
-		other->err = FS_E_CANCELLED;
-		gwy_send_release(other);
+		tgt_free(t->tgt);
+		t->tgt = NULL;
+		t->err = FS_E_CANCELLED;
+		gwy_send_release(t);
 	}
 }
 
@@ -465,10 +472,10 @@
 
 	if (!gwy_route_of(req)->repeatable || req->running != 1 ||
 	    t->target->gone ||
-	    gry_failure(&bal_of(t->target, now_us)->gry, now_us) < HEDGE_GRAY)
+	    gry_failure(&bal_of(t->target, now_us)->gry, now_us) < HEDGE_FAILURE)
 		return;
 	choice = choose(req, now_us);
-	if (choice.target && !choice.wait_us && choice.failure < HEDGE_GRAY)
+	if (choice.target && !choice.wait_us && choice.failure < HEDGE_FAILURE)
 		send_again(req, now_us);
 }
 
@@ -503,6 +510,8 @@
 		give_up(req, now_us);
 		return;
 	}
+	if (req->state == GWY_STREAMING)
+		stop_others(req);
 	if (req->state == GWY_WAITING) {
 		note_overdue(req, now_us);
 		hedge(req, now_us);
--- a/tests/unit_gwy.c
+++ b/tests/unit_gwy.c
@@ -8,6 +8,7 @@
 #define FIELDS "Host: h\r\nX-Id: r1\r\nX-Left: 3000\r\n"
 #define PAY                                                              \
 	"POST /pay/1 HTTP/1.1\r\n" FIELDS "Content-Length: 3\r\n\r\na=1"
+#define LONG_BODY (300 * 1024) /* bytes; streamed, not held */
 #define LIST "GET /list/1?q=1 HTTP/1.1\r\n" FIELDS "\r\n"
 
 static struct yard y;
@@ -248,6 +249,38 @@
 	end();
 }
 
+/* Hangs on the first request of all targets together, then sends a body that
+ * is too long to be held. */
+static void serve_long_second(void *arg, struct fake_conn *conn,
+			      const struct fake_request *request)
+{
+	int *served = arg;
+	g_autofree char *body = NULL;
+
+	if (!(*served)++)
+		return;
+	body = g_strnfill(LONG_BODY, 'x');
+	yard_ok(conn, request, body);
+}
+
+/* A second send beside one that hangs: the first is ended when the answer of
+ * the second begins to stream. */
+static void test_stream_ends_other_sends(void)
+{
+	int served = 0;
+
+	begin();
+	yard_target(&y, "list", serve_long_second, &served);
+	yard_target(&y, "list", serve_long_second, &served);
+	yard_call(&y, &c, LIST);
+	yard_expect(&y, &c, 200);
+	yard_until(&y, (yard_read(&c), c.got->len > LONG_BODY));
+	g_assert_cmpuint(yard_arrivals(&y), ==, 2);
+	g_assert_cmpuint(fake_open(y.targets[0]) + fake_open(y.targets[1]), <=,
+			 1);
+	end();
+}
+
 static void test_no_route(void)
 {
 	begin();
@@ -320,6 +353,8 @@
 	g_test_add_func("/gwy/time_of_the_route", test_time_of_the_route);
 	g_test_add_func("/gwy/caller_gone_ends_the_work",
 			test_caller_gone_ends_the_work);
+	g_test_add_func("/gwy/stream_ends_other_sends",
+			test_stream_ends_other_sends);
 	g_test_add_func("/gwy/no_route", test_no_route);
 	g_test_add_func("/gwy/not_ready_refuses", test_not_ready_refuses);
 	g_test_add_func("/gwy/pipelined_answers_keep_their_order",
