--- a/src/bal.c
+++ b/src/bal.c
@@ -4,8 +4,9 @@
 
 /* Work slows when slots fill up: at the last slot by about a third. */
 #define CROWDING 0.3
-/* A target that was full a moment ago: its queue takes time to drain. */
-#define FULL_US (700 * FS_US_PER_MS)
+/* A target that refused a request has no room until it has fewer requests than
+ * then, or until this time has passed: counts of others are a little old. */
+#define FULL_US (1500 * FS_US_PER_MS)
 /* A target with another server at its address is gone, or its entry comes. */
 #define OTHER_US (2 * FS_US_PER_S)
 /* A target that has just started takes about twice as long. */
@@ -17,7 +18,7 @@
 #define SAMPLE_MAX 64 /* targets looked at in one choice */
 /* A target without work for so long is tried by a single request, one in
  * eight of those that come then. */
-#define IDLE_US (900 * FS_US_PER_MS)
+#define IDLE_US (1500 * FS_US_PER_MS)
 #define EXPLORE_SHARE 0.125
 /* Unless many requests fail, the trial waits until the evidence against the
  * target has faded: its chance to be gray is near that of any. */
@@ -47,6 +48,26 @@
 	return (busy - slots + 1) * mean_us / slots;
 }
 
+static uint32_t busy_of(const struct bal_target *kept)
+{
+	return kept->own + kept->others;
+}
+
+void bal_note_full(struct dir_target *target, int64_t now_us)
+{
+	struct bal_target *kept = bal_of(target, now_us);
+
+	kept->full_at = MAX(busy_of(kept), target->entry.slots);
+}
+
+static bool is_full(const struct dir_target *target, int64_t now_us)
+{
+	const struct bal_target *kept = target->judge;
+
+	return kept && now_us - kept->gry.full_us < FULL_US &&
+	       busy_of(kept) >= kept->full_at;
+}
+
 static bool is_avoided(const struct bal_wish *wish,
 		       const struct dir_target *target)
 {
@@ -89,8 +110,6 @@
 	out->failure = gry_failure(&kept->gry, wish->now_us);
 	us += (double)out->wait_us * gry_slowness(&kept->gry, wish->now_us);
 	us += out->failure * (double)wish->failure_us;
-	if (wish->now_us - kept->gry.full_us < FULL_US)
-		us += (double)mean_us;
 	if (strcmp(target->entry.domain, wish->domain) != 0)
 		us += (double)wish->cross_us;
 	/* A target that nobody has used yet is tried before it is needed. */
@@ -155,12 +174,17 @@
 
 		if (!may_take(target, wish))
 			continue;
+		if (is_full(target, wish->now_us)) {
+			best.full++;
+			continue;
+		}
 		best.usable++;
 		us = cost_of(target, wish, &one) *
 		     (1.0 + JITTER * next_random(&random));
 		if (best.target && us >= best_us)
 			continue;
 		one.usable = best.usable;
+		one.full = best.full;
 		best = one;
 		best_us = us;
 	}
--- a/src/bal.h
+++ b/src/bal.h
@@ -24,6 +24,7 @@
 	uint32_t own;	 /* requests of this node there now */
 	uint32_t others; /* requests of other nodes there, as last told */
 	int64_t used_us; /* last time that any node is known to use it */
+	uint32_t full_at; /* requests there when it last refused one */
 };
 
 /** What is asked for. */
@@ -46,11 +47,15 @@
 	int64_t wait_us; /* expected wait for a slot */
 	double failure;	 /* chance of a failure */
 	uint32_t usable; /* targets there were to choose from */
+	uint32_t full;	 /* targets passed over since they have no room */
 };
 
 /** Returns what is kept of a target, made when first asked for. */
 struct bal_target *bal_of(struct dir_target *target, int64_t now_us);
 
+/** Notes that a target refused a request for lack of room. */
+void bal_note_full(struct dir_target *target, int64_t now_us);
+
 /** Chooses among the targets of a service; NULL is allowed. */
 struct bal_choice bal_choose(const struct dir_service *service,
 			     const struct bal_wish *wish);
--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -71,6 +71,7 @@
 	uint32_t running; /* tries under way */
 	uint32_t sent;	  /* tries that may count as sent to a server */
 	bool may_have_run;
+	bool parked; /* waits here until a target has room */
 	const char *no_retry; /* why it was not sent again, for the log */
 	ev_timer timer;
 	struct htd_gone gone; /* the caller's connection, while suspended */
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -8,8 +8,8 @@
 /* A failure costs a request that may not be repeated its whole worth, several
  * times the time it is allowed; another one costs it a second send, which the
  * budget may not have. In objectives of the route. */
-#define FAILURE_ONCE 6
-#define FAILURE_REPEATABLE 3
+#define FAILURE_ONCE 12
+#define FAILURE_REPEATABLE 4
 /* Another failure domain is used when waits or failures in the own one cost
  * more than this. Bytes between domains are dear: an answer of 90 kB costs the
  * dearer deployment three requests' worth, and waits for its own domain. */
@@ -28,7 +28,15 @@
 
 /* When this share of a service's requests fails, evidence against targets may
  * be wrong: all of them are tried now and then. */
-#define EXPLORE_SHARE 0.06
+#define EXPLORE_SHARE 0.08
+
+/* A wait that is expected to be longer than what is left by this much can't be
+ * met: expected waits are right within a quarter. */
+#define WAIT_SLACK 1.25
+/* Requests for which no target has room are tried again so often. */
+#define PARK_US (70 * FS_US_PER_MS)
+/* They wait as long as their work can still be done after that. */
+#define PARK_MEANS 1.5
 
 /* Callers come back spread over this time, so that they do not meet again. */
 #define COME_BACK_MIN_US (200 * FS_US_PER_MS)
@@ -88,12 +96,21 @@
 	return req->try_count;
 }
 
+static bool is_too_long(const struct gwy_request *req, int64_t wait_us,
+			int64_t now_us)
+{
+	return (double)wait_us >
+	       (double)(req->deadline_us - now_us) * WAIT_SLACK;
+}
+
 static struct bal_choice choose(struct gwy_request *req, int64_t now_us)
 {
 	struct gwy *gwy = req->gwy;
 	const struct dir_target *avoid[GWY_TRIES_MAX];
 	const char *service = gwy_service_name(req);
+	const struct dir_service *targets = dir_find(gwy->dir, service);
 	int64_t objective_us = objective_of(req);
+	struct bal_choice choice;
 	struct bal_wish wish = {
 		.domain = gwy->node->set.domain,
 		.mean_us = lod_mean(gwy->lod, service),
@@ -109,7 +126,13 @@
 		.random = next_random(gwy),
 	};
 
-	return bal_choose(dir_find(gwy->dir, service), &wish);
+	choice = bal_choose(targets, &wish);
+	if (!choice.target || !is_too_long(req, choice.wait_us, now_us))
+		return choice;
+	/* Waiting there would be for nothing: a doubtful target is better. */
+	wish.failure_us = 0;
+	wish.cross_us = 0;
+	return bal_choose(targets, &wish);
 }
 
 static int64_t overdue_us(const struct gwy_request *req)
@@ -196,12 +219,28 @@
 	if (left_us < GWY_LEFT_MIN_US)
 		return req->may_have_run ? FS_E_DEADLINE : FS_E_DEADLINE_QUEUED;
 	if (!choice->target)
-		return FS_E_NO_TARGET;
-	if (choice->wait_us > left_us)
+		return choice->full ? FS_E_QUEUE_FULL : FS_E_NO_TARGET;
+	if (is_too_long(req, choice->wait_us, now_us))
 		return FS_E_WAIT_TOO_LONG;
 	return 0;
 }
 
+/* Keeps a request here for a moment if no target has room, but only while its
+ * work can still be done in time. */
+static bool park(struct gwy_request *req, int err, int64_t now_us)
+{
+	int64_t mean_us = lod_mean(req->gwy->lod, gwy_service_name(req));
+	int64_t left_us = req->deadline_us - now_us;
+
+	req->parked = err == FS_E_QUEUE_FULL &&
+		      (double)left_us > (double)mean_us * PARK_MEANS;
+	if (req->parked) {
+		ctr_count(req->gwy->node->ctr, "gwy_parked", 1);
+		gwy_request_timer(req, now_us + PARK_US, now_us);
+	}
+	return req->parked;
+}
+
 static const char *reason(const struct rty_numbers *n)
 {
 	if (!n->repeatable && n->written)
@@ -247,30 +286,36 @@
 		.usable = choice.target ? 1 : 0,
 	};
 
+	int err;
+
 	/* A send that reached nobody is not repeated by the next one. */
 	if (!req->sent)
 		n.budget_milli = RTY_COST_MILLI;
-	if (req->try_count == GWY_TRIES_MAX ||
-	    cannot_send(req, &choice, now_us) || !rty_allowed(&n)) {
+	err = cannot_send(req, &choice, now_us);
+	if (err == FS_E_QUEUE_FULL)
+		n.usable = 1;
+	if (req->try_count == GWY_TRIES_MAX || !rty_allowed(&n) ||
+	    (err && !park(req, err, now_us))) {
 		req->no_retry = reason(&n);
 		return false;
 	}
+	if (err)
+		return true;
 	ctr_count(gwy->node->ctr, "gwy_sent_again", 1);
 	start_try(req, &choice, now_us);
 	set_timer(req, now_us);
 	return true;
 }
 
-void gwy_send_first(struct gwy_request *req, int64_t now_us)
+static void send_or_refuse(struct gwy_request *req, int64_t now_us)
 {
 	struct bal_choice choice = choose(req, now_us);
 	int err = cannot_send(req, &choice, now_us);
 
-	req->state = GWY_WAITING;
-	bud_request(budget_of(req), &req->gwy->budget_rule, now_us);
-	lod_sent(req->gwy->lod, gwy_service_name(req), 1, 0, 0);
 	if (err) {
-		gwy_answer_refuse(req, err, come_back(req->gwy), now_us);
+		if (!park(req, err, now_us))
+			gwy_answer_refuse(req, err, come_back(req->gwy),
+					  now_us);
 		return;
 	}
 	start_try(req, &choice, now_us);
@@ -281,6 +326,14 @@
 				  now_us);
 }
 
+void gwy_send_first(struct gwy_request *req, int64_t now_us)
+{
+	req->state = GWY_WAITING;
+	bud_request(budget_of(req), &req->gwy->budget_rule, now_us);
+	lod_sent(req->gwy->lod, gwy_service_name(req), 1, 0, 0);
+	send_or_refuse(req, now_us);
+}
+
 /* What an ended send says of its target. */
 static enum gry_outcome outcome_of(const struct gwy_try *t)
 {
@@ -502,6 +555,18 @@
 			  0, now_us);
 }
 
+/* Room may have come free for a request that waits here. */
+static void resend(struct gwy_request *req, int64_t now_us)
+{
+	if (!req->try_count) {
+		send_or_refuse(req, now_us);
+		return;
+	}
+	if (send_again(req, now_us))
+		return;
+	finish(&req->tries[req->try_count - 1], now_us);
+}
+
 void gwy_send_timer(struct gwy_request *req, int64_t now_us)
 {
 	if (req->state == GWY_ENDED)
@@ -510,6 +575,11 @@
 		give_up(req, now_us);
 		return;
 	}
+	if (req->parked) {
+		req->parked = false;
+		resend(req, now_us);
+		return;
+	}
 	if (req->state == GWY_STREAMING)
 		stop_others(req);
 	if (req->state == GWY_WAITING) {
--- a/src/lod_judge.c
+++ b/src/lod_judge.c
@@ -87,6 +87,8 @@
 	was = gry_is_suspect(gry, now_us);
 	for (uint32_t i = 0; i < e->count; i++) {
 		gry_note(gry, e->outcome, weight, now_us);
+		if (e->outcome == GRY_FULL)
+			bal_note_full(target, now_us);
 		if (e->outcome == GRY_GOOD)
 			add_time(lod, target, e->took_us / e->count, now_us);
 	}
