--- a/src/fed.c
+++ b/src/fed.c
@@ -1,7 +1,6 @@
 #include "fed_impl.h"
 
 #include "fs_log.h"
-#include "shd.h"
 
 /* splitmix64 */
 int64_t fed_random(struct fed *fed, int64_t limit)
@@ -45,7 +44,6 @@
 		      cfg->version, cfg->route_count, cfg->service_count,
 		      source);
 	bus_send_all(fed->node->bus, MSG_CONFIG, cfg);
-	fed_tell_config(fed);
 }
 
 struct cfg *fed_config(const struct fed *fed)
@@ -58,36 +56,22 @@
 	return fed->cfg && fed->directory_known;
 }
 
-static bool is_candidate(const struct mem_member *m, const char *domain)
-{
-	return m->state == MEM_ALIVE && m->direct &&
-	       !strcmp(m->domain, domain);
-}
-
-/* The reader of a failure domain is the live member with the highest weight;
- * a node that knows no others reads. */
 static bool is_chosen(const struct fed *fed, int64_t now_us)
 {
 	const struct node *node = fed->node;
-	uint64_t key = fs_node_id(node->set.domain);
-	uint64_t own = shd_weight(key, node->self);
+	node_id first[2];
 
-	if (node->stopping || now_us - fed->started_us < FED_SETTLE_US)
+	if (node->stopping || !fed->view ||
+	    now_us - fed->started_us < FED_SETTLE_US)
 		return false;
-	for (uint32_t i = 0; fed->view && i < fed->view->count; i++) {
-		const struct mem_member *m = &fed->view->members[i];
-
-		if (m->id != node->self &&
-		    is_candidate(m, node->set.domain) &&
-		    shd_weight(key, m->id) > own)
-			return false;
-	}
-	return true;
+	mem_view_first(fed->view, node->set.domain, first);
+	return first[0] == node->self;
 }
 
 static void choose(struct fed *fed, int64_t now_us)
 {
-	bool deaf = now_us - fed->heard_us > FED_DEAF_US;
+	bool deaf = now_us - fed->heard_us > FED_DEAF_US &&
+		    now_us - fed->listed_us > FED_LISTED_US;
 	bool was = fed->reading;
 
 	if (deaf)
@@ -125,8 +109,8 @@
 	log_ready(fed);
 }
 
-static void ask_config(struct fed *fed, node_id peer, uint64_t version,
-		       int64_t now_us)
+void fed_ask_config(struct fed *fed, node_id peer, uint64_t version,
+		    int64_t now_us)
 {
 	struct msg *m;
 
@@ -161,8 +145,10 @@
 		fed->view = mem_view_ref(m->view.view);
 		break;
 	case MSG_CONFIG_HINT:
-		ask_config(fed, m->config_hint.node, m->config_hint.version,
-			   now_us);
+		/* The reader of this domain has it as well, or soon. */
+		if (now_us - fed->local_us > FED_DEAF_US)
+			fed_ask_config(fed, m->config_hint.node,
+				       m->config_hint.version, now_us);
 		break;
 	case MSG_CONFIG_ASK:
 		send_config(fed, m);
@@ -174,7 +160,6 @@
 					now_us);
 		break;
 	case MSG_FEED_BEAT:
-		ask_config(fed, m->from, m->feed_beat.config_version, now_us);
 		fed_tell_beat(fed, m, now_us);
 		break;
 	case MSG_FEED_ENTRIES:
@@ -221,7 +206,8 @@
 	fed->random = node->self ^ node->incarnation;
 	fed->started_us = now_us;
 	/* Reads at once: nobody has been heard yet. */
-	fed->heard_us = now_us - 2 * FED_DEAF_US;
+	fed->heard_us = fed->local_us = fed->listed_us =
+		now_us - 2 * FED_DEAF_US;
 	fed_read_init(fed);
 	dir_on_gone(dir, fed_tell_gone, fed);
 	bus_attach(node->bus, MSG_TASK_CONFIG, &ops, fed);
--- a/src/fed.h
+++ b/src/fed.h
@@ -3,12 +3,15 @@
  * @brief Feed task: configuration and directory of targets, from the
  * platform's key-value service to every node.
  *
- * Some nodes read the service: in each failure domain the one with the highest
- * weight among those that live. They tell all others of changes over links,
- * and several times a second how fresh they are. A node that hears of no fresh
- * reader for FED_DEAF_US reads for itself until it does. So no node has to be
- * elected or replaced, a lost reader costs nothing, and a node that the
- * service turns away still learns from its peers.
+ * One node of each failure domain reads the service: the one with the highest
+ * weight among those that live, which is also the hub of the load exchange. It
+ * tells the others of its domain of changes over links. How fresh it is goes
+ * with the digests of that exchange, several times a second and to all. A node
+ * that hears of no fresh reader for FED_DEAF_US reads for itself until it does.
+ * So no node has to be elected or replaced, a lost reader costs nothing, and a
+ * node that the service turns away still learns from its peers; from those of
+ * another domain only if its own has no fresh reader, as bytes between domains
+ * are dear.
  *
  * A reader lists the targets once, then watches for changes. What it tells is
  * merged by revision (dir.h); a digest shows when something was missed.
@@ -16,7 +19,7 @@
  * A configuration is in force once it is decoded. An older version is never
  * taken in one run of the process.
  *
- * Each node also keeps a key with its address, under a lease, so that a node
+ * Readers also keep a key with their address, under a lease, so that a node
  * whose seeds are all gone finds the others.
  */
 #ifndef FED_H
--- a/src/fed_impl.h
+++ b/src/fed_impl.h
@@ -7,17 +7,15 @@
 
 #include "fed.h"
 
-/* How often a reader tells its freshness: twice within FED_DEAF_US. */
-#define FED_BEAT_US (500 * FS_US_PER_MS)
-/* Another failure domain has readers of its own: it hears half as often, since
- * bytes between domains are dear. */
-#define FED_BEAT_FAR_US (1000 * FS_US_PER_MS)
 /* A node that has just started knows few members yet: it reads for itself, but
  * does not tell others. */
-#define FED_SETTLE_US (2000 * FS_US_PER_MS)
+#define FED_SETTLE_US (1200 * FS_US_PER_MS)
 /* Without a fresh reader for so long a node reads for itself; leaves half of
  * the 2 s in which a change has to be in force for its own calls. */
 #define FED_DEAF_US (1200 * FS_US_PER_MS)
+/* Nor does a node that has just read all there is: after a start readers are
+ * heard within this time. */
+#define FED_LISTED_US (2500 * FS_US_PER_MS)
 /* A reader is fresh if the service answered it within this time. */
 #define FED_FRESH_US (1100 * FS_US_PER_MS)
 /* Heard readers this long before its own reading ends, so that it does not
@@ -41,7 +39,8 @@
 /* A node's own key: renewed three times within its lease. */
 #define FED_LEASE_US (12 * FS_US_PER_S)
 #define FED_KEEP_US (4 * FS_US_PER_S)
-#define FED_LIST_NODES_US (3 * FS_US_PER_S) /* while few members are known */
+#define FED_LIST_NODES_US (3 * FS_US_PER_S) /* while no others are known */
+#define FED_ALONE_US (700 * FS_US_PER_MS) /* seeds answer well before that */
 
 /** One reading of a prefix: a list, then watches from its revision. */
 struct fed_loop {
@@ -76,8 +75,8 @@
 	int64_t started_us;
 	int64_t heard_us;      /* last beat of a fresh reader */
 	int64_t deaf_us;       /* last time without one */
-	int64_t beat_us;       /* last own beat */
-	int64_t beat_far_us;   /* last own beat to other failure domains */
+	int64_t local_us;      /* last beat of a fresh one in this domain */
+	int64_t listed_us;     /* when it last had a whole list itself */
 	int64_t changed_us;    /* last change of the directory */
 	int64_t asked_us;
 	int64_t asked_config_us;
@@ -106,9 +105,12 @@
 /** Notes a changed or removed target, to be told with the next tick. */
 void fed_tell_entry(struct fed *fed, const struct dir_entry *entry);
 void fed_tell_gone(void *fed, const struct dir_target *target, uint64_t rev);
-void fed_tell_config(struct fed *fed);
 void fed_tell_tick(struct fed *fed, int64_t now_us);
+/** Takes the beat of another reader. */
 void fed_tell_beat(struct fed *fed, const struct msg *m, int64_t now_us);
+/** Asks a peer for its configuration if that is newer. */
+void fed_ask_config(struct fed *fed, node_id peer, uint64_t version,
+		    int64_t now_us);
 void fed_tell_entries(struct fed *fed, const struct msg *m, int64_t now_us);
 void fed_tell_asked(struct fed *fed, const struct msg *m, int64_t now_us);
 
--- a/src/fed_node.c
+++ b/src/fed_node.c
@@ -90,7 +90,8 @@
 
 	if (fed->node->stopping)
 		return;
-	if (!fed->lease_running && now_us >= fed->lease_next_us) {
+	if (fed->chosen && !fed->lease_running &&
+	    now_us >= fed->lease_next_us) {
 		fed->lease_running = true;
 		if (fed->lease)
 			kvs->ops->keep(kvs->store, fed->lease, on_kept, fed);
@@ -99,7 +100,7 @@
 					fed);
 	}
 	if (!fed->nodes_running && now_us >= fed->nodes_next_us &&
-	    !others_alive(fed)) {
+	    now_us - fed->started_us > FED_ALONE_US && !others_alive(fed)) {
 		fed->nodes_running = true;
 		fed->nodes_next_us = now_us + FED_LIST_NODES_US;
 		kvs->ops->range(kvs->store, fed->platform.node_prefix, NULL,
--- a/src/fed_read.c
+++ b/src/fed_read.c
@@ -136,6 +136,8 @@
 		loop->fed->directory_known = true;
 	}
 	loop->listed = true;
+	if (loop->fed->targets.listed && loop->fed->config.listed)
+		loop->fed->listed_us = now_us;
 	loop->from_rev = loop->list_rev;
 }
 
--- a/src/fed_tell.c
+++ b/src/fed_tell.c
@@ -56,9 +56,11 @@
 	return m;
 }
 
-static struct msg *beat_of(const struct fed *fed, node_id to, int64_t now_us)
+/* Tells the load exchange, which tells all nodes. */
+static void beat(struct fed *fed, int64_t now_us)
 {
-	struct msg *m = msg_new(MSG_FEED_BEAT, to, MSG_TASK_CONFIG);
+	struct msg *m =
+		msg_new(MSG_FEED_BEAT, fed->node->self, MSG_TASK_LOAD);
 
 	m->feed_beat.digest = dir_digest(fed->dir);
 	m->feed_beat.config_version = fed->cfg ? fed->cfg->version : 0;
@@ -67,46 +69,42 @@
 		now_us - fed->targets.answered_us < FED_FRESH_US &&
 		now_us - fed->config.answered_us <
 			FED_FRESH_US + FED_CONFIG_WAIT_US;
-	return m;
+	bus_send(fed->node->bus, m);
 }
 
-/* Changes go first, so that the digest behind them fits. */
-static void tell_all(struct fed *fed, int64_t now_us)
+/* Other failure domains have readers of their own. */
+static void tell_domain(struct fed *fed)
 {
-	struct bus *bus = fed->node->bus;
-	bool far = fed->changes || !fed->beat_us ||
-		   now_us - fed->beat_far_us >= FED_BEAT_FAR_US;
-
 	for (uint32_t i = 0; fed->view && i < fed->view->count; i++) {
 		const struct mem_member *m = &fed->view->members[i];
 
-		if (m->id == fed->node->self || m->state == MEM_DEAD ||
-		    (!far && strcmp(m->domain, fed->node->set.domain) != 0))
-			continue;
-		if (fed->changes)
-			bus_send(bus, copy_entries(fed->changes, m->id));
-		bus_send(bus, beat_of(fed, m->id, now_us));
+		if (m->id != fed->node->self && m->state != MEM_DEAD &&
+		    !strcmp(m->domain, fed->node->set.domain))
+			bus_send(fed->node->bus,
+				 copy_entries(fed->changes, m->id));
 	}
-	g_clear_pointer(&fed->changes, msg_free);
-	fed->beat_us = now_us;
-	if (far)
-		fed->beat_far_us = now_us;
 }
 
-void fed_tell_config(struct fed *fed)
+void fed_tell_tick(struct fed *fed, int64_t now_us)
 {
-	/* The beat names the new version; peers ask for its text. */
-	fed->beat_us = 0;
+	if (fed->chosen && fed->changes)
+		tell_domain(fed);
+	g_clear_pointer(&fed->changes, msg_free);
+	if (fed->chosen)
+		beat(fed, now_us);
 }
 
-void fed_tell_tick(struct fed *fed, int64_t now_us)
+static void ask_entries(struct fed *fed, const struct msg_feed_beat *beat,
+			int64_t now_us)
 {
-	if (!fed->chosen) {
-		g_clear_pointer(&fed->changes, msg_free);
+	/* Changes under way explain a digest that differs for a moment. */
+	if (beat->digest == dir_digest(fed->dir) ||
+	    now_us - fed->changed_us < FED_ASK_US ||
+	    now_us - fed->asked_us < FED_ASK_US)
 		return;
-	}
-	if (fed->changes || now_us - fed->beat_us >= FED_BEAT_US)
-		tell_all(fed, now_us);
+	fed->asked_us = now_us;
+	bus_send(fed->node->bus,
+		 msg_new(MSG_FEED_ASK, beat->reader, MSG_TASK_CONFIG));
 }
 
 void fed_tell_beat(struct fed *fed, const struct msg *m, int64_t now_us)
@@ -116,17 +114,14 @@
 	if (!beat->fresh)
 		return;
 	fed->heard_us = now_us;
-	/* A reader has the list itself; changes under way explain a digest
-	 * that differs for a moment. */
-	if (fed->reading && fed->directory_known)
+	if (beat->local)
+		fed->local_us = now_us;
+	if (!beat->local && now_us - fed->local_us < FED_DEAF_US)
 		return;
-	if (beat->digest == dir_digest(fed->dir) ||
-	    now_us - fed->changed_us < FED_ASK_US ||
-	    now_us - fed->asked_us < FED_ASK_US)
-		return;
-	fed->asked_us = now_us;
-	bus_send(fed->node->bus,
-		 msg_new(MSG_FEED_ASK, m->from, MSG_TASK_CONFIG));
+	fed_ask_config(fed, beat->reader, beat->config_version, now_us);
+	/* A node that reads has the list itself. */
+	if (!fed->reading || !fed->targets.listed)
+		ask_entries(fed, beat, now_us);
 }
 
 void fed_tell_entries(struct fed *fed, const struct msg *m, int64_t now_us)
--- a/src/lod.c
+++ b/src/lod.c
@@ -189,6 +189,20 @@
 		 (int32_t)(packet->serial - domain->serial) <= 0));
 }
 
+/* Tells the feed task of another reader. */
+static void tell_feed(struct lod *lod, const struct lod_packet *packet)
+{
+	struct msg *m =
+		msg_new(MSG_FEED_BEAT, lod->node->self, MSG_TASK_CONFIG);
+
+	m->feed_beat.digest = packet->feed.digest;
+	m->feed_beat.config_version = packet->feed.config_version;
+	m->feed_beat.fresh = packet->feed.fresh;
+	m->feed_beat.local = packet->domain == lod->domain;
+	m->feed_beat.reader = packet->sender;
+	bus_send(lod->node->bus, m);
+}
+
 void lod_take_digest(struct lod *lod, const struct lod_packet *packet,
 		     int64_t now_us)
 {
@@ -196,6 +210,8 @@
 
 	if (is_old(domain, packet))
 		return;
+	if (packet->sender != lod->node->self)
+		tell_feed(lod, packet);
 	domain->hub = packet->sender;
 	domain->incarnation = packet->incarnation;
 	domain->serial = packet->serial;
@@ -289,7 +305,7 @@
 	if (packet->type != LOD_DIGEST || packet->sender == lod->node->self)
 		return;
 	/* A digest of another domain comes to the hub, which passes it on. */
-	if (!local && lod->hubs[0] == lod->node->self) {
+	if (!local && lod_hub_speaks(lod, now_us)) {
 		g_autoptr(GByteArray) copy = g_byte_array_new();
 
 		g_byte_array_append(copy, data, (guint)size);
@@ -413,7 +429,12 @@
 {
 	struct lod *lod = task;
 
-	(void)now_us;
+	if (m->type == MSG_FEED_BEAT) {
+		lod->feed.digest = m->feed_beat.digest;
+		lod->feed.config_version = m->feed_beat.config_version;
+		lod->feed.fresh = m->feed_beat.fresh;
+		lod->feed_us = now_us;
+	}
 	if (m->type != MSG_VIEW)
 		return;
 	mem_view_unref(lod->view);
--- a/src/lod_hub.c
+++ b/src/lod_hub.c
@@ -1,38 +1,9 @@
 #include "lod_impl.h"
 
-#include "shd.h"
-
-static bool may_be_hub(const struct lod *lod, const struct mem_member *m)
-{
-	return m->state == MEM_ALIVE &&
-	       lod_service_hash(m->domain) == lod->domain;
-}
-
-/* The two live members of the domain with the highest weights. */
 void lod_hub_choose(struct lod *lod)
 {
-	uint64_t best[2] = {0, 0};
-	uint64_t key = lod->domain;
-
-	lod->hubs[0] = lod->hubs[1] = 0;
-	lod->domain_nodes = 0;
-	for (uint32_t i = 0; i < lod->view->count; i++) {
-		const struct mem_member *m = &lod->view->members[i];
-		uint64_t weight = shd_weight(key, m->id);
-
-		if (!may_be_hub(lod, m))
-			continue;
-		lod->domain_nodes++;
-		if (weight > best[0]) {
-			lod->hubs[1] = lod->hubs[0];
-			best[1] = best[0];
-			lod->hubs[0] = m->id;
-			best[0] = weight;
-		} else if (weight > best[1]) {
-			lod->hubs[1] = m->id;
-			best[1] = weight;
-		}
-	}
+	lod->domain_nodes = mem_view_first(lod->view, lod->node->set.domain,
+					   lod->hubs);
 }
 
 static bool is_hub(const struct lod *lod)
@@ -41,23 +12,12 @@
 	       lod->hubs[1] == lod->node->self;
 }
 
-/* Returns the node that digests for another domain go to. */
-static node_id hub_of(const struct lod *lod, uint32_t domain)
+bool lod_hub_speaks(const struct lod *lod, int64_t now_us)
 {
-	uint64_t best = 0;
-	node_id hub = 0;
-
-	for (uint32_t i = 0; i < lod->view->count; i++) {
-		const struct mem_member *m = &lod->view->members[i];
-		uint64_t weight = shd_weight(domain, m->id);
-
-		if (m->state == MEM_ALIVE &&
-		    lod_service_hash(m->domain) == domain && weight > best) {
-			best = weight;
-			hub = m->id;
-		}
-	}
-	return hub;
+	if (lod->hubs[0] == lod->node->self)
+		return true;
+	return lod->hubs[1] == lod->node->self &&
+	       now_us - lod->hub_heard_us > LOD_SILENT_US;
 }
 
 static struct lod_peer *peer_of(struct lod *lod, node_id id)
@@ -218,18 +178,21 @@
 	}
 }
 
-/* Sends a digest to this domain and to one hub of each other domain. */
-static void publish(struct lod *lod, const GByteArray *data)
+/* Sends a digest to the hubs of the other domains. */
+static void publish_far(struct lod *lod, const GByteArray *data)
 {
-	g_autoptr(GHashTable) seen = g_hash_table_new(NULL, NULL);
+	g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
 
-	lod_send_domain(lod, data);
-	g_hash_table_add(seen, GUINT_TO_POINTER(lod->domain));
+	g_hash_table_add(seen, lod->node->set.domain);
 	for (uint32_t i = 0; i < lod->view->count; i++) {
-		uint32_t domain = lod_service_hash(lod->view->members[i].domain);
+		const char *domain = lod->view->members[i].domain;
+		node_id hubs[2];
 
-		if (g_hash_table_add(seen, GUINT_TO_POINTER(domain)))
-			lod_send(lod, data, hub_of(lod, domain));
+		if (!g_hash_table_add(seen, (void *)domain))
+			continue;
+		mem_view_first(lod->view, domain, hubs);
+		lod_send(lod, data, hubs[0]);
+		lod_send(lod, data, hubs[1]);
 	}
 }
 
@@ -239,11 +202,15 @@
 	struct lod_packet packet;
 
 	lod_begin(lod, &packet, LOD_DIGEST);
+	if (now_us - lod->feed_us < LOD_FEED_US)
+		packet.feed = lod->feed;
 	add_totals(lod, &packet, now_us);
 	move_rows(lod->hub_evidence, packet.evidence, LOD_EVIDENCE_MAX);
 	move_sends(lod->hub_sends, packet.sends);
-	if (!lod_wire_encode(&packet, lod->node->set.fleet_key, data))
-		publish(lod, data);
+	if (!lod_wire_encode(&packet, lod->node->set.fleet_key, data)) {
+		lod_send_domain(lod, data);
+		publish_far(lod, data);
+	}
 	lod_take_digest(lod, &packet, now_us);
 	lod_packet_clear(&packet);
 	lod->hub_urgent = lod->hub_evidence->len > 0;
@@ -252,13 +219,10 @@
 
 void lod_hub_tick(struct lod *lod, int64_t now_us)
 {
-	bool first = lod->hubs[0] == lod->node->self;
-	bool silent = now_us - lod->hub_heard_us > LOD_SILENT_US;
-
 	if (!is_hub(lod))
 		return;
 	/* The second choice drops what the first one tells. */
-	if (!first && !silent) {
+	if (!lod_hub_speaks(lod, now_us)) {
 		g_array_set_size(lod->hub_evidence, 0);
 		g_hash_table_remove_all(lod->hub_sends);
 		return;
--- a/src/lod_impl.h
+++ b/src/lod_impl.h
@@ -14,6 +14,8 @@
 #define LOD_REPORT_PEER_US (5 * FS_US_PER_MS)
 #define LOD_REPEAT_US (1000 * FS_US_PER_MS) /* unchanged counts again */
 #define LOD_DIGEST_US (200 * FS_US_PER_MS)  /* between digests of a hub */
+/* What the feed task told is not told on once it is older than this. */
+#define LOD_FEED_US (300 * FS_US_PER_MS)
 /* The second choice speaks when the hub was silent for so long. */
 #define LOD_SILENT_US (700 * FS_US_PER_MS)
 
@@ -86,6 +88,8 @@
 	bool hub_urgent;
 	int64_t digest_us;
 	int64_t hub_heard_us; /* last digest of this domain's hub */
+	struct lod_feed feed; /* of this node's feed task */
+	int64_t feed_us;      /* when it was told */
 	handle sent, received, refused;
 };
 
@@ -109,6 +113,9 @@
 void lod_send(struct lod *lod, const GByteArray *data, node_id to);
 void lod_send_domain(struct lod *lod, const GByteArray *data);
 
+/** Returns whether this node speaks for its domain now. */
+bool lod_hub_speaks(const struct lod *lod, int64_t now_us);
+
 /** Starts a packet from this node. */
 void lod_begin(struct lod *lod, struct lod_packet *packet, enum lod_type type);
 
--- a/src/lod_wire.c
+++ b/src/lod_wire.c
@@ -6,7 +6,7 @@
 #include "fs_err.h"
 #include "sig.h"
 
-#define HEAD_MEMBERS 8 /* type to domain, then three lists */
+#define HEAD_MEMBERS 11 /* type to domain, feed, then three lists */
 #define OUTCOMES_MAX 64
 #define REQUESTS_MAX 100000
 #define TOOK_MAX_US (600 * FS_US_PER_S)
@@ -85,6 +85,9 @@
 	put(&packer, packet->incarnation);
 	put(&packer, packet->serial);
 	put(&packer, packet->domain);
+	put(&packer, packet->feed.digest);
+	put(&packer, packet->feed.config_version);
+	put(&packer, packet->feed.fresh);
 	put_lists(&packer, packet);
 	if (sig_sign(key, out->data, out->len, code))
 		return FS_E_INVALID;
@@ -193,6 +196,9 @@
 	packet->incarnation = get(&r, UINT64_MAX);
 	packet->serial = (uint32_t)get(&r, UINT32_MAX);
 	packet->domain = (uint32_t)get(&r, UINT32_MAX);
+	packet->feed.digest = get(&r, UINT64_MAX);
+	packet->feed.config_version = get(&r, UINT64_MAX);
+	packet->feed.fresh = get(&r, 1);
 	get_counts(&r, packet);
 	get_evidence(&r, packet);
 	get_sends(&r, packet);
--- a/src/lod_wire.h
+++ b/src/lod_wire.h
@@ -39,6 +39,13 @@
 	uint32_t unserved;
 };
 
+/** How far the sender's feed task is; see fed.h. */
+struct lod_feed {
+	uint64_t digest;
+	uint64_t config_version;
+	bool fresh;
+};
+
 /** One datagram. */
 struct lod_packet {
 	enum lod_type type;
@@ -46,6 +53,7 @@
 	uint64_t incarnation;
 	uint32_t serial;
 	uint32_t domain;  /* hash of the sender's failure domain */
+	struct lod_feed feed; /* of digests */
 	GArray *counts;	  /* struct lod_count */
 	GArray *evidence; /* struct lod_evidence */
 	GArray *sends;	  /* struct lod_sends */
--- a/src/mem.h
+++ b/src/mem.h
@@ -54,6 +54,15 @@
 /** Gives a reference back; NULL is allowed. */
 void mem_view_unref(struct mem_view *view);
 
+/**
+ * Chooses the nodes that speak for a failure domain: those of its live members
+ * with the highest weights, the same ones wherever the view is the same.
+ * @param first  out: first and second choice, 0 if there is none
+ * @return how many live members the domain has
+ */
+uint32_t mem_view_first(const struct mem_view *view, const char *domain,
+			node_id first[2]);
+
 /** Returns the member @p id, or NULL. */
 const struct mem_member *mem_view_find(const struct mem_view *view, node_id id);
 
--- a/src/mem_view.c
+++ b/src/mem_view.c
@@ -1,5 +1,9 @@
 #include "mem.h"
 
+#include <string.h>
+
+#include "shd.h"
+
 struct mem_view *mem_view_ref(const struct mem_view *view)
 {
 	struct mem_view *writable = (struct mem_view *)view;
@@ -14,6 +18,34 @@
 		g_free(view);
 }
 
+uint32_t mem_view_first(const struct mem_view *view, const char *domain,
+			node_id first[2])
+{
+	uint64_t key = fs_node_id(domain);
+	uint64_t best[2] = {0, 0};
+	uint32_t alive = 0;
+
+	first[0] = first[1] = 0;
+	for (uint32_t i = 0; i < view->count; i++) {
+		const struct mem_member *m = &view->members[i];
+		uint64_t weight = shd_weight(key, m->id);
+
+		if (m->state != MEM_ALIVE || strcmp(m->domain, domain) != 0)
+			continue;
+		alive++;
+		if (weight > best[0]) {
+			first[1] = first[0];
+			best[1] = best[0];
+			first[0] = m->id;
+			best[0] = weight;
+		} else if (weight > best[1]) {
+			first[1] = m->id;
+			best[1] = weight;
+		}
+	}
+	return alive;
+}
+
 const struct mem_member *mem_view_find(const struct mem_view *view, node_id id)
 {
 	uint32_t low = 0;
--- a/src/msg.h
+++ b/src/msg.h
@@ -36,7 +36,6 @@
 	/* Leaving targets: from the pollers of the VM list to dispatchers */
 	MSG_TARGETS_LEAVING,
 	/* Directory of targets: between the feed tasks of nodes */
-	MSG_FEED_BEAT,	  /* what the sender knows, and how fresh it is */
 	MSG_FEED_ENTRIES, /* entries that changed, or all of them */
 	MSG_FEED_ASK,	  /* send me all you have */
 	MSG_REMOTE_COUNT,
@@ -50,6 +49,8 @@
 	MSG_LINK_DOWN, /* the link to a node broke or fell silent */
 	MSG_CONFIG_HINT, /* a member has a newer configuration */
 	MSG_CONTACTS,	 /* entry VMs of the platform's list */
+	MSG_FEED_BEAT, /* what a reader knows, and how fresh it is; between
+			  * nodes it goes with the load exchange */
 };
 
 /** MSG_CONFIG_HINT. */
@@ -204,6 +205,8 @@
 	uint64_t digest;	 /* dir_digest() of the sender */
 	uint64_t config_version; /* 0: none */
 	bool fresh;		 /* the store answered it a moment ago */
+	bool local;		 /* of this failure domain */
+	node_id reader;		 /* whose it is */
 };
 
 /** A target that was removed. */
--- a/src/msg_codec_in.c
+++ b/src/msg_codec_in.c
@@ -134,13 +134,6 @@
 	msg_end_array(r, &inner);
 }
 
-static void read_feed_beat(struct msg_reader *r, struct msg *m)
-{
-	m->feed_beat.digest = msg_get_u64(r, UINT64_MAX);
-	m->feed_beat.config_version = msg_get_u64(r, UINT64_MAX);
-	m->feed_beat.fresh = msg_get_bool(r);
-}
-
 /* A text that does not fit its field makes the message malformed. */
 static void read_into(struct msg_reader *r, char *out, size_t size)
 {
@@ -199,7 +192,6 @@
 	[MSG_CONFIG_ASK] = read_config_ask,
 	[MSG_CONFIG_TEXT] = read_config_text,
 	[MSG_TARGETS_LEAVING] = read_targets_leaving,
-	[MSG_FEED_BEAT] = read_feed_beat,
 	[MSG_FEED_ENTRIES] = read_feed_entries,
 	[MSG_FEED_ASK] = read_feed_ask,
 };
--- a/src/msg_codec_out.c
+++ b/src/msg_codec_out.c
@@ -120,13 +120,6 @@
 		msg_put_text(w, g_ptr_array_index(servers, i));
 }
 
-static void write_feed_beat(struct msg_writer *w, const struct msg *m)
-{
-	msg_put_u64(w, m->feed_beat.digest);
-	msg_put_u64(w, m->feed_beat.config_version);
-	msg_put_bool(w, m->feed_beat.fresh);
-}
-
 static void write_feed_entries(struct msg_writer *w, const struct msg *m)
 {
 	const GArray *entries = m->feed_entries.entries;
@@ -182,7 +175,6 @@
 	[MSG_CONFIG_ASK] = {1, write_config_ask},
 	[MSG_CONFIG_TEXT] = {2, write_config_text},
 	[MSG_TARGETS_LEAVING] = {1, write_targets_leaving},
-	[MSG_FEED_BEAT] = {3, write_feed_beat},
 	[MSG_FEED_ENTRIES] = {2, write_feed_entries},
 	[MSG_FEED_ASK] = {0, write_feed_ask},
 };
