--- a/src/fed.c
+++ b/src/fed.c
@@ -88,7 +88,7 @@
 					  FS_US_PER_MS));
 }
 
-static void log_ready(struct fed *fed)
+void fed_check_ready(struct fed *fed)
 {
 	if (fed->node->ready || !fed_is_ready(fed))
 		return;
@@ -106,7 +106,7 @@
 	fed_read_tick(fed, now_us);
 	fed_tell_tick(fed, now_us);
 	fed_node_tick(fed, now_us);
-	log_ready(fed);
+	fed_check_ready(fed);
 }
 
 void fed_ask_config(struct fed *fed, node_id peer, uint64_t version,
--- a/src/fed_impl.h
+++ b/src/fed_impl.h
@@ -92,6 +92,9 @@
 
 /* Configuration (fed.c) */
 
+/** Makes the node ready once it knows what it needs. */
+void fed_check_ready(struct fed *fed);
+
 /** Takes a configuration's text if its version is newer. */
 void fed_take_config(struct fed *fed, const char *text, size_t size,
 		     const char *source, int64_t now_us);
--- a/src/fed_read.c
+++ b/src/fed_read.c
@@ -139,6 +139,7 @@
 	if (loop->fed->targets.listed && loop->fed->config.listed)
 		loop->fed->listed_us = now_us;
 	loop->from_rev = loop->list_rev;
+	fed_check_ready(loop->fed);
 }
 
 static void begin_call(struct fed_loop *loop)
--- a/src/gwy.c
+++ b/src/gwy.c
@@ -85,6 +85,7 @@
 	gwy->dir = dir;
 	gwy->random = (node->self ^ node->incarnation) | 1;
 	gwy->alive = 1;
+	gwy->started_us = fs_now_us();
 	gwy->body_bytes_max = node->set.memory_bytes / BODY_SHARE;
 	gwy->budget_rule = (struct bud_rule){
 		.ratio = node->set.retry_ratio,
--- a/src/gwy_http.c
+++ b/src/gwy_http.c
@@ -140,26 +140,46 @@
 				IDLE_MARGIN_S);
 }
 
+/* What can be told of a request without a configuration. */
 static int check(struct gwy_request *req, const char *version)
 {
-	struct gwy *gwy = req->gwy;
 	struct msg_request *request = &req->m->request;
-	g_autofree char *path = NULL;
 	struct ent_head head;
 	int err = req->err;
 
 	if (!err)
 		err = ent_check_headers(version, request->headers, &head);
 	if (!err)
-		err = ent_check_target(req->target, &path);
+		err = ent_check_target(req->target, &req->path);
 	if (err)
 		return err;
-	if (!gwy->cfg || !gwy->node->ready)
-		return FS_E_NOT_READY;
-	req->cfg = cfg_ref(gwy->cfg);
-	set_idle_time(req);
 	request->host = g_strdup(head.host);
-	return find_route(req, head.host, path, head.body_length);
+	req->body_length = head.body_length;
+	return 0;
+}
+
+/* Finds the route; the configuration of this moment holds to the end. */
+static int take_route(struct gwy_request *req)
+{
+	struct msg_request *request = &req->m->request;
+	GArray *headers;
+	int err;
+
+	req->cfg = cfg_ref(req->gwy->cfg);
+	set_idle_time(req);
+	err = find_route(req, request->host, req->path, req->body_length);
+	if (err)
+		return err;
+	take_deadline(req, request->headers);
+	headers = passed_on(req->gwy, request->headers);
+	g_array_unref(request->headers);
+	request->headers = headers;
+	return 0;
+}
+
+static bool is_ready(const struct gwy *gwy)
+{
+	return gwy->cfg && gwy->node->ready;
 }
 
 /* Everything that can be refused before the body is read. */
@@ -167,7 +187,6 @@
 		  const char *version)
 {
 	struct msg_request *request;
-	GArray *headers;
 	int err;
 
 	req->begun = true;
@@ -180,23 +199,16 @@
 				    add_header, req);
 	take_id(req, request->headers);
 	err = check(req, version);
-	if (err) {
-		gwy_answer_refuse(req, err, err == FS_E_NOT_READY ?
-						    FS_US_PER_S / 2 :
-						    0,
-				  fs_now_us());
-		return;
-	}
-	take_deadline(req, request->headers);
-	headers = passed_on(req->gwy, request->headers);
-	g_array_unref(request->headers);
-	request->headers = headers;
+	if (!err && is_ready(req->gwy))
+		err = take_route(req);
+	if (err)
+		gwy_answer_refuse(req, err, 0, fs_now_us());
 }
 
 static void take_body(struct gwy_request *req, const char *data, size_t size)
 {
 	struct gwy *gwy = req->gwy;
-	uint64_t limit = req->cfg->limits.body_bytes;
+	uint64_t limit = req->cfg ? req->cfg->limits.body_bytes : 0;
 
 	if (limit && req->body->len + size > limit)
 		req->err = FS_E_BODY_TOO_LARGE;
@@ -208,10 +220,29 @@
 	g_byte_array_append(req->body, (const guint8 *)data, (guint)size);
 }
 
-static void send_or_refuse(struct gwy_request *req)
+static void hold_or_refuse(struct gwy_request *req, int64_t now_us)
 {
-	int64_t now_us = fs_now_us();
+	int64_t until_us = req->gwy->started_us + GWY_HOLD_US;
 
+	if (now_us >= until_us) {
+		gwy_answer_refuse(req, FS_E_NOT_READY, GWY_HOLD_US, now_us);
+		return;
+	}
+	req->state = GWY_HELD;
+	gwy_request_timer(req, MIN(now_us + NODE_TICK_US / 2, until_us),
+			  now_us);
+}
+
+/* The request is complete. */
+static void go_on(struct gwy_request *req, int64_t now_us)
+{
+	if (!req->err && !req->cfg) {
+		if (!is_ready(req->gwy)) {
+			hold_or_refuse(req, now_us);
+			return;
+		}
+		req->err = take_route(req);
+	}
 	if (req->err) {
 		gwy_answer_refuse(req, req->err,
 				  req->err == FS_E_ENTRY_FULL ? FS_US_PER_S : 0,
@@ -222,6 +253,11 @@
 	gwy_send_first(req, now_us);
 }
 
+void gwy_http_release(struct gwy_request *req, int64_t now_us)
+{
+	go_on(req, now_us);
+}
+
 static enum MHD_Result queue(struct gwy_request *req)
 {
 	return MHD_queue_response(req->connection, req->status, req->response);
@@ -249,7 +285,7 @@
 		return MHD_YES;
 	}
 	if (req->state == GWY_READING)
-		send_or_refuse(req);
+		go_on(req, fs_now_us());
 	if (req->response)
 		return queue(req);
 	gwy_request_suspend(req);
--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -19,6 +19,9 @@
 #define GWY_DEADLINE_MARGIN_US (25 * FS_US_PER_MS)
 /* Requests without a route's limit and without the caller's. */
 #define GWY_DEADLINE_DEFAULT_US (30 * FS_US_PER_S)
+/* A node that has just started knows its configuration in a tenth of this; a
+ * request that meets it before is held that long. */
+#define GWY_HOLD_US (800 * FS_US_PER_MS)
 /* Less time than this left: no target can answer. */
 #define GWY_LEFT_MIN_US (20 * FS_US_PER_MS)
 
@@ -40,6 +43,7 @@
 
 enum gwy_state {
 	GWY_READING,   /* header fields and body come in */
+	GWY_HELD,      /* until this node knows its configuration */
 	GWY_WAITING,   /* at targets */
 	GWY_STREAMING, /* the answer goes out as it comes in */
 	GWY_ENDED,     /* the answer is complete, or there will be none */
@@ -56,6 +60,8 @@
 	/* The request */
 	char *target; /* path and query as received */
 	char *id;     /* the caller's request id */
+	char *path;   /* decoded, for the choice of a route */
+	int64_t body_length; /* as announced; -1: not told */
 	struct msg *m; /* MSG_REQUEST: method, host, target, fields, body */
 	GByteArray *body;
 	int64_t started_us;
@@ -102,12 +108,16 @@
 	size_t body_bytes_max;
 	uint32_t alive; /* members, this one included */
 	bool stopping;
+	int64_t started_us;
 	int64_t stop_us; /* when the stop began */
 	ev_timer stop_timer;
 	bool quiesced;
 };
 
 /* Callers (gwy_http.c) */
+
+/** Goes on with a held request if the node is ready, or refuses it. */
+void gwy_http_release(struct gwy_request *req, int64_t now_us);
 extern const struct htd_ops gwy_http_ops;
 
 /* Requests (gwy_request.c) */
--- a/src/gwy_request.c
+++ b/src/gwy_request.c
@@ -8,7 +8,13 @@
 {
 	(void)loop;
 	(void)events;
-	gwy_send_timer(timer->data, fs_now_us());
+	struct gwy_request *req = timer->data;
+	int64_t now_us = fs_now_us();
+
+	if (req->state == GWY_HELD)
+		gwy_http_release(req, now_us);
+	else
+		gwy_send_timer(req, now_us);
 }
 
 /* The caller is gone: work for it ends, and nothing more is sent. */
@@ -64,6 +70,7 @@
 	cfg_unref(req->cfg);
 	g_free(req->target);
 	g_free(req->id);
+	g_free(req->path);
 	g_free(req);
 }
 
@@ -140,7 +147,7 @@
 	if (req->logged)
 		return;
 	req->logged = true;
-	if (req->state != GWY_READING && req->service != FS_NONE &&
+	if (req->cfg && req->service != FS_NONE &&
 	    req->status >= 500)
 		lod_sent(req->gwy->lod, gwy_service_name(req), 0, 0, 1);
 	fs_json_string(out, req->id ? req->id : "");
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -22,6 +22,12 @@
  * route's objective. */
 #define OVERDUE_MEANS 2.5
 #define OVERDUE_SHARE 0.5
+/* The last moment at which a second send is likely answered in time, in mean
+ * times before the deadline: nine of ten requests take no longer. */
+#define LAST_CHANCE_MEANS 2.0
+/* It is taken only while this share of the budget is left. */
+#define LAST_CHANCE_BUDGET 0.3
+
 /* The first target is as likely to fail as one with a first overdue answer: a
  * second send may answer sooner. */
 #define HEDGE_FAILURE 0.3
@@ -143,10 +149,23 @@
 			    (double)objective_of(req) * OVERDUE_SHARE);
 }
 
+static int64_t last_chance_us(const struct gwy_request *req)
+{
+	int64_t mean_us = lod_mean(req->gwy->lod, gwy_service_name(req));
+
+	return MAX(req->deadline_us - (int64_t)(LAST_CHANCE_MEANS *
+						(double)mean_us),
+		   req->tries[0].started_us + overdue_us(req));
+}
+
 static void set_timer(struct gwy_request *req, int64_t now_us)
 {
 	int64_t at_us = req->deadline_us;
 	int64_t late_us = overdue_us(req);
+	int64_t last_us = last_chance_us(req);
+
+	if (now_us < last_us)
+		at_us = MIN(at_us, last_us);
 
 	for (uint32_t i = 0; i < req->try_count; i++) {
 		const struct gwy_try *t = &req->tries[i];
@@ -516,16 +535,29 @@
 	}
 }
 
-/* A second send beside the first one: only if that one's target is likely
- * gray, and only to a target with room. */
+/* Returns whether an answer that is overdue will likely not come in time. */
+static bool is_doubtful(struct gwy_request *req, const struct gwy_try *t,
+			int64_t now_us)
+{
+	const struct bud_rule *rule = &req->gwy->budget_rule;
+
+	if (t->target->gone ||
+	    gry_failure(&bal_of(t->target, now_us)->gry, now_us) >=
+		    HEDGE_FAILURE)
+		return true;
+	return now_us >= last_chance_us(req) &&
+	       lod_budget_left(req->gwy->lod, gwy_service_name(req), rule,
+			       now_us) > rule->slack * LAST_CHANCE_BUDGET;
+}
+
+/* A second send beside the first one, only to a target with room. */
 static void hedge(struct gwy_request *req, int64_t now_us)
 {
 	const struct gwy_try *t = &req->tries[req->try_count - 1];
 	struct bal_choice choice;
 
 	if (!gwy_route_of(req)->repeatable || req->running != 1 ||
-	    t->target->gone ||
-	    gry_failure(&bal_of(t->target, now_us)->gry, now_us) < HEDGE_FAILURE)
+	    !t->overdue || !is_doubtful(req, t, now_us))
 		return;
 	choice = choose(req, now_us);
 	if (choice.target && !choice.wait_us && choice.failure < HEDGE_FAILURE)
