Hash all of an entry for the directory's digest

The readers of two domains had lost the store; their nodes heard fresh digests of the third and compared: equal, because two targets began to leave at once and the flag was XORed outside of the hash, so that the two changes cancelled out. Ruled out: lost beats, links that did not come up.

--- a/src/bal.c
+++ b/src/bal.c
@@ -132,8 +132,8 @@
 				       const struct bal_wish *wish)
 {
 	struct dir_target *idle = NULL;
-	int64_t since_us = wish->now_us -
-			   (wish->explore ? IDLE_US : FADED_IDLE_US);
+	int64_t since_us =
+		wish->now_us - (wish->explore ? IDLE_US : FADED_IDLE_US);
 
 	for (uint32_t i = 0; i < service->targets->len; i++) {
 		struct dir_target *target =
@@ -142,8 +142,8 @@
 
 		if (!may_take(target, wish) || kept->used_us >= since_us)
 			continue;
-		if (!wish->explore && gry_failure(&kept->gry, wish->now_us) >
-					      FADED_FAILURE)
+		if (!wish->explore &&
+		    gry_failure(&kept->gry, wish->now_us) > FADED_FAILURE)
 			continue;
 		since_us = kept->used_us;
 		idle = target;
--- a/src/bal.h
+++ b/src/bal.h
@@ -21,18 +21,18 @@
 /** What a node keeps of a target. */
 struct bal_target {
 	struct gry gry;
-	uint32_t own;	 /* requests of this node there now */
-	uint32_t others; /* requests of other nodes there, as last told */
-	int64_t used_us; /* last time that any node is known to use it */
+	uint32_t own;	  /* requests of this node there now */
+	uint32_t others;  /* requests of other nodes there, as last told */
+	int64_t used_us;  /* last time that any node is known to use it */
 	uint32_t full_at; /* requests there when it last refused one */
 };
 
 /** What is asked for. */
 struct bal_wish {
-	const char *domain;   /* failure domain of this node */
-	int64_t mean_us;      /* mean time of the service's work */
-	int64_t failure_us;   /* what a failure costs, as time */
-	int64_t cross_us;     /* what another failure domain costs, as time */
+	const char *domain; /* failure domain of this node */
+	int64_t mean_us;    /* mean time of the service's work */
+	int64_t failure_us; /* what a failure costs, as time */
+	int64_t cross_us;   /* what another failure domain costs, as time */
 	const struct dir_target *const *avoid; /* targets tried before */
 	uint32_t avoid_count;
 	bool explore; /* try idle targets whatever the evidence */
--- a/src/bud.h
+++ b/src/bud.h
@@ -23,7 +23,7 @@
 
 /** What one node sent one service. */
 struct bud {
-	int64_t bucket;	/* number of the newest bucket */
+	int64_t bucket; /* number of the newest bucket */
 	uint32_t requests[BUD_BUCKETS];
 	uint32_t repeats[BUD_BUCKETS];
 };
--- a/src/cfg_draft.c
+++ b/src/cfg_draft.c
@@ -108,10 +108,11 @@
 	to->name = keep(draft, route->name);
 	to->host = keep(draft, route->host);
 	to->path = keep(draft, route->path);
-	to->shares = route->share_count ?
-			     g_memdup2(route->shares, route->share_count *
-							      sizeof(*to->shares)) :
-			     NULL;
+	to->shares =
+		route->share_count ?
+			g_memdup2(route->shares,
+				  route->share_count * sizeof(*to->shares)) :
+			NULL;
 	if (route->share_count)
 		to->service = route->shares[0].service;
 	g_hash_table_insert(cfg->route_index, to->name,
--- a/src/dir.c
+++ b/src/dir.c
@@ -61,14 +61,14 @@
 		g_free(target);
 }
 
-/* Targets that are still referenced outlive the directory, without a judge. */
-static void release(struct dir *dir, struct dir_target *target)
+/* Targets that are still referenced outlive the directory, without a judge;
+ * the directory's own reference is the caller's to give back. */
+static void retire(struct dir *dir, struct dir_target *target)
 {
 	target->gone = true;
 	if (dir->free_judge && target->judge)
 		dir->free_judge(target->judge);
 	target->judge = NULL;
-	dir_target_unref(target);
 }
 
 void dir_free(struct dir *dir)
@@ -80,8 +80,10 @@
 		return;
 	g_hash_table_unref(dir->services);
 	g_hash_table_iter_init(&iter, dir->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &target))
-		release(dir, target);
+	while (g_hash_table_iter_next(&iter, NULL, &target)) {
+		retire(dir, target);
+		dir_target_unref(target);
+	}
 	g_hash_table_unref(dir->by_id);
 	g_hash_table_unref(dir->by_hash);
 	g_hash_table_unref(dir->removed);
@@ -103,15 +105,18 @@
 	return g_hash_table_lookup(dir->by_hash, GUINT_TO_POINTER(hash));
 }
 
-/* What others have to know: everything but the revision and the warm-up. */
+/* What others have to know: everything but the revision and the warm-up. All
+ * of it goes through the hash: the digest adds these up, and equal changes of
+ * two targets must not cancel out. */
 static uint64_t content_hash(const struct dir_entry *e)
 {
-	uint64_t h = XXH64(e->id, strlen(e->id), e->born);
+	const uint64_t numbers[] = {e->born, e->slots, e->leaving};
+	uint64_t h = XXH64(numbers, sizeof(numbers), 0);
 
+	h = XXH64(e->id, strlen(e->id), h);
 	h = XXH64(e->service, strlen(e->service), h);
 	h = XXH64(e->address, strlen(e->address), h);
-	h = XXH64(e->domain, strlen(e->domain), h);
-	return h ^ ((uint64_t)e->slots << 1) ^ e->leaving;
+	return XXH64(e->domain, strlen(e->domain), h);
 }
 
 static uint32_t name_hash(const struct dir_entry *e)
@@ -137,7 +142,8 @@
 	dir->digest ^= content_hash(&target->entry);
 }
 
-static void drop(struct dir *dir, struct dir_target *target)
+/* Takes a target out; its reference is the caller's to give back. */
+static void detach(struct dir *dir, struct dir_target *target)
 {
 	struct dir_service *service =
 		g_hash_table_lookup(dir->services, target->entry.service);
@@ -150,7 +156,7 @@
 	if (dir_target_by_hash(dir, target->hash) == target)
 		g_hash_table_remove(dir->by_hash,
 				    GUINT_TO_POINTER(target->hash));
-	release(dir, target);
+	retire(dir, target);
 }
 
 static bool put_new(struct dir *dir, const struct dir_entry *entry,
@@ -194,7 +200,8 @@
 	target->listed = true;
 	target->missing_us = 0;
 	if (is_other(entry, &target->entry)) {
-		drop(dir, target);
+		detach(dir, target);
+		dir_target_unref(target);
 		return put_new(dir, entry, now_us);
 	}
 	before = content_hash(&target->entry);
@@ -218,9 +225,8 @@
 static void drop_gone(struct dir *dir, struct dir_target *target, uint64_t rev,
 		      int64_t now_us)
 {
-	dir_target_ref(target);
 	remember(dir, target->entry.id, rev, now_us);
-	drop(dir, target);
+	detach(dir, target);
 	if (dir->on_gone)
 		dir->on_gone(dir->on_gone_arg, target, rev);
 	dir_target_unref(target);
--- a/src/dir.h
+++ b/src/dir.h
@@ -21,7 +21,7 @@
 #include "fs_err.h"
 #include "fs_types.h"
 
-#define DIR_TARGETS_MAX 20000 /* three times the design size */
+#define DIR_TARGETS_MAX 20000		       /* three times the design size */
 #define DIR_REMOVED_KEEP_US (60 * FS_US_PER_S) /* longer than any delay */
 
 /** One server's entry, decoded. */
--- a/src/fed.c
+++ b/src/fed.c
@@ -80,12 +80,12 @@
 	fed->reading = fed->chosen || deaf ||
 		       (was && now_us - fed->deaf_us < FED_CALM_US);
 	if (was != fed->reading)
-		fs_log_eventf("fed", G_LOG_LEVEL_INFO, "reading",
-			      "\"on\":%s,\"chosen\":%s,\"heard_ms_ago\":%lld",
-			      fed->reading ? "true" : "false",
-			      fed->chosen ? "true" : "false",
-			      (long long)((now_us - fed->heard_us) /
-					  FS_US_PER_MS));
+		fs_log_eventf(
+			"fed", G_LOG_LEVEL_INFO, "reading",
+			"\"on\":%s,\"chosen\":%s,\"heard_ms_ago\":%lld",
+			fed->reading ? "true" : "false",
+			fed->chosen ? "true" : "false",
+			(long long)((now_us - fed->heard_us) / FS_US_PER_MS));
 }
 
 void fed_check_ready(struct fed *fed)
--- a/src/fed_impl.h
+++ b/src/fed_impl.h
@@ -40,7 +40,7 @@
 #define FED_LEASE_US (12 * FS_US_PER_S)
 #define FED_KEEP_US (4 * FS_US_PER_S)
 #define FED_LIST_NODES_US (3 * FS_US_PER_S) /* while no others are known */
-#define FED_ALONE_US (700 * FS_US_PER_MS) /* seeds answer well before that */
+#define FED_ALONE_US (700 * FS_US_PER_MS)   /* seeds answer well before that */
 
 /** One reading of a prefix: a list, then watches from its revision. */
 struct fed_loop {
@@ -68,20 +68,20 @@
 	struct fed_loop targets;
 	struct fed_loop config;
 	uint64_t random;
-	bool chosen;	     /* this node is a reader by its weight */
-	bool reading;	     /* it reads, chosen or not */
-	bool away;	     /* the service does not answer this node */
+	bool chosen;	      /* this node is a reader by its weight */
+	bool reading;	      /* it reads, chosen or not */
+	bool away;	      /* the service does not answer this node */
 	bool directory_known; /* listed, or told by a peer */
 	int64_t started_us;
-	int64_t heard_us;      /* last beat of a fresh reader */
-	int64_t deaf_us;       /* last time without one */
-	int64_t local_us;      /* last beat of a fresh one in this domain */
-	int64_t listed_us;     /* when it last had a whole list itself */
-	int64_t changed_us;    /* last change of the directory */
+	int64_t heard_us;   /* last beat of a fresh reader */
+	int64_t deaf_us;    /* last time without one */
+	int64_t local_us;   /* last beat of a fresh one in this domain */
+	int64_t listed_us;  /* when it last had a whole list itself */
+	int64_t changed_us; /* last change of the directory */
 	int64_t asked_us;
 	int64_t asked_config_us;
-	bool merging;	       /* what changes now came from a peer */
-	struct msg *changes;   /* MSG_FEED_ENTRIES to be told, or NULL */
+	bool merging;	     /* what changes now came from a peer */
+	struct msg *changes; /* MSG_FEED_ENTRIES to be told, or NULL */
 	/* This node's own key */
 	uint64_t lease;
 	bool lease_running;
@@ -107,7 +107,7 @@
 
 /** Notes a changed or removed target, to be told with the next tick. */
 void fed_tell_entry(struct fed *fed, const struct dir_entry *entry);
-void fed_tell_gone(void *fed, const struct dir_target *target, uint64_t rev);
+void fed_tell_gone(void *arg, const struct dir_target *target, uint64_t rev);
 void fed_tell_tick(struct fed *fed, int64_t now_us);
 /** Takes the beat of another reader. */
 void fed_tell_beat(struct fed *fed, const struct msg *m, int64_t now_us);
@@ -115,7 +115,7 @@
 void fed_ask_config(struct fed *fed, node_id peer, uint64_t version,
 		    int64_t now_us);
 void fed_tell_entries(struct fed *fed, const struct msg *m, int64_t now_us);
-void fed_tell_asked(struct fed *fed, const struct msg *m, int64_t now_us);
+void fed_tell_asked(struct fed *fed, const struct msg *ask, int64_t now_us);
 
 /* This node's key (fed_node.c) */
 void fed_node_tick(struct fed *fed, int64_t now_us);
--- a/src/fed_node.c
+++ b/src/fed_node.c
@@ -7,9 +7,9 @@
 static void next_keep(struct fed *fed, int err)
 {
 	fed->lease_running = false;
-	fed->lease_next_us =
-		fs_now_us() + (err ? FED_RETRY_MAX_US : FED_KEEP_US) +
-		fed_random(fed, FED_RETRY_MAX_US);
+	fed->lease_next_us = fs_now_us() +
+			     (err ? FED_RETRY_MAX_US : FED_KEEP_US) +
+			     fed_random(fed, FED_RETRY_MAX_US);
 }
 
 static void on_put(void *arg, int err, uint64_t lease)
@@ -69,8 +69,8 @@
 		    !set_parse_address(page->items[i].value, &at))
 			g_array_append_val(m->contacts.addresses, at);
 	}
-	fs_log_eventf("fed", G_LOG_LEVEL_INFO, "nodes_listed",
-		      "\"count\":%u", m->contacts.addresses->len);
+	fs_log_eventf("fed", G_LOG_LEVEL_INFO, "nodes_listed", "\"count\":%u",
+		      m->contacts.addresses->len);
 	bus_send(fed->node->bus, m);
 }
 
--- a/src/fed_read.c
+++ b/src/fed_read.c
@@ -7,8 +7,7 @@
 	if (fed->away == away)
 		return;
 	fed->away = away;
-	fs_log_eventf("fed",
-		      away ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_MESSAGE,
+	fs_log_eventf("fed", away ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_MESSAGE,
 		      away ? "store_lost" : "store_regained",
 		      "\"reason\":\"%s\"", fs_err_name(err));
 }
--- a/src/fed_tell.c
+++ b/src/fed_tell.c
@@ -31,11 +31,12 @@
 	struct fed *fed = arg;
 	struct msg_removed removed = {.rev = rev};
 
-	fs_log_eventf("fed", G_LOG_LEVEL_INFO, "target_gone",
-		      "\"target\":\"%s\",\"service\":\"%s\",\"rev\":%"
-		      G_GUINT64_FORMAT ",\"source\":\"%s\"",
-		      target->entry.id, target->entry.service, rev,
-		      fed->merging ? "peer" : "store");
+	fs_log_eventf(
+		"fed", G_LOG_LEVEL_INFO, "target_gone",
+		"\"target\":\"%s\",\"service\":\"%s\",\"rev\":%" G_GUINT64_FORMAT
+		",\"source\":\"%s\"",
+		target->entry.id, target->entry.service, rev,
+		fed->merging ? "peer" : "store");
 	fed->changed_us = fs_now_us();
 	if (!fed->chosen || fed->merging)
 		return;
@@ -59,16 +60,14 @@
 /* Tells the load exchange, which tells all nodes. */
 static void beat(struct fed *fed, int64_t now_us)
 {
-	struct msg *m =
-		msg_new(MSG_FEED_BEAT, fed->node->self, MSG_TASK_LOAD);
+	struct msg *m = msg_new(MSG_FEED_BEAT, fed->node->self, MSG_TASK_LOAD);
 
 	m->feed_beat.digest = dir_digest(fed->dir);
 	m->feed_beat.config_version = fed->cfg ? fed->cfg->version : 0;
-	m->feed_beat.fresh =
-		fed->targets.listed &&
-		now_us - fed->targets.answered_us < FED_FRESH_US &&
-		now_us - fed->config.answered_us <
-			FED_FRESH_US + FED_CONFIG_WAIT_US;
+	m->feed_beat.fresh = fed->targets.listed &&
+			     now_us - fed->targets.answered_us < FED_FRESH_US &&
+			     now_us - fed->config.answered_us <
+				     FED_FRESH_US + FED_CONFIG_WAIT_US;
 	bus_send(fed->node->bus, m);
 }
 
--- a/src/gwy_answer.c
+++ b/src/gwy_answer.c
@@ -44,15 +44,15 @@
 		if (MHD_add_response_header(response, h->name, h->value) !=
 		    MHD_YES)
 			fs_log_eventf("gwy", G_LOG_LEVEL_WARNING,
-				      "answer_field_dropped",
-				      "\"name\":\"%s\"", h->name);
+				      "answer_field_dropped", "\"name\":\"%s\"",
+				      h->name);
 	}
 }
 
 int64_t gwy_answer_mean_bytes(const struct gwy_request *req)
 {
-	const double *mean = g_hash_table_lookup(req->gwy->sizes,
-						 gwy_route_of(req)->name);
+	const double *mean =
+		g_hash_table_lookup(req->gwy->sizes, gwy_route_of(req)->name);
 
 	return mean ? (int64_t)*mean : 0;
 }
--- a/src/gwy_http.c
+++ b/src/gwy_http.c
@@ -65,24 +65,23 @@
 	if (id && *id && strlen(id) <= ID_MAX)
 		req->id = g_strdup(id);
 	else
-		req->id = g_strdup_printf("%" G_GINT64_MODIFIER "x-%"
-					  G_GINT64_MODIFIER "x-%"
-					  G_GINT64_MODIFIER "x",
-					  gwy->node->self,
-					  gwy->node->incarnation,
-					  ++gwy->counter);
+		req->id = g_strdup_printf(
+			"%" G_GINT64_MODIFIER "x-%" G_GINT64_MODIFIER
+			"x-%" G_GINT64_MODIFIER "x",
+			gwy->node->self, gwy->node->incarnation,
+			++gwy->counter);
 }
 
 static void take_deadline(struct gwy_request *req, const GArray *headers)
 {
-	const char *text = msg_headers_get(
-		headers, req->gwy->fields.target.deadline_ms);
+	const char *text =
+		msg_headers_get(headers, req->gwy->fields.target.deadline_ms);
 	int64_t given_us = GWY_DEADLINE_DEFAULT_US;
 	int64_t limit_us = gwy_route_of(req)->deadline_us;
 	guint64 ms;
 
-	if (text && g_ascii_string_to_unsigned(text, 10, 1, G_MAXINT32, &ms,
-					       NULL)) {
+	if (text &&
+	    g_ascii_string_to_unsigned(text, 10, 1, G_MAXINT32, &ms, NULL)) {
 		req->client_us = (int64_t)ms * FS_US_PER_MS;
 		given_us = MAX(req->client_us - GWY_DEADLINE_MARGIN_US,
 			       req->client_us / 2);
@@ -102,7 +101,8 @@
 		total += route->shares[i].weight;
 	if (!total)
 		return route->service;
-	gwy->random = gwy->random * 6364136223846793005ULL + 1442695040888963407ULL;
+	gwy->random =
+		gwy->random * 6364136223846793005ULL + 1442695040888963407ULL;
 	at = (gwy->random >> 33) % total;
 	for (uint32_t i = 0; i < route->share_count; i++) {
 		if (at < route->shares[i].weight)
--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -58,9 +58,9 @@
 	bool suspended;
 	bool logged;
 	/* The request */
-	char *target; /* path and query as received */
-	char *id;     /* the caller's request id */
-	char *path;   /* decoded, for the choice of a route */
+	char *target;	     /* path and query as received */
+	char *id;	     /* the caller's request id */
+	char *path;	     /* decoded, for the choice of a route */
 	int64_t body_length; /* as announced; -1: not told */
 	struct msg *m; /* MSG_REQUEST: method, host, target, fields, body */
 	GByteArray *body;
@@ -77,7 +77,7 @@
 	uint32_t running; /* tries under way */
 	uint32_t sent;	  /* tries that may count as sent to a server */
 	bool may_have_run;
-	bool parked; /* waits here until a target has room */
+	bool parked;	      /* waits here until a target has room */
 	const char *no_retry; /* why it was not sent again, for the log */
 	ev_timer timer;
 	struct htd_gone gone; /* the caller's connection, while suspended */
@@ -146,8 +146,8 @@
 /** Passes on a target's whole answer. */
 void gwy_answer_whole(struct gwy_try *t, int64_t now_us);
 /** Answers for the fleet. @param retry_after_us 0: no advice */
-void gwy_answer_refuse(struct gwy_request *req, int err,
-		       int64_t retry_after_us, int64_t now_us);
+void gwy_answer_refuse(struct gwy_request *req, int err, int64_t retry_after_us,
+		       int64_t now_us);
 /** Returns the mean size of the answers of a request's route, 0 if unknown. */
 int64_t gwy_answer_mean_bytes(const struct gwy_request *req);
 /** Begins to pass on an answer while it comes in. */
--- a/src/gwy_request.c
+++ b/src/gwy_request.c
@@ -147,8 +147,7 @@
 	if (req->logged)
 		return;
 	req->logged = true;
-	if (req->cfg && req->service != FS_NONE &&
-	    req->status >= 500)
+	if (req->cfg && req->service != FS_NONE && req->status >= 500)
 		lod_sent(req->gwy->lod, gwy_service_name(req), 0, 0, 1);
 	fs_json_string(out, req->id ? req->id : "");
 	g_string_append_printf(out, ",\"outcome\":\"%s\",\"status\":%u",
@@ -156,8 +155,7 @@
 	if (req->cfg && req->route != FS_NONE)
 		g_string_append_printf(
 			out,
-			",\"route\":\"%s\",\"service\":\"%s\",\"version\":%"
-			G_GUINT64_FORMAT,
+			",\"route\":\"%s\",\"service\":\"%s\",\"version\":%" G_GUINT64_FORMAT,
 			gwy_route_of(req)->name, gwy_service_name(req),
 			req->cfg->version);
 	g_string_append_printf(
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -123,8 +123,8 @@
 		.failure_us = objective_us * (gwy_route_of(req)->repeatable ?
 						      FAILURE_REPEATABLE :
 						      FAILURE_ONCE),
-		.cross_us = CROSS_US +
-			    CROSS_BYTE_US * gwy_answer_mean_bytes(req),
+		.cross_us =
+			CROSS_US + CROSS_BYTE_US * gwy_answer_mean_bytes(req),
 		.avoid = avoid,
 		.avoid_count = tried(req, avoid),
 		.explore = lod_unserved(gwy->lod, service) > EXPLORE_SHARE,
@@ -153,8 +153,8 @@
 {
 	int64_t mean_us = lod_mean(req->gwy->lod, gwy_service_name(req));
 
-	return MAX(req->deadline_us - (int64_t)(LAST_CHANCE_MEANS *
-						(double)mean_us),
+	return MAX(req->deadline_us -
+			   (int64_t)(LAST_CHANCE_MEANS * (double)mean_us),
 		   req->tries[0].started_us + overdue_us(req));
 }
 
@@ -279,8 +279,8 @@
 static double budget_left(struct gwy_request *req, int64_t now_us)
 {
 	struct gwy *gwy = req->gwy;
-	double own = bud_left(budget_of(req), &gwy->budget_rule, gwy->alive,
-			      now_us);
+	double own =
+		bud_left(budget_of(req), &gwy->budget_rule, gwy->alive, now_us);
 	double pool = lod_budget_left(gwy->lod, gwy_service_name(req),
 				      &gwy->budget_rule, now_us);
 
@@ -299,8 +299,8 @@
 		.begun = req->state == GWY_STREAMING,
 		.tries = req->sent,
 		.tries_max = MAX(route->tries, 1),
-		.budget_milli = (int64_t)(budget_left(req, now_us) *
-					  RTY_COST_MILLI),
+		.budget_milli =
+			(int64_t)(budget_left(req, now_us) * RTY_COST_MILLI),
 		.remaining_us = req->deadline_us - now_us - GWY_LEFT_MIN_US,
 		.usable = choice.target ? 1 : 0,
 	};
@@ -408,8 +408,8 @@
 		return;
 	}
 	err = final_err(t);
-	gwy_answer_refuse(req, err,
-			  req->may_have_run ? 0 : come_back(req->gwy), now_us);
+	gwy_answer_refuse(req, err, req->may_have_run ? 0 : come_back(req->gwy),
+			  now_us);
 }
 
 /* A failure answer is passed on only if no better one can be had. */
@@ -527,8 +527,7 @@
 	for (uint32_t i = 0; i < req->try_count; i++) {
 		struct gwy_try *t = &req->tries[i];
 
-		if (!t->held || t->overdue ||
-		    now_us - t->started_us < late_us)
+		if (!t->held || t->overdue || now_us - t->started_us < late_us)
 			continue;
 		t->overdue = true;
 		lod_outcome(req->gwy->lod, t->target, GRY_OVERDUE, 0);
@@ -541,9 +540,8 @@
 {
 	const struct bud_rule *rule = &req->gwy->budget_rule;
 
-	if (t->target->gone ||
-	    gry_failure(&bal_of(t->target, now_us)->gry, now_us) >=
-		    HEDGE_FAILURE)
+	if (t->target->gone || gry_failure(&bal_of(t->target, now_us)->gry,
+					   now_us) >= HEDGE_FAILURE)
 		return true;
 	return now_us >= last_chance_us(req) &&
 	       lod_budget_left(req->gwy->lod, gwy_service_name(req), rule,
@@ -581,10 +579,9 @@
 			lod_outcome(req->gwy->lod, t->target, GRY_OVERDUE, 0);
 	}
 	gwy_request_stop_tries(req);
-	gwy_answer_refuse(req,
-			  req->may_have_run ? FS_E_DEADLINE :
-					      FS_E_DEADLINE_QUEUED,
-			  0, now_us);
+	gwy_answer_refuse(
+		req, req->may_have_run ? FS_E_DEADLINE : FS_E_DEADLINE_QUEUED,
+		0, now_us);
 }
 
 /* Room may have come free for a request that waits here. */
--- a/src/gwy_stop.c
+++ b/src/gwy_stop.c
@@ -38,8 +38,7 @@
 		return;
 	ev_timer_stop(loop, timer);
 	fs_log_eventf("gwy", G_LOG_LEVEL_MESSAGE, "gateway_stopped",
-		      "\"requests_left\":%u",
-		      g_hash_table_size(gwy->requests));
+		      "\"requests_left\":%u", g_hash_table_size(gwy->requests));
 	m = msg_new(MSG_STOPPED, gwy->node->self, MSG_TASK_NODE);
 	m->stopped.task = MSG_TASK_ENTRY;
 	bus_send(gwy->node->bus, m);
--- a/src/lod.c
+++ b/src/lod.c
@@ -216,15 +216,13 @@
 	domain->incarnation = packet->incarnation;
 	domain->serial = packet->serial;
 	domain->heard_us = now_us;
-	if (packet->domain == lod->domain &&
-	    packet->sender != lod->node->self)
+	if (packet->domain == lod->domain && packet->sender != lod->node->self)
 		lod->hub_heard_us = now_us;
 	for (guint i = 0; i < packet->counts->len; i++) {
 		const struct lod_count *c =
 			&g_array_index(packet->counts, struct lod_count, i);
 
-		g_hash_table_insert(domain->counts,
-				    GUINT_TO_POINTER(c->target),
+		g_hash_table_insert(domain->counts, GUINT_TO_POINTER(c->target),
 				    GUINT_TO_POINTER(c->requests));
 		set_others(lod, GUINT_TO_POINTER(c->target));
 	}
@@ -275,8 +273,8 @@
 
 void lod_send(struct lod *lod, const GByteArray *data, node_id to)
 {
-	const struct mem_member *m =
-		lod->view ? mem_view_find(lod->view, to) : NULL;
+	const struct mem_member *m = lod->view ? mem_view_find(lod->view, to) :
+						 NULL;
 
 	if (m && to != lod->node->self)
 		send_to(lod, data, m);
@@ -390,8 +388,7 @@
 	add_own_counts(lod, &packet);
 	add_evidence(lod, &packet);
 	add_sends(lod, &packet);
-	if (lod->hubs[0] == lod->node->self ||
-	    lod->hubs[1] == lod->node->self)
+	if (lod->hubs[0] == lod->node->self || lod->hubs[1] == lod->node->self)
 		lod_hub_report(lod, &packet, now_us);
 	if (!lod_wire_encode(&packet, lod->node->set.fleet_key, data)) {
 		lod_send(lod, data, lod->hubs[0]);
--- a/src/lod_hub.c
+++ b/src/lod_hub.c
@@ -2,8 +2,8 @@
 
 void lod_hub_choose(struct lod *lod)
 {
-	lod->domain_nodes = mem_view_first(lod->view, lod->node->set.domain,
-					   lod->hubs);
+	lod->domain_nodes =
+		mem_view_first(lod->view, lod->node->set.domain, lod->hubs);
 }
 
 static bool is_hub(const struct lod *lod)
@@ -62,9 +62,9 @@
 		g_array_append_val(lod->hub_evidence, *e);
 	}
 	for (guint i = 0; i < packet->sends->len; i++)
-		lod_add_sends(lod->hub_sends,
-			      &g_array_index(packet->sends, struct lod_sends,
-					     i));
+		lod_add_sends(
+			lod->hub_sends,
+			&g_array_index(packet->sends, struct lod_sends, i));
 }
 
 static void add_counts(GHashTable *totals, GHashTable *counts)
@@ -75,8 +75,8 @@
 
 	g_hash_table_iter_init(&iter, counts);
 	while (g_hash_table_iter_next(&iter, &target, &requests)) {
-		guint sum = GPOINTER_TO_UINT(
-			g_hash_table_lookup(totals, target));
+		guint sum =
+			GPOINTER_TO_UINT(g_hash_table_lookup(totals, target));
 
 		g_hash_table_insert(
 			totals, target,
--- a/src/lod_judge.c
+++ b/src/lod_judge.c
@@ -47,15 +47,15 @@
 		return;
 	if (!mean) {
 		mean = g_new0(struct lod_mean, 1);
-		g_hash_table_insert(lod->means,
-				    g_strdup(target->entry.service), mean);
+		g_hash_table_insert(lod->means, g_strdup(target->entry.service),
+				    mean);
 	}
 	if (mean->count >= MEAN_FIRST)
 		gry_note_time(&bal_of(target, now_us)->gry, us,
 			      (int64_t)mean->us, now_us);
 	mean->count++;
-	mean->us += MAX(MEAN_WEIGHT, 1.0 / mean->count) *
-		    ((double)us - mean->us);
+	mean->us +=
+		MAX(MEAN_WEIGHT, 1.0 / mean->count) * ((double)us - mean->us);
 }
 
 static void log_change(const struct lod *lod, const struct dir_target *target,
--- a/src/lod_wire.h
+++ b/src/lod_wire.h
@@ -52,11 +52,11 @@
 	node_id sender;
 	uint64_t incarnation;
 	uint32_t serial;
-	uint32_t domain;  /* hash of the sender's failure domain */
+	uint32_t domain;      /* hash of the sender's failure domain */
 	struct lod_feed feed; /* of digests */
-	GArray *counts;	  /* struct lod_count */
-	GArray *evidence; /* struct lod_evidence */
-	GArray *sends;	  /* struct lod_sends */
+	GArray *counts;	      /* struct lod_count */
+	GArray *evidence;     /* struct lod_evidence */
+	GArray *sends;	      /* struct lod_sends */
 };
 
 /** Room for rows in one datagram, by their largest size. */
--- a/src/msg.h
+++ b/src/msg.h
@@ -49,7 +49,7 @@
 	MSG_LINK_DOWN, /* the link to a node broke or fell silent */
 	MSG_CONFIG_HINT, /* a member has a newer configuration */
 	MSG_CONTACTS,	 /* entry VMs of the platform's list */
-	MSG_FEED_BEAT, /* what a reader knows, and how fresh it is; between
+	MSG_FEED_BEAT,	 /* what a reader knows, and how fresh it is; between
 			  * nodes it goes with the load exchange */
 };
 
--- a/src/set.c
+++ b/src/set.c
@@ -154,8 +154,8 @@
 	out->seed_count = raw->seeds_count;
 }
 
-static void read_listen(struct cfg_reader *r, const char *key,
-			const char *text, struct sockaddr_in *out)
+static void read_listen(struct cfg_reader *r, const char *key, const char *text,
+			struct sockaddr_in *out)
 {
 	if (text)
 		read_address(r, key, text, out);
@@ -181,7 +181,8 @@
 	read_listen(r, "load_listen", raw->load_listen, &out->load_listen);
 	cfg_read_number(r, "memory_mb", raw->memory_mb, 1, MEMORY_MB_MAX, &mb);
 	out->memory_bytes = (uint64_t)(mb * 1024 * 1024);
-	cfg_read_u32(r, "max_fds", raw->max_fds, 64, FDS_MAX, "", &out->max_fds);
+	cfg_read_u32(r, "max_fds", raw->max_fds, 64, FDS_MAX, "",
+		     &out->max_fds);
 	read_seconds(r, "stop_grace_s", raw->stop_grace_s, &out->stop_grace_us);
 	read_seconds(r, "retry_window_s", raw->retry_window_s,
 		     &out->retry_window_us);
--- a/tests/fleet_gwy.c
+++ b/tests/fleet_gwy.c
@@ -9,12 +9,13 @@
 #include "cfg_draft.h"
 
 static const struct gwy_fields fields = {
-	.target = {
-		.request_id = "X-Id",
-		.deadline_ms = "X-Left",
-		.idle_s = 3,
-		.connect_us = 300 * FS_US_PER_MS,
-	},
+	.target =
+		{
+			.request_id = "X-Id",
+			.deadline_ms = "X-Left",
+			.idle_s = 3,
+			.connect_us = 300 * FS_US_PER_MS,
+		},
 	.instance = "X-For",
 	.not_run = "X-Not-Run",
 };
@@ -186,10 +187,10 @@
 	     const char *body)
 {
 	g_autofree char *id = yard_field(request, "X-Id");
-	g_autofree char *text = g_strdup_printf(
-		"HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: z\r\n"
-		"Content-Length: %zu\r\n\r\n%s",
-		id ? id : "", strlen(body), body);
+	g_autofree char *text =
+		g_strdup_printf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: z\r\n"
+				"Content-Length: %zu\r\n\r\n%s",
+				id ? id : "", strlen(body), body);
 
 	fake_send_text(conn, text);
 }
--- a/tests/unit_gwy.c
+++ b/tests/unit_gwy.c
@@ -6,8 +6,7 @@
 #include "fs_log.h"
 
 #define FIELDS "Host: h\r\nX-Id: r1\r\nX-Left: 3000\r\n"
-#define PAY                                                              \
-	"POST /pay/1 HTTP/1.1\r\n" FIELDS "Content-Length: 3\r\n\r\na=1"
+#define PAY "POST /pay/1 HTTP/1.1\r\n" FIELDS "Content-Length: 3\r\n\r\na=1"
 #define LONG_BODY (300 * 1024) /* bytes; streamed, not held */
 #define LIST "GET /list/1?q=1 HTTP/1.1\r\n" FIELDS "\r\n"
 
