--- a/src/bal.c
+++ b/src/bal.c
@@ -18,9 +18,14 @@
 #define SAMPLE_MAX 64 /* targets looked at in one choice */
 /* A target without work for so long is tried by a single request, one in
  * eight of those that come then. */
-#define IDLE_US (1500 * FS_US_PER_MS)
+#define IDLE_US (1300 * FS_US_PER_MS)
 #define EXPLORE_SHARE 0.125
-/* Unless many requests fail, the trial waits until the evidence against the
+/* The deployments' floor is 70 % of a service's targets, counted when more than
+ * a tenth of its requests fail; both are met with a margin. */
+#define IDLE_SHARE_MAX 0.25
+#define UNSERVED_MANY 0.08
+#define UNSERVED_SOME 0.035
+/* Otherwise the trial waits until the evidence against the
  * target has faded: its chance to be gray is near that of any. */
 #define FADED_FAILURE 0.12
 #define FADED_IDLE_US (2500 * FS_US_PER_MS)
@@ -127,28 +132,56 @@
 	       (!kept || wish->now_us - kept->gry.other_us >= OTHER_US);
 }
 
-/* Returns the target that nobody has used for longest, if it is long. */
-static struct dir_target *longest_idle(const struct dir_service *service,
-				       const struct bal_wish *wish)
+/* Returns whether idle targets are to be tried whatever the evidence. */
+static bool must_explore(const struct bal_wish *wish, uint32_t idle,
+			 uint32_t count)
 {
-	struct dir_target *idle = NULL;
-	int64_t since_us =
-		wish->now_us - (wish->explore ? IDLE_US : FADED_IDLE_US);
+	if (wish->unserved > UNSERVED_MANY)
+		return true;
+	return wish->unserved > UNSERVED_SOME &&
+	       (double)idle > IDLE_SHARE_MAX * (double)count;
+}
+
+static bool is_idle(struct dir_target *target, const struct bal_wish *wish,
+		    int64_t idle_us)
+{
+	return may_take(target, wish) &&
+	       wish->now_us - bal_of(target, wish->now_us)->used_us > idle_us;
+}
+
+static uint32_t count_idle(const struct dir_service *service,
+			   const struct bal_wish *wish)
+{
+	uint32_t idle = 0;
 
-	for (uint32_t i = 0; i < service->targets->len; i++) {
+	for (uint32_t i = 0; i < service->targets->len; i++)
+		idle += is_idle(g_ptr_array_index(service->targets, i), wish,
+				IDLE_US);
+	return idle;
+}
+
+/* Returns the target to try that nobody has used for longest, or NULL. */
+static struct dir_target *choose_idle(const struct dir_service *service,
+				      const struct bal_wish *wish)
+{
+	uint32_t idle = count_idle(service, wish);
+	bool all = must_explore(wish, idle, service->targets->len);
+	struct dir_target *longest = NULL;
+
+	for (uint32_t i = 0; idle && i < service->targets->len; i++) {
 		struct dir_target *target =
 			g_ptr_array_index(service->targets, i);
 		const struct bal_target *kept = bal_of(target, wish->now_us);
 
-		if (!may_take(target, wish) || kept->used_us >= since_us)
+		if (!is_idle(target, wish, all ? IDLE_US : FADED_IDLE_US))
 			continue;
-		if (!wish->explore &&
+		if (!all &&
 		    gry_failure(&kept->gry, wish->now_us) > FADED_FAILURE)
 			continue;
-		since_us = kept->used_us;
-		idle = target;
+		if (!longest || kept->used_us < bal_of(longest, 0)->used_us)
+			longest = target;
 	}
-	return idle;
+	return longest;
 }
 
 struct bal_choice bal_choose(const struct dir_service *service,
@@ -161,7 +194,7 @@
 	double best_us = 0;
 
 	if (count && next_random(&random) < EXPLORE_SHARE) {
-		best.target = longest_idle(service, wish);
+		best.target = choose_idle(service, wish);
 		best.usable = count;
 		if (best.target)
 			return best;
--- a/src/bal.h
+++ b/src/bal.h
@@ -9,8 +9,10 @@
  * not all choose the same one.
  *
  * A target that has just shown to be another server is passed over. No other
- * target is ever left out altogether: when all look sick, all are used, and
- * while many requests fail, each target is tried now and then.
+ * target is ever left out altogether: when all look sick, all are used. A
+ * target that is not used comes back by single trials: once the evidence has
+ * faded; or at once while many requests fail, or while some do and more targets
+ * lie idle than the floor of a service allows.
  */
 #ifndef BAL_H
 #define BAL_H
@@ -35,7 +37,7 @@
 	int64_t cross_us;   /* what another failure domain costs, as time */
 	const struct dir_target *const *avoid; /* targets tried before */
 	uint32_t avoid_count;
-	bool explore; /* try idle targets whatever the evidence */
+	double unserved; /* share of the service's requests */
 	int64_t now_us;
 	uint64_t random;
 };
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -32,10 +32,6 @@
  * second send may answer sooner. */
 #define HEDGE_FAILURE 0.3
 
-/* When this share of a service's requests fails, evidence against targets may
- * be wrong: all of them are tried now and then. */
-#define EXPLORE_SHARE 0.08
-
 /* A wait that is expected to be longer than what is left by this much can't be
  * met: expected waits are right within a quarter. */
 #define WAIT_SLACK 1.25
@@ -127,7 +123,7 @@
 			CROSS_US + CROSS_BYTE_US * gwy_answer_mean_bytes(req),
 		.avoid = avoid,
 		.avoid_count = tried(req, avoid),
-		.explore = lod_unserved(gwy->lod, service) > EXPLORE_SHARE,
+		.unserved = lod_unserved(gwy->lod, service),
 		.now_us = now_us,
 		.random = next_random(gwy),
 	};
