Keep targets that lapsed in an outage the node did not see; bound the log; tests

Cause: a node that began to read when the store came back knew of no outage and removed what had lapsed at once. Found by unit_fed (outage_takes_no_target_away), which failed first. Now any reading after 2 s without news grants the grace time.

--- a/src/ctr.c
+++ b/src/ctr.c
@@ -167,6 +167,29 @@
 	return quantile(g_ptr_array_index(ctr->histograms, histogram), q);
 }
 
+void ctr_text(const struct ctr *ctr, GString *out)
+{
+	for (guint i = 0; i < ctr->counters->len; i++) {
+		const struct ctr_counter *c =
+			&g_array_index(ctr->counters, struct ctr_counter, i);
+
+		g_string_append_printf(out, "%s %" G_GUINT64_FORMAT "\n",
+				       c->name, c->value);
+	}
+	for (guint i = 0; i < ctr->histograms->len; i++) {
+		const struct ctr_histogram *h =
+			g_ptr_array_index(ctr->histograms, i);
+
+		g_string_append_printf(out,
+				       "%s_count %" G_GUINT64_FORMAT
+				       "\n%s_p50_us %" G_GINT64_FORMAT
+				       "\n%s_p99_us %" G_GINT64_FORMAT "\n",
+				       h->name, h->count, h->name,
+				       quantile(h, 0.5), h->name,
+				       quantile(h, 0.99));
+	}
+}
+
 void ctr_json(const struct ctr *ctr, GString *out)
 {
 	g_string_append(out, "{\"counters\":{");
--- a/src/ctr.h
+++ b/src/ctr.h
@@ -40,6 +40,12 @@
 /** Returns the time in us below which a share @p q of observations lies. */
 int64_t ctr_quantile(const struct ctr *ctr, handle histogram, double q);
 
+/**
+ * Appends all as text, a line each: "name value" of counters, and of
+ * histograms "name_count", "name_p50_us" and "name_p99_us".
+ */
+void ctr_text(const struct ctr *ctr, GString *out);
+
 /**
  * Appends all as a JSON object: {"counters":{...},"histograms":{name:
  * {"count":n,"sum_us":n,"p50_us":n,"p99_us":n}}}.
--- a/src/fed_impl.h
+++ b/src/fed_impl.h
@@ -34,6 +34,10 @@
 /* A lapsed entry is back within 2 s of the service's return. */
 #define FED_GRACE_US (2200 * FS_US_PER_MS)
 
+/* Without an answer or a fresh reader for so long the store may have been
+ * away: twice the longest wait of a watch on targets that is answered. */
+#define FED_UNKNOWN_US (2000 * FS_US_PER_MS)
+
 #define FED_ASK_US (300 * FS_US_PER_MS) /* between two questions to peers */
 
 /* A node's own key: renewed three times within its lease. */
@@ -49,7 +53,6 @@
 	bool config;	   /* of the configuration; else of the targets */
 	bool running;	   /* a call is under way */
 	bool listed;	   /* the list is complete: watch */
-	bool answered;	   /* at least once */
 	uint64_t from_rev; /* where the watch goes on */
 	uint64_t list_rev; /* of the first page of the list */
 	char *page_after;  /* last key of the previous page, or NULL */
--- a/src/fed_read.c
+++ b/src/fed_read.c
@@ -20,7 +20,6 @@
 	return delay_us / 2 + fed_random(fed, delay_us);
 }
 
-/* An outage that this node saw makes it wait before it believes removals. */
 static void call_failed(struct fed_loop *loop, int err, int64_t now_us)
 {
 	struct fed *fed = loop->fed;
@@ -45,12 +44,15 @@
 {
 	struct fed *fed = loop->fed;
 
-	if (loop->answered && loop->failed >= 2)
+	int64_t known_us = MAX(fed->heard_us, loop->answered_us);
+
+	/* Nothing is known of the store since then: it may have been away, and
+	 * entries may have lapsed meanwhile. */
+	if (fed->directory_known && now_us - known_us > FED_UNKNOWN_US)
 		loop->grace_until_us = now_us + FED_GRACE_US;
 	if (!loop->config)
 		note_away(fed, false, 0);
 	loop->failed = 0;
-	loop->answered = true;
 	loop->answered_us = now_us;
 }
 
@@ -177,7 +179,6 @@
 	loop->listed = false;
 	g_clear_pointer(&loop->page_after, g_free);
 	loop->failed = 0;
-	loop->answered = false;
 }
 
 void fed_read_tick(struct fed *fed, int64_t now_us)
--- a/src/fs_log.c
+++ b/src/fs_log.c
@@ -1,9 +1,25 @@
 #include "fs_log.h"
 
+#include <fcntl.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
+/* Lines of level info a second, and at once; warnings always go out. A node
+ * of the largest deployment writes about sixty a second on its heaviest day. */
+#define INFO_PER_S 200
+#define INFO_BURST 400
+
+/** Bounds the lines of level info. */
+static struct {
+	bool on;
+	double left;	    /* lines that may be written now */
+	int64_t counted_us; /* when that was right */
+	uint64_t dropped;   /* lines left out since the last one */
+	uint64_t dropped_all;
+} budget = {.left = INFO_BURST};
+
 static char log_node[64] = "-";
 static int log_fd = STDERR_FILENO;
 
@@ -45,20 +61,68 @@
 	return NULL;
 }
 
+/* Returns whether a line may be written now. */
+static bool may_write(GLogLevelFlags level)
+{
+	int64_t now_us = g_get_monotonic_time();
+
+	if (!budget.on || !(level & (G_LOG_LEVEL_INFO | G_LOG_LEVEL_DEBUG)))
+		return true;
+	if (budget.counted_us)
+		budget.left += (double)(now_us - budget.counted_us) *
+			       INFO_PER_S / G_USEC_PER_SEC;
+	budget.left = MIN(budget.left, INFO_BURST);
+	budget.counted_us = now_us;
+	if (budget.left >= 1.0) {
+		budget.left -= 1.0;
+		return true;
+	}
+	budget.dropped++;
+	budget.dropped_all++;
+	return false;
+}
+
+void fs_log_bound(void)
+{
+	budget.on = true;
+	/* A reader that is slow must not hold up the loop. */
+	fcntl(log_fd, F_SETFL, fcntl(log_fd, F_GETFL) | O_NONBLOCK);
+}
+
+uint64_t fs_log_dropped(void)
+{
+	return budget.dropped_all;
+}
+
+/* Never waits for a reader: a line that does not fit is left out. */
+static void put_line(const GString *line)
+{
+	if (write(log_fd, line->str, line->len) >= 0) {
+		budget.dropped = 0;
+		return;
+	}
+	budget.dropped++;
+	budget.dropped_all++;
+}
+
 static GLogWriterOutput write_json(GLogLevelFlags level,
 				   const GLogField *fields, gsize n_fields,
 				   gpointer data)
 {
-	g_autoptr(GDateTime) now = g_date_time_new_now_utc();
-	g_autofree char *stamp =
-		g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.%fZ");
-	g_autoptr(GString) line = g_string_sized_new(256);
+	g_autoptr(GDateTime) now = NULL;
+	g_autofree char *stamp = NULL;
+	g_autoptr(GString) line = NULL;
 	const char *module = field_of(fields, n_fields, "FS_MODULE");
 	const char *event = field_of(fields, n_fields, "FS_EVENT");
 	const char *json = field_of(fields, n_fields, "FS_FIELDS");
 	const char *text = field_of(fields, n_fields, "MESSAGE");
 
 	(void)data;
+	if (!may_write(level))
+		return G_LOG_WRITER_HANDLED;
+	now = g_date_time_new_now_utc();
+	stamp = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.%fZ");
+	line = g_string_sized_new(256);
 	g_string_append_printf(line, "{\"module\":\"%s\",\"event\":\"%s\"",
 			       module ? module : "glib",
 			       event ? event : "message");
@@ -72,9 +136,11 @@
 		g_string_append(line, ",\"text\":");
 		fs_json_string(line, text);
 	}
+	if (budget.dropped)
+		g_string_append_printf(line, ",\"dropped\":%" G_GUINT64_FORMAT,
+				       budget.dropped);
 	g_string_append(line, "}\n");
-	if (write(log_fd, line->str, line->len) < 0)
-		return G_LOG_WRITER_UNHANDLED;
+	put_line(line);
 	return G_LOG_WRITER_HANDLED;
 }
 
--- a/src/opi.c
+++ b/src/opi.c
@@ -70,6 +70,15 @@
 	ctr_json(opi->node->ctr, out);
 }
 
+/* One line a figure, for collectors that read text. */
+static void write_metrics(struct opi *opi, uint64_t after, GString *out)
+{
+	(void)after;
+	ctr_text(opi->node->ctr, out);
+	g_string_append_printf(out, "log_lines_dropped %" G_GUINT64_FORMAT "\n",
+			       fs_log_dropped());
+}
+
 static void write_audit(struct opi *opi, uint64_t after, GString *out)
 {
 	aud_ring_json(opi->node->aud, after, out);
@@ -98,9 +107,13 @@
 }
 
 static const struct opi_page pages[] = {
-	{"GET", "/status", write_status}, {"GET", "/counters", write_counters},
-	{"GET", "/audit", write_audit},	  {"GET", "/config", write_config},
-	{"GET", "/burn", write_burn},	  {"POST", "/drain", write_drain},
+	{"GET", "/status", write_status},
+	{"GET", "/counters", write_counters},
+	{"GET", "/audit", write_audit},
+	{"GET", "/config", write_config},
+	{"GET", "/metrics", write_metrics},
+	{"GET", "/burn", write_burn},
+	{"POST", "/drain", write_drain},
 };
 
 static enum MHD_Result reply(struct MHD_Connection *connection,
@@ -172,7 +185,7 @@
 				   "only /drain takes POST, all else GET");
 	return reply_error(connection, MHD_HTTP_NOT_FOUND, "not_found",
 			   "the paths are /status, /counters, /audit, "
-			   "/config, /burn and /drain");
+			   "/config, /metrics, /burn and /drain");
 }
 
 static enum MHD_Result on_access(void *cls, struct MHD_Connection *connection,
--- /dev/null
+++ b/tests/unit_fed.c
@@ -0,0 +1,305 @@
+/* The feed task over a store inside the test: what is taken, in which order,
+ * what happens when the store is away, and what peers tell. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "fed.h"
+#include "fleet_kvs.h"
+#include "fs_log.h"
+
+/** A feed task, its store, and what it sends. */
+struct desk {
+	struct node node;
+	struct shelf shelf;
+	struct dir *dir;
+	struct fed *fed;
+	GPtrArray *sent; /* struct msg to other nodes */
+};
+
+static struct desk d;
+
+/* A configuration is its version as text; "x" is malformed. */
+static struct cfg *decode_config(const char *text, size_t size)
+{
+	(void)size;
+	return atoi(text) > 0 ? cfg_new(text, (uint64_t)atoi(text)) : NULL;
+}
+
+/* An entry is "ready" or "leaving". */
+static bool decode_target(const struct kvs_item *item, struct dir_entry *out)
+{
+	memset(out, 0, sizeof(*out));
+	g_strlcpy(out->id, item->key + strlen("t/"), sizeof(out->id));
+	g_strlcpy(out->service, "pay", sizeof(out->service));
+	g_strlcpy(out->address, "127.0.0.1:1", sizeof(out->address));
+	out->rev = item->rev;
+	out->slots = 4;
+	out->leaving = !strcmp(item->value, "leaving");
+	return out->leaving || !strcmp(item->value, "ready");
+}
+
+static void send_remote(void *arg, struct msg *m, int64_t now_us)
+{
+	struct desk *desk = arg;
+
+	(void)now_us;
+	g_ptr_array_add(desk->sent, m);
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)timer;
+	(void)events;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+/* Runs the loop, answering the store's calls as they come. */
+static void run(int64_t us)
+{
+	for (int64_t end_us = fs_now_us() + us; fs_now_us() < end_us;) {
+		ev_timer timer;
+
+		ev_timer_init(&timer, on_timer, 0.005, 0);
+		ev_timer_start(d.node.loop, &timer);
+		ev_run(d.node.loop, 0);
+		ev_timer_stop(d.node.loop, &timer);
+		shelf_answer(&d.shelf);
+	}
+}
+
+static void begin_with(const char *config)
+{
+	struct fed_platform platform = {
+		.config_key = "c/config",
+		.config_prefix = "c/",
+		.target_prefix = "t/",
+		.node_prefix = "n/",
+		.decode_config = decode_config,
+		.decode_target = decode_target,
+	};
+
+	memset(&d, 0, sizeof(d));
+	g_strlcpy(d.node.set.name, "a", FS_NAME_MAX);
+	g_strlcpy(d.node.set.domain, "z", FS_DOMAIN_MAX);
+	node_open(&d.node);
+	d.sent = g_ptr_array_new_with_free_func((GDestroyNotify)msg_free);
+	bus_attach_remote(d.node.bus, send_remote, &d);
+	shelf_begin(&d.shelf);
+	d.dir = dir_new(NULL);
+	platform.kvs = shelf_kvs(&d.shelf);
+	if (config)
+		shelf_put(&d.shelf, "c/config", config);
+	for (int i = 0; i < 5; i++) {
+		g_autofree char *key = g_strdup_printf("t/s%d", i);
+
+		shelf_put(&d.shelf, key, "ready");
+	}
+	d.fed = fed_new(&d.node, &platform, d.dir);
+	run(FS_US_PER_S / 3);
+}
+
+static void begin(void)
+{
+	begin_with("5");
+}
+
+static void end(void)
+{
+	fed_free(d.fed);
+	dir_free(d.dir);
+	shelf_end(&d.shelf);
+	g_ptr_array_unref(d.sent);
+	brn_free(d.node.brn);
+	aud_free(d.node.aud);
+	ctr_free(d.node.ctr);
+	bus_free(d.node.bus);
+}
+
+static bool has(const char *id)
+{
+	return dir_target_find(d.dir, id) != NULL;
+}
+
+static void test_lists_all_pages(void)
+{
+	begin();
+	g_assert_true(fed_is_ready(d.fed));
+	g_assert_true(d.node.ready);
+	g_assert_cmpuint(fed_config(d.fed)->version, ==, 5);
+	g_assert_cmpuint(dir_count(d.dir), ==, 5);
+	end();
+}
+
+/* No configuration: the node is not ready, whatever else it knows. */
+static void test_not_ready_without_configuration(void)
+{
+	begin_with(NULL);
+	g_assert_false(d.node.ready);
+	shelf_put(&d.shelf, "c/config", "2");
+	run(FS_US_PER_S / 2);
+	g_assert_true(d.node.ready);
+	end();
+}
+
+static void test_change_is_in_force_in_time(void)
+{
+	begin();
+	shelf_put(&d.shelf, "t/s1", "leaving");
+	shelf_put(&d.shelf, "t/s2", NULL);
+	shelf_put(&d.shelf, "c/config", "9");
+	run(FS_US_PER_S);
+	g_assert_true(dir_target_find(d.dir, "s1")->entry.leaving);
+	g_assert_false(has("s2"));
+	g_assert_cmpuint(fed_config(d.fed)->version, ==, 9);
+	end();
+}
+
+/* Neither the store nor a peer takes a node back to an older version. */
+static void test_older_version_is_not_taken(void)
+{
+	struct msg *m;
+
+	begin();
+	shelf_put(&d.shelf, "c/config", "4");
+	m = msg_new(MSG_CONFIG_TEXT, d.node.self, MSG_TASK_CONFIG);
+	m->config_text.version = 3;
+	m->config_text.text = g_strdup("3");
+	bus_deliver(d.node.bus, m);
+	shelf_put(&d.shelf, "c/config", "x");
+	run(FS_US_PER_S);
+	g_assert_cmpuint(fed_config(d.fed)->version, ==, 5);
+	end();
+}
+
+/* History is dropped while changes are made: the list tells them. */
+static void test_lost_history(void)
+{
+	begin();
+	shelf_put(&d.shelf, "t/s3", NULL);
+	shelf_put(&d.shelf, "t/new", "ready");
+	shelf_compact(&d.shelf);
+	run(FS_US_PER_S);
+	g_assert_false(has("s3"));
+	g_assert_true(has("new"));
+	end();
+}
+
+/* Another writer's entry is no server, and takes nothing away. */
+static void test_foreign_entry(void)
+{
+	begin();
+	shelf_put(&d.shelf, "t/s9", "odd");
+	run(FS_US_PER_S);
+	g_assert_false(has("s9"));
+	g_assert_cmpuint(dir_count(d.dir), ==, 5);
+	end();
+}
+
+/* Entries that lapsed in an outage are kept until 2 s after it; those that
+ * come back stay. */
+static void test_outage_takes_no_target_away(void)
+{
+	begin();
+	d.shelf.refuse = FS_E_UNAVAILABLE;
+	run(2 * FS_US_PER_S);
+	g_assert_cmpuint(dir_count(d.dir), ==, 5);
+	shelf_put(&d.shelf, "t/s0", NULL);
+	shelf_put(&d.shelf, "t/s1", NULL);
+	d.shelf.refuse = 0;
+	run(FS_US_PER_S);
+	g_assert_true(has("s0"));
+	shelf_put(&d.shelf, "t/s1", "ready");
+	run(5 * FS_US_PER_S / 2);
+	g_assert_false(has("s0"));
+	g_assert_true(has("s1"));
+	end();
+}
+
+static void hear_beat(uint64_t digest, uint64_t version, bool local)
+{
+	struct msg *m = msg_new(MSG_FEED_BEAT, d.node.self, MSG_TASK_CONFIG);
+
+	m->feed_beat.digest = digest;
+	m->feed_beat.config_version = version;
+	m->feed_beat.fresh = true;
+	m->feed_beat.local = local;
+	m->feed_beat.reader = 77;
+	bus_deliver(d.node.bus, m);
+}
+
+/* A node that hears a fresh reader makes no calls. */
+static void test_fresh_reader_spares_calls(void)
+{
+	uint64_t calls;
+
+	begin();
+	for (int i = 0; i < 40; i++) {
+		hear_beat(dir_digest(d.dir), 5, true);
+		run(50 * FS_US_PER_MS);
+	}
+	calls = d.shelf.count;
+	for (int i = 0; i < 20; i++) {
+		hear_beat(dir_digest(d.dir), 5, true);
+		run(50 * FS_US_PER_MS);
+	}
+	g_assert_cmpuint(d.shelf.count, ==, calls);
+	/* The reader falls silent: the node reads for itself in time. */
+	shelf_put(&d.shelf, "t/s1", "leaving");
+	run(1800 * FS_US_PER_MS);
+	g_assert_true(dir_target_find(d.dir, "s1")->entry.leaving);
+	end();
+}
+
+static bool was_asked(enum msg_type type)
+{
+	for (guint i = 0; i < d.sent->len; i++) {
+		const struct msg *m = g_ptr_array_index(d.sent, i);
+
+		if (m->type == type && m->to == 77)
+			return true;
+	}
+	return false;
+}
+
+/* A node that the store turns away learns from its peers. */
+static void test_peers_tell_what_the_store_does_not(void)
+{
+	struct msg *m;
+	struct msg_removed removed = {.id = "s2", .rev = 100};
+
+	begin();
+	d.shelf.refuse = FS_E_UNAVAILABLE;
+	for (int i = 0; i < 30; i++) {
+		hear_beat(12345, 8, false);
+		run(50 * FS_US_PER_MS);
+	}
+	g_assert_true(was_asked(MSG_CONFIG_ASK));
+	m = msg_new(MSG_FEED_ENTRIES, d.node.self, MSG_TASK_CONFIG);
+	g_array_append_val(m->feed_entries.removed, removed);
+	bus_deliver(d.node.bus, m);
+	run(50 * FS_US_PER_MS);
+	g_assert_false(has("s2"));
+	end();
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	fs_log_init("test", 2);
+	g_test_add_func("/fed/lists_all_pages", test_lists_all_pages);
+	g_test_add_func("/fed/not_ready_without_configuration",
+			test_not_ready_without_configuration);
+	g_test_add_func("/fed/change_is_in_force_in_time",
+			test_change_is_in_force_in_time);
+	g_test_add_func("/fed/older_version_is_not_taken",
+			test_older_version_is_not_taken);
+	g_test_add_func("/fed/lost_history", test_lost_history);
+	g_test_add_func("/fed/foreign_entry", test_foreign_entry);
+	g_test_add_func("/fed/outage_takes_no_target_away",
+			test_outage_takes_no_target_away);
+	g_test_add_func("/fed/fresh_reader_spares_calls",
+			test_fresh_reader_spares_calls);
+	g_test_add_func("/fed/peers_tell_what_the_store_does_not",
+			test_peers_tell_what_the_store_does_not);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/unit_plf.c
@@ -0,0 +1,297 @@
+/* The platform's forms: what is decoded, what is refused, what a call's answer
+ * becomes. */
+#include <curl/curl.h>
+#include <string.h>
+
+#include "fleet_fake.h"
+#include "plf_decode.h"
+#include "plf_store.h"
+
+#define CONFIG                                                               \
+	"{\"version\":7,\"new_member\":1,\"routes\":{\"columns\":[\"name\"," \
+	"\"host\",\"prefix\",\"kind\",\"timeout_ms\",\"target_latency_ms\"," \
+	"\"priority\",\"service\",\"max_attempts\",\"split\"],\"rows\":["    \
+	"[\"r1\",\"h.example\",\"/pay/\",\"unsafe\",3000,1200,1,\"a\",2,"    \
+	"null],[\"r2\",\"h.example\",\"/list/\",\"safe\",2500,1200,2,null,"  \
+	"3,[{\"service\":\"a\",\"weight\":90},{\"service\":\"b\","           \
+	"\"weight\":10}]],[\"r3\",\"h.example\",\"/new/\",\"keyed\",1,1,1,"  \
+	"\"b\",1,null]]},\"services\":{\"columns\":[\"name\","               \
+	"\"health_path\"],\"rows\":[[\"a\",\"/health\"],[\"b\",\"/h\"]]},"   \
+	"\"limits\":{\"max_body_bytes\":1000,\"idle_timeout_ms\":15000}}"
+
+#define ENTRY                                                    \
+	"{\"service\":\"a\",\"address\":\"10.128.0.9:8080\","    \
+	"\"zone\":\"z\",\"version\":\"v1\",\"capacity\":4,"      \
+	"\"state\":\"%s\",\"cold_left_ms\":1500,\"call_seq\":4," \
+	"\"born\":1700000000123}"
+
+static void test_config(void)
+{
+	struct cfg *cfg CFG_AUTO = plf_decode_config(CONFIG, strlen(CONFIG));
+	const struct cfg_route *r;
+
+	g_assert_nonnull(cfg);
+	g_assert_cmpuint(cfg->version, ==, 7);
+	g_assert_cmpuint(cfg->service_count, ==, 2);
+	g_assert_cmpuint(cfg->limits.body_bytes, ==, 1000);
+	g_assert_cmpint(cfg->limits.idle_us, ==, 15 * FS_US_PER_S);
+	r = &cfg->routes[cfg_find_route(cfg, "r1")];
+	g_assert_false(r->repeatable);
+	g_assert_cmpint(r->deadline_us, ==, 3 * FS_US_PER_S);
+	g_assert_cmpuint(r->tries, ==, 2);
+	r = &cfg->routes[cfg_find_route(cfg, "r2")];
+	g_assert_true(r->repeatable);
+	g_assert_cmpuint(r->share_count, ==, 2);
+	g_assert_cmpuint(r->shares[1].weight, ==, 10);
+	/* A kind that is not known must not be repeated. */
+	g_assert_false(cfg->routes[cfg_find_route(cfg, "r3")].repeatable);
+}
+
+static void test_malformed_config(void)
+{
+	static const char *const texts[] = {
+		"",
+		"[]",
+		"{\"version\":\"7\"}",
+		"{\"version\":7}",
+		"{\"version\":7,\"services\":{\"columns\":[\"name\"],"
+		"\"rows\":[[\"a\"],[\"a\"]]},\"routes\":{\"columns\":[],"
+		"\"rows\":[]}}",
+		"{\"version\":7,\"services\":{\"columns\":[\"name\"],"
+		"\"rows\":[]},\"routes\":{\"columns\":[\"name\",\"host\","
+		"\"prefix\",\"service\"],\"rows\":[[\"r\",\"h\",\"/\","
+		"\"none\"]]}}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		g_assert_null(plf_decode_config(texts[i], strlen(texts[i])));
+}
+
+static bool decode(const char *key, const char *text, struct dir_entry *out)
+{
+	struct kvs_item item = {
+		.key = key,
+		.value = text,
+		.size = strlen(text),
+		.rev = 9,
+	};
+
+	return plf_decode_target(&item, out);
+}
+
+static void test_target(void)
+{
+	g_autofree char *ready = g_strdup_printf(ENTRY, "ready");
+	g_autofree char *leaving = g_strdup_printf(ENTRY, "draining");
+	struct dir_entry e;
+
+	g_assert_true(decode("servers/i-1", ready, &e));
+	g_assert_cmpstr(e.id, ==, "i-1");
+	g_assert_cmpstr(e.domain, ==, "z");
+	g_assert_cmpuint(e.slots, ==, 4);
+	g_assert_cmpuint(e.born, ==, 1700000000123);
+	g_assert_cmpint(e.cold_us, ==, 1500 * FS_US_PER_MS);
+	g_assert_cmpuint(e.rev, ==, 9);
+	g_assert_false(e.leaving);
+	g_assert_true(decode("servers/i-1", leaving, &e));
+	g_assert_true(e.leaving);
+}
+
+/* Another writer's entries name no server to use. */
+static void test_other_writers(void)
+{
+	static const char *const texts[] = {
+		"\x01\xff not text",
+		"{}",
+		"{\"service\":\"a\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		"\"capacity\":\"4\",\"state\":\"ready\"}",
+		"{\"service\":\"a\",\"address\":\"name:80\",\"zone\":\"z\","
+		"\"capacity\":4,\"state\":\"ready\"}",
+		"{\"service\":\"a\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		"\"capacity\":4,\"state\":\"odd\"}",
+		"{\"service\":7,\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		"\"capacity\":4,\"state\":\"ready\"}",
+		"{\"service\":\"a\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		"\"capacity\":4,\"state\":\"ready\",\"born\":1.5}",
+	};
+	struct dir_entry e;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		g_assert_false(decode("servers/i-1", texts[i], &e));
+	g_assert_false(decode("servers/", "{}", &e));
+}
+
+/** One call to a scripted store. */
+struct call {
+	struct ev_loop *loop;
+	struct fake *fake;
+	struct plf_store *store;
+	struct kvs kvs;
+	const char *answer;
+	bool done;
+	int err;
+	uint32_t count;
+	bool more;
+	bool gone;
+	uint64_t at_rev;
+	uint64_t lease;
+	char *value;
+};
+
+static void serve(void *arg, struct fake_conn *conn,
+		  const struct fake_request *request)
+{
+	const struct call *call = arg;
+
+	(void)request;
+	if (call->answer)
+		fake_send_text(conn, call->answer);
+}
+
+static void on_page(void *arg, int err, const struct kvs_page *page)
+{
+	struct call *call = arg;
+
+	call->done = true;
+	call->err = err;
+	call->count = page->count;
+	call->more = page->more;
+	call->at_rev = page->at_rev;
+	if (page->count) {
+		call->gone = page->items[page->count - 1].gone;
+		call->value = g_strdup(page->items[0].value);
+	}
+}
+
+static void on_write(void *arg, int err, uint64_t lease)
+{
+	struct call *call = arg;
+
+	call->done = true;
+	call->err = err;
+	call->lease = lease;
+}
+
+static bool is_done(void *arg)
+{
+	return ((struct call *)arg)->done;
+}
+
+static void call_begin(struct call *call, unsigned int status, const char *body)
+{
+	static char answer[1024];
+
+	memset(call, 0, sizeof(*call));
+	call->loop = ev_loop_new(EVFLAG_AUTO);
+	call->fake = fake_new(call->loop, serve, call);
+	call->store = plf_store_new(call->loop, fake_address(call->fake));
+	call->kvs = plf_store_kvs(call->store);
+	g_snprintf(answer, sizeof(answer),
+		   "HTTP/1.1 %u X\r\nContent-Length: %zu\r\n\r\n%s", status,
+		   strlen(body), body);
+	call->answer = status ? answer : NULL;
+}
+
+static void call_end(struct call *call)
+{
+	g_assert_true(fake_run(call->loop, is_done, call, 3 * FS_US_PER_S));
+	plf_store_free(call->store);
+	fake_free(call->fake);
+	ev_loop_destroy(call->loop);
+}
+
+static const char *head_of(const struct call *call)
+{
+	const struct fake_request *r =
+		g_ptr_array_index(fake_requests(call->fake), 0);
+
+	return r->head;
+}
+
+static void test_range(void)
+{
+	struct call c;
+
+	call_begin(&c, 200,
+		   "{\"items\":[{\"key\":\"servers/a\",\"value\":\"aGk=\","
+		   "\"rev\":5,\"created\":5,\"lease\":0}],\"has_more\":true,"
+		   "\"at_rev\":12}");
+	c.kvs.ops->range(c.kvs.store, "servers/", "servers/0", on_page, &c);
+	g_assert_true(fake_run(c.loop, is_done, &c, 3 * FS_US_PER_S));
+	g_assert_nonnull(strstr(head_of(&c),
+				"GET /kv-range?prefix=servers/&after="
+				"servers/0 "));
+	g_assert_cmpint(c.err, ==, 0);
+	g_assert_cmpuint(c.count, ==, 1);
+	g_assert_cmpstr(c.value, ==, "hi");
+	g_assert_true(c.more);
+	g_assert_cmpuint(c.at_rev, ==, 12);
+	g_free(c.value);
+	call_end(&c);
+}
+
+static void test_watch(void)
+{
+	struct call c;
+
+	call_begin(&c, 200,
+		   "{\"events\":[{\"key\":\"op/x\",\"rev\":413,"
+		   "\"is_gone\":true}],\"at_rev\":413}");
+	c.kvs.ops->watch(c.kvs.store, "op/", 411, FS_US_PER_S, on_page, &c);
+	call_end(&c);
+	g_assert_cmpint(c.err, ==, 0);
+	g_assert_true(c.gone);
+}
+
+static void expect_err(unsigned int status, const char *body, int err)
+{
+	struct call c;
+
+	call_begin(&c, status, body);
+	c.kvs.ops->watch(c.kvs.store, "op/", 411, 0, on_page, &c);
+	call_end(&c);
+	g_assert_cmpint(c.err, ==, err);
+}
+
+static void test_refusals(void)
+{
+	expect_err(410, "{}", FS_E_STALE);
+	expect_err(429, "{}", FS_E_UNAVAILABLE);
+	expect_err(503, "{}", FS_E_UNAVAILABLE);
+	expect_err(200, "not json", FS_E_PROTOCOL);
+	expect_err(200, "{\"events\":[{\"key\":1}],\"at_rev\":1}",
+		   FS_E_PROTOCOL);
+}
+
+/* A store that reads a call and says nothing: the call ends by itself. */
+static void test_silence(void)
+{
+	expect_err(0, "", FS_E_UNAVAILABLE);
+}
+
+static void test_lease(void)
+{
+	struct call c;
+
+	call_begin(&c, 200, "{\"lease\":77,\"ttl_ms\":3000}");
+	c.kvs.ops->lease(c.kvs.store, 3 * FS_US_PER_S, on_write, &c);
+	call_end(&c);
+	g_assert_cmpint(c.err, ==, 0);
+	g_assert_cmpuint(c.lease, ==, 77);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	g_test_add_func("/plf/config", test_config);
+	g_test_add_func("/plf/malformed_config", test_malformed_config);
+	g_test_add_func("/plf/target", test_target);
+	g_test_add_func("/plf/other_writers", test_other_writers);
+	g_test_add_func("/plf/range", test_range);
+	g_test_add_func("/plf/watch", test_watch);
+	g_test_add_func("/plf/refusals", test_refusals);
+	g_test_add_func("/plf/silence", test_silence);
+	g_test_add_func("/plf/lease", test_lease);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/unit_policy_gateway.c
@@ -0,0 +1,350 @@
+/* Decisions of a gateway in virtual time, one test a pattern of load or fault:
+ * which target gets a request (bal), which is gray (gry), what may be sent
+ * again (bud). No network, no clock. */
+#include <string.h>
+
+#include "bal.h"
+#include "bud.h"
+
+#define MS FS_US_PER_MS
+#define SECOND FS_US_PER_S
+#define MEAN_US (300 * MS)
+#define ROUNDS 400 /* choices made to see where work goes */
+
+static const struct bud_rule rule = {
+	.ratio = 0.2,
+	.slack = 62,
+	.window_us = 10 * SECOND,
+};
+
+/** A service and how often each of its targets was chosen. */
+struct scene {
+	struct dir *dir;
+	struct bal_wish wish;
+	int chosen[16];
+	int total;
+};
+
+static void scene_begin(struct scene *s)
+{
+	memset(s, 0, sizeof(*s));
+	s->dir = dir_new(g_free);
+	s->wish = (struct bal_wish){
+		.domain = "here",
+		.mean_us = MEAN_US,
+		.failure_us = 4 * SECOND,
+		.cross_us = 120 * MS,
+		.now_us = 100 * SECOND,
+	};
+}
+
+static struct dir_target *add(struct scene *s, int number, const char *domain)
+{
+	struct dir_entry e = {.rev = 1, .born = 1, .slots = 4};
+
+	g_snprintf(e.id, sizeof(e.id), "%d", number);
+	g_strlcpy(e.service, "pay", sizeof(e.service));
+	g_strlcpy(e.address, "127.0.0.1:1", sizeof(e.address));
+	g_strlcpy(e.domain, domain, sizeof(e.domain));
+	dir_put(s->dir, &e, 0);
+	bal_of(dir_target_find(s->dir, e.id), 0)->used_us = s->wish.now_us;
+	bal_of(dir_target_find(s->dir, e.id), 0)->gry.known = true;
+	return dir_target_find(s->dir, e.id);
+}
+
+static void note(const struct scene *s, struct dir_target *target,
+		 enum gry_outcome outcome)
+{
+	gry_note(&bal_of(target, 0)->gry, outcome, 1.0, s->wish.now_us);
+}
+
+static void run(struct scene *s)
+{
+	memset(s->chosen, 0, sizeof(s->chosen));
+	s->total = 0;
+	for (uint64_t i = 1; i <= ROUNDS; i++) {
+		struct bal_choice choice;
+
+		s->wish.random = i * 0x9e3779b97f4a7c15ULL;
+		choice = bal_choose(dir_find(s->dir, "pay"), &s->wish);
+		if (!choice.target)
+			continue;
+		s->chosen[atoi(choice.target->entry.id)]++;
+		s->total++;
+	}
+}
+
+/* Calm: equal targets share the work. */
+static void test_calm_work_is_shared(void)
+{
+	struct scene s;
+
+	scene_begin(&s);
+	for (int i = 0; i < 4; i++)
+		add(&s, i, "here");
+	run(&s);
+	for (int i = 0; i < 4; i++)
+		g_assert_cmpint(s.chosen[i], >, ROUNDS / 8);
+	dir_free(s.dir);
+}
+
+/* A gray target answers failures at once and so looks idle: one failure is
+ * enough to send work elsewhere. */
+static void test_gray_target_is_no_sink(void)
+{
+	struct scene s;
+
+	scene_begin(&s);
+	for (int i = 0; i < 4; i++)
+		add(&s, i, "here");
+	for (int i = 1; i < 4; i++)
+		bal_of(dir_target_find(s.dir, (const char[]){'0' + i, 0}), 0)
+			->own = 2;
+	note(&s, dir_target_find(s.dir, "0"), GRY_FAILED);
+	run(&s);
+	g_assert_cmpint(s.chosen[0], <, ROUNDS / 50);
+	dir_free(s.dir);
+}
+
+/* A gray spell ends: the target comes back by single trials, not by all nodes
+ * at once. */
+static void test_idle_target_comes_back_by_trials(void)
+{
+	struct scene s;
+
+	scene_begin(&s);
+	for (int i = 0; i < 4; i++)
+		note(&s, add(&s, i, "here"), GRY_GOOD);
+	for (int i = 0; i < 3; i++)
+		note(&s, dir_target_find(s.dir, "0"), GRY_FAILED);
+	for (int i = 1; i < 4; i++)
+		for (int n = 0; n < 5; n++)
+			note(&s,
+			     dir_target_find(s.dir, (const char[]){'0' + i, 0}),
+			     GRY_GOOD);
+	run(&s);
+	g_assert_cmpint(s.chosen[0], ==, 0);
+	s.wish.now_us += 15 * SECOND;
+	for (int i = 1; i < 4; i++)
+		bal_of(dir_target_find(s.dir, (const char[]){'0' + i, 0}), 0)
+			->used_us = s.wish.now_us;
+	run(&s);
+	g_assert_cmpint(s.chosen[0], >, ROUNDS / 20);
+	g_assert_cmpint(s.chosen[0], <, ROUNDS / 2);
+	dir_free(s.dir);
+}
+
+/* Most targets look sick at once: none is left out. */
+static void test_all_sick_all_used(void)
+{
+	struct scene s;
+
+	scene_begin(&s);
+	for (int i = 0; i < 4; i++)
+		note(&s, add(&s, i, "here"), GRY_FAILED);
+	run(&s);
+	g_assert_cmpint(s.total, ==, ROUNDS);
+	for (int i = 0; i < 4; i++)
+		g_assert_cmpint(s.chosen[i], >, ROUNDS / 10);
+	dir_free(s.dir);
+}
+
+/* Many requests fail and more targets lie idle than the floor allows: they
+ * are tried although the evidence is against them. */
+static void test_floor_tries_idle_targets(void)
+{
+	struct scene s;
+
+	scene_begin(&s);
+	for (int i = 0; i < 4; i++)
+		add(&s, i, "here");
+	for (int i = 0; i < 2; i++) {
+		struct dir_target *t =
+			dir_target_find(s.dir, (const char[]){'0' + i, 0});
+
+		for (int n = 0; n < 3; n++)
+			note(&s, t, GRY_FAILED);
+		bal_of(t, 0)->used_us = s.wish.now_us - 2 * SECOND;
+	}
+	run(&s);
+	g_assert_cmpint(s.chosen[0] + s.chosen[1], ==, 0);
+	s.wish.unserved = 0.05;
+	run(&s);
+	g_assert_cmpint(s.chosen[0] + s.chosen[1], >, ROUNDS / 20);
+	dir_free(s.dir);
+}
+
+/* Work stays in its failure domain until waits there cost more. */
+static void test_spill_to_another_domain(void)
+{
+	struct scene s;
+
+	scene_begin(&s);
+	add(&s, 0, "here");
+	add(&s, 1, "there");
+	run(&s);
+	g_assert_cmpint(s.chosen[1], ==, 0);
+	bal_of(dir_target_find(s.dir, "0"), 0)->others = 8;
+	run(&s);
+	g_assert_cmpint(s.chosen[0], ==, 0);
+	dir_free(s.dir);
+}
+
+/* A long answer does not cross for a short wait. */
+static void test_long_answers_do_not_cross(void)
+{
+	struct scene s;
+
+	scene_begin(&s);
+	s.wish.cross_us = 120 * MS + 90000 * 20;
+	add(&s, 0, "here");
+	add(&s, 1, "there");
+	bal_of(dir_target_find(s.dir, "0"), 0)->others = 8;
+	run(&s);
+	g_assert_cmpint(s.chosen[1], ==, 0);
+	dir_free(s.dir);
+}
+
+/* A new target is used before it is needed. */
+static void test_new_target_gets_work(void)
+{
+	struct scene s;
+
+	scene_begin(&s);
+	add(&s, 0, "here");
+	bal_of(add(&s, 1, "here"), 0)->gry.known = false;
+	dir_target_find(s.dir, "1")->warm_us = s.wish.now_us + 3 * SECOND;
+	run(&s);
+	g_assert_cmpint(s.chosen[1], >, ROUNDS / 4);
+	dir_free(s.dir);
+}
+
+/* A target whose queue is full gets nothing until it has fewer requests. */
+static void test_full_target_is_spared(void)
+{
+	struct scene s;
+	struct bal_target *kept;
+	struct bal_choice choice;
+
+	scene_begin(&s);
+	kept = bal_of(add(&s, 0, "here"), 0);
+	kept->others = 20;
+	note(&s, dir_target_find(s.dir, "0"), GRY_FULL);
+	bal_note_full(dir_target_find(s.dir, "0"), s.wish.now_us);
+	choice = bal_choose(dir_find(s.dir, "pay"), &s.wish);
+	g_assert_null(choice.target);
+	g_assert_cmpuint(choice.full, ==, 1);
+	kept->others = 15;
+	choice = bal_choose(dir_find(s.dir, "pay"), &s.wish);
+	g_assert_nonnull(choice.target);
+	dir_free(s.dir);
+}
+
+static void test_leaving_target_gets_nothing(void)
+{
+	struct scene s;
+
+	scene_begin(&s);
+	add(&s, 0, "here")->entry.leaving = true;
+	run(&s);
+	g_assert_cmpint(s.total, ==, 0);
+	dir_free(s.dir);
+}
+
+/* Overdue work counts before its time-out, less than a failure. */
+static void test_overdue_work_is_evidence(void)
+{
+	struct gry failed, overdue;
+
+	gry_init(&failed, 0);
+	gry_init(&overdue, 0);
+	gry_note(&failed, GRY_FAILED, 1.0, 0);
+	gry_note(&overdue, GRY_OVERDUE, 1.0, 0);
+	g_assert_true(gry_is_suspect(&failed, 0));
+	g_assert_cmpfloat(gry_failure(&overdue, 0), >, 0.25);
+	g_assert_cmpfloat(gry_failure(&overdue, 0), <, gry_failure(&failed, 0));
+	g_assert_false(gry_is_suspect(&failed, 10 * SECOND));
+}
+
+/* A slow spell fades without answers; chance differences do not count. */
+static void test_slowness_fades(void)
+{
+	struct gry gry;
+
+	gry_init(&gry, 0);
+	for (int i = 0; i < 30; i++)
+		gry_note_time(&gry, 4 * MEAN_US, MEAN_US, 0);
+	g_assert_cmpfloat(gry_slowness(&gry, 0), >, 3.0);
+	g_assert_cmpfloat(gry_slowness(&gry, 20 * SECOND), ==, 1.0);
+}
+
+/* The sum of what all nodes may repeat stays within the fleet's budget in any
+ * window, also when the nodes get unequal work. */
+static void test_budget_of_all_nodes(void)
+{
+	enum {
+		NODES = 44,
+		STEPS = 2000
+	};
+	static struct bud buds[NODES];
+	static int64_t at[STEPS];
+	int repeats = 0;
+	int requests = 0;
+
+	for (int i = 0; i < STEPS; i++) {
+		int64_t now_us = 50 * SECOND + i * 5 * MS;
+		struct bud *bud = &buds[(i * i) % NODES];
+
+		bud_request(bud, &rule, now_us);
+		requests++;
+		if (bud_left(bud, &rule, NODES, now_us) < 1.0)
+			continue;
+		bud_repeat(bud, &rule, now_us);
+		at[repeats++] = now_us;
+	}
+	g_assert_cmpint(at[repeats - 1] - at[0], <=, rule.window_us);
+	g_assert_cmpfloat(repeats, <=, rule.ratio * requests + rule.slack);
+	g_assert_cmpint(repeats, >, 0);
+}
+
+static void test_budget_returns_after_the_window(void)
+{
+	struct bud bud = {0};
+
+	while (bud_left(&bud, &rule, 44, SECOND) >= 1.0)
+		bud_repeat(&bud, &rule, SECOND);
+	g_assert_cmpfloat(bud_left(&bud, &rule, 44, 2 * SECOND), <, 1.0);
+	g_assert_cmpfloat(bud_left(&bud, &rule, 44, 12 * SECOND), >=, 1.0);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/gateway/calm_work_is_shared",
+			test_calm_work_is_shared);
+	g_test_add_func("/gateway/gray_target_is_no_sink",
+			test_gray_target_is_no_sink);
+	g_test_add_func("/gateway/idle_target_comes_back_by_trials",
+			test_idle_target_comes_back_by_trials);
+	g_test_add_func("/gateway/all_sick_all_used", test_all_sick_all_used);
+	g_test_add_func("/gateway/floor_tries_idle_targets",
+			test_floor_tries_idle_targets);
+	g_test_add_func("/gateway/spill_to_another_domain",
+			test_spill_to_another_domain);
+	g_test_add_func("/gateway/long_answers_do_not_cross",
+			test_long_answers_do_not_cross);
+	g_test_add_func("/gateway/new_target_gets_work",
+			test_new_target_gets_work);
+	g_test_add_func("/gateway/full_target_is_spared",
+			test_full_target_is_spared);
+	g_test_add_func("/gateway/leaving_target_gets_nothing",
+			test_leaving_target_gets_nothing);
+	g_test_add_func("/gateway/overdue_work_is_evidence",
+			test_overdue_work_is_evidence);
+	g_test_add_func("/gateway/slowness_fades", test_slowness_fades);
+	g_test_add_func("/gateway/budget_of_all_nodes",
+			test_budget_of_all_nodes);
+	g_test_add_func("/gateway/budget_returns_after_the_window",
+			test_budget_returns_after_the_window);
+	return g_test_run();
+}
