--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -33,9 +33,10 @@
 	struct dir_target *target; /* referenced */
 	struct tgt *tgt;	   /* NULL: ended */
 	int64_t started_us;
-	bool held;    /* counts among the target's requests */
-	bool overdue; /* told so already */
-	int err;      /* how it ended */
+	int64_t wait_us; /* for a slot there, as expected when it was sent */
+	bool held;	 /* counts among the target's requests */
+	bool overdue;	 /* told so already */
+	int err;	 /* how it ended */
 	uint32_t status;
 	bool not_run; /* the target said so, or nothing was written */
 	int64_t took_us;
@@ -134,7 +135,29 @@
 void gwy_request_log(struct gwy_request *req, const char *outcome,
 		     int64_t now_us);
 
+/* Choosing a target (gwy_choose.c) */
+uint64_t gwy_random(struct gwy *gwy);
+/** Returns the time within which an answer is worth most. */
+int64_t gwy_choose_objective(const struct gwy_request *req);
+/** Chooses among the targets that were not tried yet. */
+struct bal_choice gwy_choose(struct gwy_request *req, int64_t now_us);
+/** Returns whether a wait can't be met before the deadline. */
+bool gwy_choose_too_long(const struct gwy_request *req, int64_t wait_us,
+			 int64_t now_us);
+
+/* Answers that do not come (gwy_overdue.c) */
+/** Returns after how long an answer is overdue, the wait for a slot apart. */
+int64_t gwy_overdue_us(const struct gwy_request *req);
+/** Returns the last moment at which a second send may still help. */
+int64_t gwy_overdue_last_us(const struct gwy_request *req);
+/** Notes what is overdue now as evidence. */
+void gwy_overdue_note(struct gwy_request *req, int64_t now_us);
+/** Returns whether a second send beside the first one is worth its cost. */
+bool gwy_overdue_doubtful(struct gwy_request *req, int64_t now_us);
+
 /* Sending (gwy_send.c) */
+/** Sends a request once more, if the rule of retries allows it. */
+bool gwy_send_again(struct gwy_request *req, int64_t now_us);
 /** Sends a complete request for the first time. */
 void gwy_send_first(struct gwy_request *req, int64_t now_us);
 /** Something is due: the deadline, or an answer that does not come. */
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -5,36 +5,6 @@
 #include "fs_log.h"
 #include "rty.h"
 
-/* A failure costs a request that may not be repeated its whole worth, several
- * times the time it is allowed; another one costs it a second send, which the
- * budget may not have. In objectives of the route. */
-#define FAILURE_ONCE 12
-#define FAILURE_REPEATABLE 4
-/* Another failure domain is used when waits or failures in the own one cost
- * more than this. Bytes between domains are dear: an answer of 90 kB costs the
- * dearer deployment three requests' worth, and waits for its own domain. */
-#define CROSS_US (120 * FS_US_PER_MS)
-#define CROSS_BYTE_US 20
-#define OBJECTIVE_DEFAULT_US FS_US_PER_S /* of routes that tell none */
-
-/* An answer is overdue at two and a half times the mean, where one request in
- * twenty of the deployments' work still runs, but not before half of the
- * route's objective. */
-#define OVERDUE_MEANS 2.5
-#define OVERDUE_SHARE 0.5
-/* The last moment at which a second send is likely answered in time, in mean
- * times before the deadline: nine of ten requests take no longer. */
-#define LAST_CHANCE_MEANS 2.0
-/* It is taken only while this share of the budget is left. */
-#define LAST_CHANCE_BUDGET 0.3
-
-/* The first target is as likely to fail as one with a first overdue answer: a
- * second send may answer sooner. */
-#define HEDGE_FAILURE 0.3
-
-/* A wait that is expected to be longer than what is left by this much can't be
- * met: expected waits are right within a quarter. */
-#define WAIT_SLACK 1.25
 /* Requests for which no target has room are tried again so often. */
 #define PARK_US (70 * FS_US_PER_MS)
 /* They wait as long as their work can still be done after that. */
@@ -44,18 +14,10 @@
 #define COME_BACK_MIN_US (200 * FS_US_PER_MS)
 #define COME_BACK_SPREAD_US (400 * FS_US_PER_MS)
 
-static uint64_t next_random(struct gwy *gwy)
-{
-	gwy->random ^= gwy->random << 13;
-	gwy->random ^= gwy->random >> 7;
-	gwy->random ^= gwy->random << 17;
-	return gwy->random;
-}
-
 static int64_t come_back(struct gwy *gwy)
 {
 	return COME_BACK_MIN_US +
-	       (int64_t)(next_random(gwy) % COME_BACK_SPREAD_US);
+	       (int64_t)(gwy_random(gwy) % COME_BACK_SPREAD_US);
 }
 
 static struct bud *budget_of(struct gwy_request *req)
@@ -71,13 +33,6 @@
 	return bud;
 }
 
-static int64_t objective_of(const struct gwy_request *req)
-{
-	int64_t us = gwy_route_of(req)->objective_us;
-
-	return us > 0 ? us : OBJECTIVE_DEFAULT_US;
-}
-
 void gwy_send_release(struct gwy_try *t)
 {
 	if (!t->held)
@@ -90,75 +45,11 @@
 	lod_change(t->req->gwy->lod, t->target);
 }
 
-static uint32_t tried(const struct gwy_request *req,
-		      const struct dir_target *out[GWY_TRIES_MAX])
-{
-	for (uint32_t i = 0; i < req->try_count; i++)
-		out[i] = req->tries[i].target;
-	return req->try_count;
-}
-
-static bool is_too_long(const struct gwy_request *req, int64_t wait_us,
-			int64_t now_us)
-{
-	return (double)wait_us >
-	       (double)(req->deadline_us - now_us) * WAIT_SLACK;
-}
-
-static struct bal_choice choose(struct gwy_request *req, int64_t now_us)
-{
-	struct gwy *gwy = req->gwy;
-	const struct dir_target *avoid[GWY_TRIES_MAX];
-	const char *service = gwy_service_name(req);
-	const struct dir_service *targets = dir_find(gwy->dir, service);
-	int64_t objective_us = objective_of(req);
-	struct bal_choice choice;
-	struct bal_wish wish = {
-		.domain = gwy->node->set.domain,
-		.mean_us = lod_mean(gwy->lod, service),
-		.failure_us = objective_us * (gwy_route_of(req)->repeatable ?
-						      FAILURE_REPEATABLE :
-						      FAILURE_ONCE),
-		.cross_us =
-			CROSS_US + CROSS_BYTE_US * gwy_answer_mean_bytes(req),
-		.avoid = avoid,
-		.avoid_count = tried(req, avoid),
-		.unserved = lod_unserved(gwy->lod, service),
-		.now_us = now_us,
-		.random = next_random(gwy),
-	};
-
-	choice = bal_choose(targets, &wish);
-	if (!choice.target || !is_too_long(req, choice.wait_us, now_us))
-		return choice;
-	/* Waiting there would be for nothing: a doubtful target is better. */
-	wish.failure_us = 0;
-	wish.cross_us = 0;
-	return bal_choose(targets, &wish);
-}
-
-static int64_t overdue_us(const struct gwy_request *req)
-{
-	int64_t mean_us = lod_mean(req->gwy->lod, gwy_service_name(req));
-
-	return (int64_t)MAX((double)mean_us * OVERDUE_MEANS,
-			    (double)objective_of(req) * OVERDUE_SHARE);
-}
-
-static int64_t last_chance_us(const struct gwy_request *req)
-{
-	int64_t mean_us = lod_mean(req->gwy->lod, gwy_service_name(req));
-
-	return MAX(req->deadline_us -
-			   (int64_t)(LAST_CHANCE_MEANS * (double)mean_us),
-		   req->tries[0].started_us + overdue_us(req));
-}
-
 static void set_timer(struct gwy_request *req, int64_t now_us)
 {
 	int64_t at_us = req->deadline_us;
-	int64_t late_us = overdue_us(req);
-	int64_t last_us = last_chance_us(req);
+	int64_t late_us = gwy_overdue_us(req);
+	int64_t last_us = gwy_overdue_last_us(req);
 
 	if (now_us < last_us)
 		at_us = MIN(at_us, last_us);
@@ -167,7 +58,8 @@
 		const struct gwy_try *t = &req->tries[i];
 
 		if (t->held && !t->overdue)
-			at_us = MIN(at_us, t->started_us + late_us);
+			at_us = MIN(at_us,
+				    t->started_us + t->wait_us + late_us);
 	}
 	gwy_request_timer(req, at_us, now_us);
 }
@@ -207,6 +99,7 @@
 	t->req = req;
 	t->target = dir_target_ref(choice->target);
 	t->started_us = now_us;
+	t->wait_us = choice->wait_us;
 	t->held = true;
 	req->running++;
 	bal_of(t->target, now_us)->own++;
@@ -235,7 +128,7 @@
 		return req->may_have_run ? FS_E_DEADLINE : FS_E_DEADLINE_QUEUED;
 	if (!choice->target)
 		return choice->full ? FS_E_QUEUE_FULL : FS_E_NO_TARGET;
-	if (is_too_long(req, choice->wait_us, now_us))
+	if (gwy_choose_too_long(req, choice->wait_us, now_us))
 		return FS_E_WAIT_TOO_LONG;
 	return 0;
 }
@@ -284,11 +177,11 @@
 }
 
 /* Sends a request once more, if the rule of retries allows it. */
-static bool send_again(struct gwy_request *req, int64_t now_us)
+bool gwy_send_again(struct gwy_request *req, int64_t now_us)
 {
 	struct gwy *gwy = req->gwy;
 	const struct cfg_route *route = gwy_route_of(req);
-	struct bal_choice choice = choose(req, now_us);
+	struct bal_choice choice = gwy_choose(req, now_us);
 	struct rty_numbers n = {
 		.repeatable = route->repeatable,
 		.written = req->may_have_run,
@@ -324,7 +217,7 @@
 
 static void send_or_refuse(struct gwy_request *req, int64_t now_us)
 {
-	struct bal_choice choice = choose(req, now_us);
+	struct bal_choice choice = gwy_choose(req, now_us);
 	int err = cannot_send(req, &choice, now_us);
 
 	if (err) {
@@ -370,7 +263,9 @@
 	if (outcome == GRY_OVERDUE && t->overdue)
 		return;
 	t->overdue |= outcome == GRY_OVERDUE;
-	lod_outcome(t->req->gwy->lod, t->target, outcome, t->took_us);
+	/* The wait for a slot says nothing of how fast the target works. */
+	lod_outcome(t->req->gwy->lod, t->target, outcome,
+		    MAX(t->took_us - t->wait_us, t->took_us / 4));
 }
 
 static bool is_not_run(const struct gwy_try *t, const struct tgt_end *end,
@@ -460,7 +355,7 @@
 		return;
 	}
 	/* Another send is still under way, or follows now. */
-	if (req->running || send_again(req, now_us))
+	if (req->running || gwy_send_again(req, now_us))
 		return;
 	finish(t, now_us);
 }
@@ -516,48 +411,6 @@
 	.done = on_done,
 };
 
-static void note_overdue(struct gwy_request *req, int64_t now_us)
-{
-	int64_t late_us = overdue_us(req);
-
-	for (uint32_t i = 0; i < req->try_count; i++) {
-		struct gwy_try *t = &req->tries[i];
-
-		if (!t->held || t->overdue || now_us - t->started_us < late_us)
-			continue;
-		t->overdue = true;
-		lod_outcome(req->gwy->lod, t->target, GRY_OVERDUE, 0);
-	}
-}
-
-/* Returns whether an answer that is overdue will likely not come in time. */
-static bool is_doubtful(struct gwy_request *req, const struct gwy_try *t,
-			int64_t now_us)
-{
-	const struct bud_rule *rule = &req->gwy->budget_rule;
-
-	if (t->target->gone || gry_failure(&bal_of(t->target, now_us)->gry,
-					   now_us) >= HEDGE_FAILURE)
-		return true;
-	return now_us >= last_chance_us(req) &&
-	       lod_budget_left(req->gwy->lod, gwy_service_name(req), rule,
-			       now_us) > rule->slack * LAST_CHANCE_BUDGET;
-}
-
-/* A second send beside the first one, only to a target with room. */
-static void hedge(struct gwy_request *req, int64_t now_us)
-{
-	const struct gwy_try *t = &req->tries[req->try_count - 1];
-	struct bal_choice choice;
-
-	if (!gwy_route_of(req)->repeatable || req->running != 1 ||
-	    !t->overdue || !is_doubtful(req, t, now_us))
-		return;
-	choice = choose(req, now_us);
-	if (choice.target && !choice.wait_us && choice.failure < HEDGE_FAILURE)
-		send_again(req, now_us);
-}
-
 static void give_up(struct gwy_request *req, int64_t now_us)
 {
 	if (req->state == GWY_STREAMING) {
@@ -587,7 +440,7 @@
 		send_or_refuse(req, now_us);
 		return;
 	}
-	if (send_again(req, now_us))
+	if (gwy_send_again(req, now_us))
 		return;
 	finish(&req->tries[req->try_count - 1], now_us);
 }
@@ -608,8 +461,9 @@
 	if (req->state == GWY_STREAMING)
 		stop_others(req);
 	if (req->state == GWY_WAITING) {
-		note_overdue(req, now_us);
-		hedge(req, now_us);
+		gwy_overdue_note(req, now_us);
+		if (gwy_overdue_doubtful(req, now_us))
+			gwy_send_again(req, now_us);
 	}
 	set_timer(req, now_us);
 }
