--- a/src/cli_explain.c
+++ b/src/cli_explain.c
@@ -4,6 +4,7 @@
 
 #include "aud_explain.h"
 #include "aud_replay.h"
+#include "cli_explain_log.h"
 #include "cli_nodes.h"
 
 /** Which records are asked for; one member is set. */
@@ -114,11 +115,27 @@
 	return found ? CLI_OK : CLI_REFUSED;
 }
 
+static int run_log(const char *path, const char *request)
+{
+	GString *out = g_string_new(NULL);
+	int found = cli_explain_log(path, request, out);
+
+	if (found < 0) {
+		g_string_free(out, TRUE);
+		cli_error("the log can't be read");
+		return CLI_USAGE;
+	}
+	if (!found)
+		g_string_append(out, "no line of the log concerns it\n");
+	cli_print(out);
+	return found ? CLI_OK : CLI_REFUSED;
+}
+
 int cli_explain(const struct cli_command *command, int argc, char **argv)
 {
 	struct arg_lit *help = arg_lit0("h", "help", "print this and exit");
 	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
-	struct arg_str *node = arg_str1(NULL, "node", "IP:PORT[,..]",
+	struct arg_str *node = arg_str0(NULL, "node", "IP:PORT[,..]",
 					"operator interfaces of nodes");
 	struct arg_str *request =
 		arg_str0(NULL, "request", "ID", "what became of this request");
@@ -126,14 +143,28 @@
 					  "what was decided on this server");
 	struct arg_str *service = arg_str0(NULL, "service", "NAME",
 					   "what was decided on this service");
-	void *table[] = {help,	 json,	  node,	     request,
-			 server, service, arg_end(8)};
+	struct arg_file *log =
+		arg_file0(NULL, "log", "FILE",
+			  "log of gateways to look in, with --request");
+	void *table[] = {help,	 json,	  node, request,
+			 server, service, log,	arg_end(8)};
 	int code = cli_parse(command, argc, argv, table, G_N_ELEMENTS(table));
 
 	if (code < 0 && request->count + server->count + service->count != 1) {
 		cli_error("name one of --request, --server and --service");
 		code = CLI_USAGE;
 	}
+	if (code < 0 && node->count + log->count != 1) {
+		cli_error("name one of --node and --log");
+		code = CLI_USAGE;
+	}
+	if (code < 0 && log->count) {
+		if (request->count)
+			code = run_log(log->filename[0], request->sval[0]);
+		else
+			cli_error("--log takes --request");
+		code = code < 0 ? CLI_USAGE : code;
+	}
 	if (code < 0) {
 		struct question q = {
 			.request = request->count ? request->sval[0] : NULL,
--- a/tests/unit_cli.c
+++ b/tests/unit_cli.c
@@ -1,7 +1,9 @@
 #include <glib.h>
 #include <glib/gstdio.h>
+#include <string.h>
 
 #include "cli.h"
+#include "cli_explain_log.h"
 
 /* Runs a command line, words separated by spaces; returns the exit code. */
 static int run(const char *line)
@@ -27,6 +29,39 @@
 			==, CLI_USAGE);
 }
 
+/* A gateway's log: the request's line in words, and what was known of its
+ * target before; another request's lines are left out. */
+static void test_explain_log(void)
+{
+	static const char log[] =
+		"{\"module\":\"lod\",\"event\":\"target_suspected\",\"time\":"
+		"\"t1\",\"node\":\"n\",\"target\":\"s1\",\"outcome\":"
+		"\"failed\",\"source\":\"peer\"}\n"
+		"not JSON\n"
+		"{\"event\":\"request\",\"time\":\"t2\",\"node\":\"n\","
+		"\"request\":\"other\",\"outcome\":\"answered\"}\n"
+		"{\"event\":\"request\",\"time\":\"t3\",\"node\":\"n\","
+		"\"request\":\"r1\",\"outcome\":\"target_reset\",\"status\":"
+		"502,\"no_retry\":\"may_have_run\",\"tries\":[{\"target\":"
+		"\"s1\",\"at_ms\":0,\"took_ms\":9,\"status\":0,\"end\":"
+		"\"target_reset\",\"not_run\":false}]}\n";
+	g_autofree char *path = NULL;
+	g_autoptr(GString) out = g_string_new(NULL);
+	int fd = g_file_open_tmp("fescuesaddle-XXXXXX", &path, NULL);
+
+	g_assert_cmpint(fd, >=, 0);
+	g_close(fd, NULL);
+	g_assert_true(g_file_set_contents(path, log, -1, NULL));
+	g_assert_cmpint(cli_explain_log(path, "r1", out), ==, 1);
+	g_assert_nonnull(strstr(out->str, "target_reset, status 502"));
+	g_assert_nonnull(strstr(out->str, "target_suspected"));
+	g_assert_nonnull(strstr(out->str, "not sent again: may_have_run"));
+	g_assert_null(strstr(out->str, "other"));
+	g_assert_cmpint(cli_explain_log(path, "none", out), ==, 0);
+	g_assert_cmpint(cli_explain_log("/no/such/file", "r1", out), <, 0);
+	g_unlink(path);
+}
+
 static void test_each_has_help(void)
 {
 	for (const struct cli_command *c = cli_commands; c->name; c++) {
@@ -141,6 +176,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/cli/usage", test_usage);
 	g_test_add_func("/cli/each_has_help", test_each_has_help);
+	g_test_add_func("/cli/explain_log", test_explain_log);
 	g_test_add_func("/cli/check", test_check);
 	g_test_add_func("/cli/diff", test_diff);
 	g_test_add_func("/cli/unreachable", test_unreachable);
