A whole answer takes away what it lacks; a reader goes on until the next is ready

The domain's reader had been restarted, read its first list after the removal and so never knew of the target; the others saw that the digests differ and asked, but its answer named neither the target nor its removal. The reader before it had stopped telling at once. Test: whole_answer_removes_what_it_lacks.

--- a/src/fed.c
+++ b/src/fed.c
@@ -76,7 +76,10 @@
 
 	if (deaf)
 		fed->deaf_us = now_us;
-	fed->chosen = is_chosen(fed, now_us);
+	if (is_chosen(fed, now_us))
+		fed->chosen_us = now_us;
+	fed->chosen = fed->chosen_us && !fed->node->stopping &&
+		      now_us - fed->chosen_us < FED_HANDOVER_US;
 	fed->reading = fed->chosen || deaf ||
 		       (was && now_us - fed->deaf_us < FED_CALM_US);
 	if (was != fed->reading)
--- a/src/fed_impl.h
+++ b/src/fed_impl.h
@@ -13,6 +13,9 @@
 /* Without a fresh reader for so long a node reads for itself; leaves half of
  * the 2 s in which a change has to be in force for its own calls. */
 #define FED_DEAF_US (1200 * FS_US_PER_MS)
+/* A reader that is not chosen any more goes on for the time in which the next
+ * one, which may just have started, settles and lists. */
+#define FED_HANDOVER_US (2500 * FS_US_PER_MS)
 /* Nor does a node that has just read all there is: after a start readers are
  * heard within this time. */
 #define FED_LISTED_US (2500 * FS_US_PER_MS)
@@ -72,6 +75,7 @@
 	struct fed_loop config;
 	uint64_t random;
 	bool chosen;	      /* this node is a reader by its weight */
+	int64_t chosen_us;    /* when it last was; it still tells for a while */
 	bool reading;	      /* it reads, chosen or not */
 	bool away;	      /* the service does not answer this node */
 	bool directory_known; /* listed, or told by a peer */
--- a/src/fed_tell.c
+++ b/src/fed_tell.c
@@ -129,6 +129,8 @@
 	const GArray *removed = m->feed_entries.removed;
 
 	fed->merging = true;
+	if (m->feed_entries.whole_rev)
+		dir_list_begin(fed->dir);
 	for (guint i = 0; i < entries->len; i++) {
 		const struct dir_entry *entry =
 			&g_array_index(entries, struct dir_entry, i);
@@ -142,6 +144,9 @@
 
 		dir_remove(fed->dir, r->id, r->rev, 0, now_us);
 	}
+	/* The sender may never have known of what it lacks. */
+	if (m->feed_entries.whole_rev)
+		dir_list_end(fed->dir, m->feed_entries.whole_rev, 0, now_us);
 	fed->merging = false;
 	if (entries->len)
 		fed->directory_known = true;
@@ -178,6 +183,8 @@
 		.now_us = now_us,
 	};
 
+	if (fed->targets.listed)
+		whole.m->feed_entries.whole_rev = fed->targets.from_rev;
 	dir_each(fed->dir, add_target, &whole);
 	dir_each_removed(fed->dir, add_removed, &whole);
 	bus_send(fed->node->bus, whole.m);
--- a/src/msg.h
+++ b/src/msg.h
@@ -217,8 +217,10 @@
 
 /** MSG_FEED_ENTRIES. */
 struct msg_feed_entries {
-	GArray *entries; /* struct dir_entry; cold_us from now on */
-	GArray *removed; /* struct msg_removed */
+	uint64_t whole_rev; /* these are all entries of that revision; 0: only
+			     * changes, or not known to be all */
+	GArray *entries;    /* struct dir_entry; cold_us from now on */
+	GArray *removed;    /* struct msg_removed */
 };
 
 /** MSG_CONFIG. */
--- a/src/msg_codec_in.c
+++ b/src/msg_codec_in.c
@@ -145,7 +145,10 @@
 
 static void read_feed_entries(struct msg_reader *r, struct msg *m)
 {
-	struct msg_reader inner = msg_get_array(r, 9);
+	struct msg_reader inner;
+
+	m->feed_entries.whole_rev = msg_get_u64(r, UINT64_MAX);
+	inner = msg_get_array(r, 9);
 
 	while (!inner.bad && inner.left) {
 		struct dir_entry e = {0};
--- a/src/msg_codec_out.c
+++ b/src/msg_codec_out.c
@@ -125,6 +125,7 @@
 	const GArray *entries = m->feed_entries.entries;
 	const GArray *removed = m->feed_entries.removed;
 
+	msg_put_u64(w, m->feed_entries.whole_rev);
 	msgpack_pack_array(&w->packer, (size_t)9 * entries->len);
 	for (guint i = 0; i < entries->len; i++) {
 		const struct dir_entry *e =
@@ -175,7 +176,7 @@
 	[MSG_CONFIG_ASK] = {1, write_config_ask},
 	[MSG_CONFIG_TEXT] = {2, write_config_text},
 	[MSG_TARGETS_LEAVING] = {1, write_targets_leaving},
-	[MSG_FEED_ENTRIES] = {2, write_feed_entries},
+	[MSG_FEED_ENTRIES] = {3, write_feed_entries},
 	[MSG_FEED_ASK] = {0, write_feed_ask},
 };
 
--- a/tests/unit_fed.c
+++ b/tests/unit_fed.c
@@ -282,6 +282,27 @@
 	end();
 }
 
+/* A reader that has just started never knew of a target that is gone: its
+ * whole answer takes the target away all the same. */
+static void test_whole_answer_removes_what_it_lacks(void)
+{
+	struct msg *m;
+	struct dir_entry e = {.rev = 100, .slots = 4};
+
+	begin();
+	m = msg_new(MSG_FEED_ENTRIES, d.node.self, MSG_TASK_CONFIG);
+	g_strlcpy(e.id, "s3", sizeof(e.id));
+	g_strlcpy(e.service, "pay", sizeof(e.service));
+	g_strlcpy(e.address, "127.0.0.1:1", sizeof(e.address));
+	g_array_append_val(m->feed_entries.entries, e);
+	m->feed_entries.whole_rev = 100;
+	bus_deliver(d.node.bus, m);
+	run(20 * FS_US_PER_MS);
+	g_assert_cmpuint(dir_count(d.dir), ==, 1);
+	g_assert_true(has("s3"));
+	end();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -301,5 +322,7 @@
 			test_fresh_reader_spares_calls);
 	g_test_add_func("/fed/peers_tell_what_the_store_does_not",
 			test_peers_tell_what_the_store_does_not);
+	g_test_add_func("/fed/whole_answer_removes_what_it_lacks",
+			test_whole_answer_removes_what_it_lacks);
 	return g_test_run();
 }
