--- a/src/ent_http.c
+++ b/src/ent_http.c
@@ -10,21 +10,6 @@
 	return ent_request_new(arg, target, connection);
 }
 
-static enum MHD_Result add_header(void *arg, enum MHD_ValueKind kind,
-				  const char *name, size_t name_size,
-				  const char *value, size_t value_size)
-{
-	struct ent_request *req = arg;
-
-	(void)kind;
-	if (!value)
-		value = "";
-	if (strlen(name) != name_size || strlen(value) != value_size)
-		req->err = FS_E_BAD_REQUEST;
-	msg_headers_add(req->headers, name, value);
-	return MHD_YES;
-}
-
 /* Refuses a request that the entry itself finds wrong. */
 static void refuse(struct ent_request *req, int err, int64_t size,
 		   int64_t limit)
@@ -69,8 +54,8 @@
 	req->begun = true;
 	req->method = g_strdup(method);
 	req->headers = msg_headers_new();
-	MHD_get_connection_values_n(req->connection, MHD_HEADER_KIND,
-				    add_header, req);
+	if (!htd_read_headers(req->connection, req->headers))
+		req->err = FS_E_BAD_REQUEST;
 	err = req->err;
 	if (!err)
 		err = ent_check_headers(version, req->headers, &req->head);
--- a/src/gwy_http.c
+++ b/src/gwy_http.c
@@ -17,21 +17,6 @@
 	return gwy_request_new(arg, target, connection);
 }
 
-static enum MHD_Result add_header(void *arg, enum MHD_ValueKind kind,
-				  const char *name, size_t name_size,
-				  const char *value, size_t value_size)
-{
-	struct gwy_request *req = arg;
-
-	(void)kind;
-	if (!value)
-		value = "";
-	if (strlen(name) != name_size || strlen(value) != value_size)
-		req->err = FS_E_BAD_REQUEST;
-	msg_headers_add(req->m->request.headers, name, value);
-	return MHD_YES;
-}
-
 static bool is_own_field(const struct gwy_fields *fields, const char *name)
 {
 	return !g_ascii_strcasecmp(name, fields->target.request_id) ||
@@ -195,8 +180,8 @@
 	request->method = g_strdup(method);
 	request->target = g_strdup(req->target);
 	request->headers = msg_headers_new();
-	MHD_get_connection_values_n(req->connection, MHD_HEADER_KIND,
-				    add_header, req);
+	if (!htd_read_headers(req->connection, request->headers))
+		req->err = FS_E_BAD_REQUEST;
 	take_id(req, request->headers);
 	err = check(req, version);
 	if (!err && is_ready(req->gwy))
--- a/src/htd.c
+++ b/src/htd.c
@@ -1,10 +1,12 @@
 #include "htd.h"
 
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <glib.h>
 
+#include "msg.h"
 #include "net.h"
 
 struct htd {
@@ -83,6 +85,36 @@
 	return htd;
 }
 
+/** What a walk over the header fields fills in. */
+struct fields {
+	GArray *headers;
+	bool whole;
+};
+
+static enum MHD_Result add_header(void *arg, enum MHD_ValueKind kind,
+				  const char *name, size_t name_size,
+				  const char *value, size_t value_size)
+{
+	struct fields *fields = arg;
+
+	(void)kind;
+	if (!value)
+		value = "";
+	if (strlen(name) != name_size || strlen(value) != value_size)
+		fields->whole = false;
+	msg_headers_add(fields->headers, name, value);
+	return MHD_YES;
+}
+
+bool htd_read_headers(struct MHD_Connection *connection, GArray *headers)
+{
+	struct fields fields = {headers, true};
+
+	MHD_get_connection_values_n(connection, MHD_HEADER_KIND, add_header,
+				    &fields);
+	return fields.whole;
+}
+
 void htd_quiesce(struct htd *htd)
 {
 	if (!htd->listening)
--- a/src/htd.h
+++ b/src/htd.h
@@ -10,6 +10,8 @@
 #include <netinet/in.h>
 #include <stdbool.h>
 
+#include <glib.h>
+
 struct htd;
 
 /** What an interface does with requests; see MHD_AccessHandlerCallback. */
@@ -40,6 +42,13 @@
 		      const struct htd_ops *ops, void *arg,
 		      struct sockaddr_in *bound);
 
+/**
+ * Reads the header fields of a request.
+ * @param headers  array of struct msg_header, to which they are appended
+ * @return false if a field has a NUL inside
+ */
+bool htd_read_headers(struct MHD_Connection *connection, GArray *headers);
+
 /** Accepts no more connections; those that are open go on. */
 void htd_quiesce(struct htd *htd);
 
--- a/src/lod.c
+++ b/src/lod.c
@@ -1,13 +1,5 @@
 #include "lod_impl.h"
 
-#include <errno.h>
-#include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include "fs_log.h"
-
-#define BURST_MAX 128	      /* datagrams of one turn of the loop */
 #define EVIDENCE_KEPT_MAX 128 /* rows that wait for a report */
 /* Of the fleet's budget a part is kept back for what is not known here yet. */
 #define POOL_SHARE 0.85
@@ -87,7 +79,7 @@
 	      uint32_t repeats, uint32_t unserved)
 {
 	const struct lod_sends sends = {
-		.service = lod_service_hash(service),
+		.service = lod_name_hash(service),
 		.requests = requests,
 		.repeats = repeats,
 		.unserved = unserved,
@@ -117,14 +109,14 @@
 	lod->rule = *rule;
 	part.ratio *= POOL_SHARE;
 	part.slack *= POOL_SHARE;
-	return bud_left(&pool_of(lod, lod_service_hash(service))->budget, &part,
-			1, now_us);
+	return bud_left(&pool_of(lod, lod_name_hash(service))->budget, &part, 1,
+			now_us);
 }
 
 double lod_unserved(const struct lod *lod, const char *service)
 {
 	const struct lod_pool *pool = g_hash_table_lookup(
-		lod->pools, GUINT_TO_POINTER(lod_service_hash(service)));
+		lod->pools, GUINT_TO_POINTER(lod_name_hash(service)));
 
 	return pool ? pool->unserved : 0.0;
 }
@@ -259,83 +251,6 @@
 	}
 }
 
-static void send_to(struct lod *lod, const GByteArray *data,
-		    const struct mem_member *m)
-{
-	struct sockaddr_in to = m->peer;
-
-	to.sin_port = lod->port;
-	/* Lost, as datagrams may be. */
-	(void)sendto(lod->fd, data->data, data->len, 0,
-		     (const struct sockaddr *)&to, sizeof(to));
-	ctr_add(lod->node->ctr, lod->sent, 1);
-}
-
-void lod_send(struct lod *lod, const GByteArray *data, node_id to)
-{
-	const struct mem_member *m = lod->view ? mem_view_find(lod->view, to) :
-						 NULL;
-
-	if (m && to != lod->node->self)
-		send_to(lod, data, m);
-}
-
-void lod_send_domain(struct lod *lod, const GByteArray *data)
-{
-	for (uint32_t i = 0; i < lod->view->count; i++) {
-		const struct mem_member *m = &lod->view->members[i];
-
-		if (m->id != lod->node->self && m->state != MEM_DEAD &&
-		    lod_service_hash(m->domain) == lod->domain)
-			send_to(lod, data, m);
-	}
-}
-
-static void take_packet(struct lod *lod, const struct lod_packet *packet,
-			const uint8_t *data, size_t size, int64_t now_us)
-{
-	bool local = packet->domain == lod->domain;
-
-	if (packet->type == LOD_REPORT) {
-		lod_hub_report(lod, packet, now_us);
-		return;
-	}
-	if (packet->type != LOD_DIGEST || packet->sender == lod->node->self)
-		return;
-	/* A digest of another domain comes to the hub, which passes it on. */
-	if (!local && lod_hub_speaks(lod, now_us)) {
-		g_autoptr(GByteArray) copy = g_byte_array_new();
-
-		g_byte_array_append(copy, data, (guint)size);
-		lod_send_domain(lod, copy);
-	}
-	lod_take_digest(lod, packet, now_us);
-}
-
-static void on_datagram(struct ev_loop *loop, ev_io *io, int events)
-{
-	struct lod *lod = io->data;
-	uint8_t data[FS_DATAGRAM_MAX + 1];
-	int64_t now_us = fs_now_us();
-
-	(void)loop;
-	(void)events;
-	for (int i = 0; i < BURST_MAX && lod->view; i++) {
-		ssize_t n = recv(lod->fd, data, sizeof(data), 0);
-		struct lod_packet packet;
-
-		if (n < 0)
-			return;
-		if (lod_wire_decode(data, (size_t)n, lod->node->set.fleet_key,
-				    &packet))
-			ctr_add(lod->node->ctr, lod->refused, 1);
-		else
-			take_packet(lod, &packet, data, (size_t)n, now_us);
-		ctr_add(lod->node->ctr, lod->received, 1);
-		lod_packet_clear(&packet);
-	}
-}
-
 static void add_own_counts(struct lod *lod, struct lod_packet *packet)
 {
 	GHashTableIter iter;
@@ -444,17 +359,6 @@
 	.receive = receive,
 };
 
-static int open_socket(const struct sockaddr_in *at)
-{
-	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-	if (fd >= 0 && bind(fd, (const struct sockaddr *)at, sizeof(*at))) {
-		close(fd);
-		return -1;
-	}
-	return fd;
-}
-
 static void peer_free(void *data)
 {
 	struct lod_peer *peer = data;
@@ -493,28 +397,20 @@
 
 struct lod *lod_new(struct node *node, struct dir *dir)
 {
-	int fd = open_socket(&node->set.load_listen);
-	struct lod *lod;
+	struct lod *lod = g_new0(struct lod, 1);
 
-	if (fd < 0) {
-		fs_log_eventf("lod", G_LOG_LEVEL_CRITICAL, "bind_failed",
-			      "\"reason\":\"%s\"", g_strerror(errno));
-		return NULL;
-	}
-	lod = g_new0(struct lod, 1);
 	lod->node = node;
 	lod->dir = dir;
-	lod->domain = lod_service_hash(node->set.domain);
-	lod->fd = fd;
-	lod->port = node->set.load_listen.sin_port;
+	if (lod_net_open(lod)) {
+		g_free(lod);
+		return NULL;
+	}
+	lod->domain = lod_name_hash(node->set.domain);
 	make_tables(lod);
 	lod->sent = ctr_counter(node->ctr, "lod_sent_datagrams");
 	lod->received = ctr_counter(node->ctr, "lod_received_datagrams");
 	lod->refused = ctr_counter(node->ctr, "lod_refused_datagrams");
 	bus_attach(node->bus, MSG_TASK_LOAD, &ops, lod);
-	ev_io_init(&lod->io, on_datagram, fd, EV_READ);
-	lod->io.data = lod;
-	ev_io_start(node->loop, &lod->io);
 	node_add_tick(node, on_tick, lod);
 	return lod;
 }
@@ -523,9 +419,8 @@
 {
 	if (!lod)
 		return;
-	ev_io_stop(lod->node->loop, &lod->io);
+	lod_net_close(lod);
 	node_remove_tick(lod->node, lod);
-	close(lod->fd);
 	g_hash_table_unref(lod->own);
 	g_hash_table_unref(lod->busy);
 	g_array_unref(lod->evidence);
--- a/src/lod_impl.h
+++ b/src/lod_impl.h
@@ -93,7 +93,8 @@
 	handle sent, received, refused;
 };
 
-static inline uint32_t lod_service_hash(const char *name)
+/** Names a service or failure domain in datagrams. */
+static inline uint32_t lod_name_hash(const char *name)
 {
 	return (uint32_t)fs_node_id(name);
 }
@@ -109,13 +110,17 @@
 		    int64_t now_us);
 void lod_hub_tick(struct lod *lod, int64_t now_us);
 
-/* Sockets (lod.c) */
+/* Datagrams (lod_net.c) */
+int lod_net_open(struct lod *lod);
+void lod_net_close(struct lod *lod);
 void lod_send(struct lod *lod, const GByteArray *data, node_id to);
 void lod_send_domain(struct lod *lod, const GByteArray *data);
 
 /** Returns whether this node speaks for its domain now. */
 bool lod_hub_speaks(const struct lod *lod, int64_t now_us);
 
+/* This node (lod.c) */
+
 /** Starts a packet from this node. */
 void lod_begin(struct lod *lod, struct lod_packet *packet, enum lod_type type);
 
--- /dev/null
+++ b/src/lod_net.c
@@ -0,0 +1,118 @@
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "fs_log.h"
+#include "lod_impl.h"
+
+#define BURST_MAX 128 /* datagrams of one turn of the loop */
+
+static void send_to(struct lod *lod, const GByteArray *data,
+		    const struct mem_member *m)
+{
+	struct sockaddr_in to = m->peer;
+
+	to.sin_port = lod->port;
+	/* Lost, as datagrams may be. */
+	(void)sendto(lod->fd, data->data, data->len, 0,
+		     (const struct sockaddr *)&to, sizeof(to));
+	ctr_add(lod->node->ctr, lod->sent, 1);
+}
+
+void lod_send(struct lod *lod, const GByteArray *data, node_id to)
+{
+	const struct mem_member *m = lod->view ? mem_view_find(lod->view, to) :
+						 NULL;
+
+	if (m && to != lod->node->self)
+		send_to(lod, data, m);
+}
+
+void lod_send_domain(struct lod *lod, const GByteArray *data)
+{
+	for (uint32_t i = 0; i < lod->view->count; i++) {
+		const struct mem_member *m = &lod->view->members[i];
+
+		if (m->id != lod->node->self && m->state != MEM_DEAD &&
+		    lod_name_hash(m->domain) == lod->domain)
+			send_to(lod, data, m);
+	}
+}
+
+static void take_packet(struct lod *lod, const struct lod_packet *packet,
+			const uint8_t *data, size_t size, int64_t now_us)
+{
+	bool local = packet->domain == lod->domain;
+
+	if (packet->type == LOD_REPORT) {
+		lod_hub_report(lod, packet, now_us);
+		return;
+	}
+	if (packet->type != LOD_DIGEST || packet->sender == lod->node->self)
+		return;
+	/* A digest of another domain comes to the hub, which passes it on. */
+	if (!local && lod_hub_speaks(lod, now_us)) {
+		g_autoptr(GByteArray) copy = g_byte_array_new();
+
+		g_byte_array_append(copy, data, (guint)size);
+		lod_send_domain(lod, copy);
+	}
+	lod_take_digest(lod, packet, now_us);
+}
+
+static void on_datagram(struct ev_loop *loop, ev_io *io, int events)
+{
+	struct lod *lod = io->data;
+	uint8_t data[FS_DATAGRAM_MAX + 1];
+	int64_t now_us = fs_now_us();
+
+	(void)loop;
+	(void)events;
+	for (int i = 0; i < BURST_MAX && lod->view; i++) {
+		ssize_t n = recv(lod->fd, data, sizeof(data), 0);
+		struct lod_packet packet;
+
+		if (n < 0)
+			return;
+		if (lod_wire_decode(data, (size_t)n, lod->node->set.fleet_key,
+				    &packet))
+			ctr_add(lod->node->ctr, lod->refused, 1);
+		else
+			take_packet(lod, &packet, data, (size_t)n, now_us);
+		ctr_add(lod->node->ctr, lod->received, 1);
+		lod_packet_clear(&packet);
+	}
+}
+
+static int open_socket(const struct sockaddr_in *at)
+{
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd >= 0 && bind(fd, (const struct sockaddr *)at, sizeof(*at))) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+int lod_net_open(struct lod *lod)
+{
+	lod->fd = open_socket(&lod->node->set.load_listen);
+	if (lod->fd < 0) {
+		fs_log_eventf("lod", G_LOG_LEVEL_CRITICAL, "bind_failed",
+			      "\"reason\":\"%s\"", g_strerror(errno));
+		return FS_E_IO;
+	}
+	lod->port = lod->node->set.load_listen.sin_port;
+	ev_io_init(&lod->io, on_datagram, lod->fd, EV_READ);
+	lod->io.data = lod;
+	ev_io_start(lod->node->loop, &lod->io);
+	return 0;
+}
+
+void lod_net_close(struct lod *lod)
+{
+	ev_io_stop(lod->node->loop, &lod->io);
+	close(lod->fd);
+}
