Count what a node repeated a moment ago against the fleet's common budget

Found by reading: while the common budget had more than one repeat a node left, a node could take all of the rest before the others heard of it; 44 nodes could exceed it together. Test: budget_recent_repeats.

--- a/src/bud.c
+++ b/src/bud.c
@@ -35,6 +35,15 @@
 	bud->repeats[turn(bud, rule, now_us)]++;
 }
 
+uint32_t bud_recent(struct bud *bud, const struct bud_rule *rule,
+		    int64_t now_us)
+{
+	uint32_t newest = turn(bud, rule, now_us);
+	uint32_t before = (newest + BUD_BUCKETS - 1) % BUD_BUCKETS;
+
+	return bud->repeats[newest] + bud->repeats[before];
+}
+
 double bud_left(struct bud *bud, const struct bud_rule *rule, uint32_t nodes,
 		int64_t now_us)
 {
--- a/src/bud.h
+++ b/src/bud.h
@@ -35,6 +35,10 @@
 double bud_left(struct bud *bud, const struct bud_rule *rule, uint32_t nodes,
 		int64_t now_us);
 
+/** Returns how many repeats were counted in the newest two buckets. */
+uint32_t bud_recent(struct bud *bud, const struct bud_rule *rule,
+		    int64_t now_us);
+
 /** Counts a repeat. */
 void bud_repeat(struct bud *bud, const struct bud_rule *rule, int64_t now_us);
 
--- a/src/gwy_choose.c
+++ b/src/gwy_choose.c
@@ -15,6 +15,7 @@
 /* A wait that is expected to be longer than what is left by this much can't be
  * met: expected waits are right within a quarter. */
 #define WAIT_SLACK 1.25
+
 uint64_t gwy_random(struct gwy *gwy)
 {
 	gwy->random ^= gwy->random << 13;
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -163,8 +163,9 @@
 }
 
 /* A node's own share is always its own. While the whole fleet has more left
- * than one repeat for each node, a node may take more: what the others take
- * before it hears of them then stays within the budget. */
+ * than one repeat for each node, a node may take one more: if all do so before
+ * they hear of each other, which takes less than two buckets of time, the sum
+ * still stays within the budget. */
 static double budget_left(struct gwy_request *req, int64_t now_us)
 {
 	struct gwy *gwy = req->gwy;
@@ -172,8 +173,9 @@
 		bud_left(budget_of(req), &gwy->budget_rule, gwy->alive, now_us);
 	double pool = lod_budget_left(gwy->lod, gwy_service_name(req),
 				      &gwy->budget_rule, now_us);
+	double recent = bud_recent(budget_of(req), &gwy->budget_rule, now_us);
 
-	return MAX(own, pool - gwy->alive);
+	return MAX(own, pool / gwy->alive - recent);
 }
 
 /* Sends a request once more, if the rule of retries allows it. */
@@ -193,7 +195,6 @@
 		.remaining_us = req->deadline_us - now_us - GWY_LEFT_MIN_US,
 		.usable = choice.target ? 1 : 0,
 	};
-
 	int err;
 
 	/* A send that reached nobody is not repeated by the next one. */
--- a/tests/unit_policy_gateway.c
+++ b/tests/unit_policy_gateway.c
@@ -307,6 +307,18 @@
 	g_assert_cmpint(repeats, >, 0);
 }
 
+/* What a node took a moment ago counts against what all may take at once. */
+static void test_budget_recent_repeats(void)
+{
+	struct bud bud = {0};
+
+	bud_repeat(&bud, &rule, 10 * SECOND);
+	bud_repeat(&bud, &rule, 10 * SECOND + 400 * MS);
+	g_assert_cmpuint(bud_recent(&bud, &rule, 10 * SECOND + 600 * MS), ==,
+			 2);
+	g_assert_cmpuint(bud_recent(&bud, &rule, 12 * SECOND), ==, 0);
+}
+
 static void test_budget_returns_after_the_window(void)
 {
 	struct bud bud = {0};
@@ -344,6 +356,8 @@
 	g_test_add_func("/gateway/slowness_fades", test_slowness_fades);
 	g_test_add_func("/gateway/budget_of_all_nodes",
 			test_budget_of_all_nodes);
+	g_test_add_func("/gateway/budget_recent_repeats",
+			test_budget_recent_repeats);
 	g_test_add_func("/gateway/budget_returns_after_the_window",
 			test_budget_returns_after_the_window);
 	return g_test_run();
