--- a/src/fed_impl.h
+++ b/src/fed_impl.h
@@ -74,11 +74,7 @@
 	struct fed_loop targets;
 	struct fed_loop config;
 	uint64_t random;
-	bool chosen;	      /* this node is a reader by its weight */
-	int64_t chosen_us;    /* when it last was; it still tells for a while */
-	bool reading;	      /* it reads, chosen or not */
-	bool away;	      /* the service does not answer this node */
-	bool directory_known; /* listed, or told by a peer */
+	int64_t chosen_us; /* when it last was; it still tells for a while */
 	int64_t started_us;
 	int64_t heard_us;   /* last beat of a fresh reader */
 	int64_t deaf_us;    /* last time without one */
@@ -87,14 +83,19 @@
 	int64_t changed_us; /* last change of the directory */
 	int64_t asked_us;
 	int64_t asked_config_us;
-	bool merging;	     /* what changes now came from a peer */
 	struct msg *changes; /* MSG_FEED_ENTRIES to be told, or NULL */
 	/* This node's own key */
 	uint64_t lease;
-	bool lease_running;
 	int64_t lease_next_us;
-	bool nodes_running;
 	int64_t nodes_next_us;
+	/* States */
+	bool chosen;	      /* this node is a reader by its weight */
+	bool reading;	      /* it reads, chosen or not */
+	bool away;	      /* the service does not answer this node */
+	bool directory_known; /* listed, or told by a peer */
+	bool merging;	      /* what changes now came from a peer */
+	bool lease_running;
+	bool nodes_running;
 };
 
 /* Configuration (fed.c) */
