--- a/src/fed_read.c
+++ b/src/fed_read.c
@@ -107,6 +107,27 @@
 	loop->next_us = now_us + (loop->config ? 0 : FED_TARGET_PAUSE_US);
 }
 
+static void on_listed(void *arg, int err, const struct kvs_page *page);
+
+static void begin_call(struct fed_loop *loop)
+{
+	struct fed *fed = loop->fed;
+	struct kvs *kvs = &fed->platform.kvs;
+
+	loop->running = true;
+	if (loop->listed) {
+		kvs->ops->watch(kvs->store, loop->prefix, loop->from_rev,
+				loop->config ? FED_CONFIG_WAIT_US :
+					       FED_TARGET_WAIT_US,
+				on_watched, loop);
+		return;
+	}
+	if (!loop->page_after && !loop->config)
+		dir_list_begin(fed->dir);
+	kvs->ops->range(kvs->store, loop->prefix, loop->page_after, on_listed,
+			loop);
+}
+
 static void on_listed(void *arg, int err, const struct kvs_page *page)
 {
 	struct fed_loop *loop = arg;
@@ -128,6 +149,8 @@
 
 		g_free(loop->page_after);
 		loop->page_after = g_strdup(last);
+		/* At once: a long list must not wait for a tick a page. */
+		begin_call(loop);
 		return;
 	}
 	g_clear_pointer(&loop->page_after, g_free);
@@ -143,25 +166,6 @@
 	fed_check_ready(loop->fed);
 }
 
-static void begin_call(struct fed_loop *loop)
-{
-	struct fed *fed = loop->fed;
-	struct kvs *kvs = &fed->platform.kvs;
-
-	loop->running = true;
-	if (loop->listed) {
-		kvs->ops->watch(kvs->store, loop->prefix, loop->from_rev,
-				loop->config ? FED_CONFIG_WAIT_US :
-					       FED_TARGET_WAIT_US,
-				on_watched, loop);
-		return;
-	}
-	if (!loop->page_after && !loop->config)
-		dir_list_begin(fed->dir);
-	kvs->ops->range(kvs->store, loop->prefix, loop->page_after, on_listed,
-			loop);
-}
-
 static void loop_tick(struct fed_loop *loop, int64_t now_us)
 {
 	if (loop->fed->reading && !loop->running && now_us >= loop->next_us)
