--- a/src/gwy_http.c
+++ b/src/gwy_http.c
@@ -1,7 +1,6 @@
 #include <string.h>
 
 #include "ent_check.h"
-#include "fs_log.h"
 #include "gwy_impl.h"
 #include "rte.h"
 
--- a/src/gwy_overdue.c
+++ b/src/gwy_overdue.c
@@ -1,7 +1,5 @@
 #include "gwy_impl.h"
 
-#include "fs_log.h"
-
 /* An answer is overdue at two and a half times the mean, where one request in
  * twenty of the deployments' work still runs, but not before half of the
  * route's objective. */
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -1,8 +1,5 @@
 #include "gwy_impl.h"
 
-#include <string.h>
-
-#include "fs_log.h"
 #include "rty.h"
 
 /* Requests for which no target has room are tried again so often. */
