--- a/src/lod.c
+++ b/src/lod.c
@@ -1,6 +1,5 @@
 #include "lod_impl.h"
 
-#define EVIDENCE_KEPT_MAX 128 /* rows that wait for a report */
 /* Of the fleet's budget a part is kept back for what is not known here yet. */
 #define POOL_SHARE 0.85
 #define UNSERVED_WEIGHT 0.02 /* of one more request in the unserved share */
@@ -25,24 +24,6 @@
 		g_hash_table_remove(lod->busy, key);
 }
 
-static void keep_evidence(struct lod *lod, const struct lod_evidence *e)
-{
-	for (guint i = 0; i < lod->evidence->len; i++) {
-		struct lod_evidence *row =
-			&g_array_index(lod->evidence, struct lod_evidence, i);
-
-		if (row->target != e->target || row->outcome != e->outcome)
-			continue;
-		row->count += e->count;
-		row->took_us += e->took_us;
-		return;
-	}
-	if (lod->evidence->len < EVIDENCE_KEPT_MAX)
-		g_array_append_val(lod->evidence, *e);
-	else
-		ctr_count(lod->node->ctr, "lod_evidence_dropped", 1);
-}
-
 void lod_outcome(struct lod *lod, struct dir_target *target,
 		 enum gry_outcome outcome, int64_t took_us)
 {
@@ -54,10 +35,15 @@
 		.took_us = outcome == GRY_GOOD ? took_us : 0,
 	};
 
+	int64_t now_us = fs_now_us();
+
 	lod->changed = true;
-	lod->urgent |= outcome != GRY_GOOD && outcome != GRY_FULL;
+	lod_judge_queue(lod, &lod->evidence, &e);
 	lod_judge(lod, &e, true);
-	keep_evidence(lod, &e);
+	if (outcome == GRY_GOOD || outcome == GRY_FULL)
+		return;
+	lod->urgent = true;
+	lod_hurry(lod, lod->reported_us + LOD_URGENT_REPORT_US, now_us);
 }
 
 void lod_add_sends(GHashTable *table, const struct lod_sends *sends)
@@ -285,15 +271,6 @@
 	}
 }
 
-static void add_evidence(struct lod *lod, struct lod_packet *packet)
-{
-	guint n = MIN(lod->evidence->len, LOD_EVIDENCE_MAX);
-
-	g_array_append_vals(packet->evidence, lod->evidence->data, n);
-	if (n)
-		g_array_remove_range(lod->evidence, 0, n);
-}
-
 static void report(struct lod *lod, int64_t now_us)
 {
 	g_autoptr(GByteArray) data = g_byte_array_new();
@@ -301,7 +278,7 @@
 
 	lod_begin(lod, &packet, LOD_REPORT);
 	add_own_counts(lod, &packet);
-	add_evidence(lod, &packet);
+	lod_queue_take(&lod->evidence, packet.evidence, LOD_EVIDENCE_MAX);
 	add_sends(lod, &packet);
 	if (lod->hubs[0] == lod->node->self || lod->hubs[1] == lod->node->self)
 		lod_hub_report(lod, &packet, now_us);
@@ -310,8 +287,8 @@
 		lod_send(lod, data, lod->hubs[1]);
 	}
 	lod_packet_clear(&packet);
-	lod->changed = lod->evidence->len > 0;
-	lod->urgent = false;
+	lod->changed = lod_queue_waiting(&lod->evidence) > 0;
+	lod->urgent = lod->changed;
 	lod->reported_us = now_us;
 }
 
@@ -324,6 +301,35 @@
 	return MAX(LOD_REPORT_US, lod->domain_nodes * LOD_REPORT_PEER_US);
 }
 
+/* Failures do not wait for the tick: report, and tell as a hub. */
+static void on_flush(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct lod *lod = timer->data;
+	int64_t now_us = fs_now_us();
+	int64_t again_us;
+
+	(void)loop;
+	(void)events;
+	if (!lod->view)
+		return;
+	if (lod->urgent)
+		report(lod, now_us);
+	again_us = lod_hub_flush(lod, now_us);
+	if (lod->urgent)
+		again_us = now_us + LOD_URGENT_REPORT_US;
+	if (again_us)
+		lod_hurry(lod, again_us, now_us);
+}
+
+void lod_hurry(struct lod *lod, int64_t at_us, int64_t now_us)
+{
+	if (ev_is_active(&lod->flush))
+		return;
+	ev_timer_set(&lod->flush, (double)MAX(at_us - now_us, 0) / FS_US_PER_S,
+		     0.0);
+	ev_timer_start(lod->node->loop, &lod->flush);
+}
+
 static void on_tick(void *task, int64_t now_us)
 {
 	struct lod *lod = task;
@@ -379,7 +385,7 @@
 {
 	lod->own = g_hash_table_new(NULL, NULL);
 	lod->busy = g_hash_table_new(NULL, NULL);
-	lod->evidence = g_array_new(FALSE, TRUE, sizeof(struct lod_evidence));
+	lod_queue_init(&lod->evidence);
 	lod->sends = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	lod->domains = g_hash_table_new_full(NULL, NULL, NULL, domain_free);
 	lod->trust = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
@@ -390,8 +396,7 @@
 	lod->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					   peer_free);
 	lod->told = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-	lod->hub_evidence =
-		g_array_new(FALSE, TRUE, sizeof(struct lod_evidence));
+	lod_queue_init(&lod->hub_evidence);
 	lod->hub_sends = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 }
 
@@ -407,6 +412,8 @@
 	}
 	lod->domain = lod_name_hash(node->set.domain);
 	make_tables(lod);
+	ev_timer_init(&lod->flush, on_flush, 0.0, 0.0);
+	lod->flush.data = lod;
 	lod->sent = ctr_counter(node->ctr, "lod_sent_datagrams");
 	lod->received = ctr_counter(node->ctr, "lod_received_datagrams");
 	lod->refused = ctr_counter(node->ctr, "lod_refused_datagrams");
@@ -419,11 +426,12 @@
 {
 	if (!lod)
 		return;
+	ev_timer_stop(lod->node->loop, &lod->flush);
 	lod_net_close(lod);
 	node_remove_tick(lod->node, lod);
 	g_hash_table_unref(lod->own);
 	g_hash_table_unref(lod->busy);
-	g_array_unref(lod->evidence);
+	lod_queue_clear(&lod->evidence);
 	g_hash_table_unref(lod->sends);
 	g_hash_table_unref(lod->domains);
 	g_hash_table_unref(lod->trust);
@@ -431,7 +439,7 @@
 	g_hash_table_unref(lod->pools);
 	g_hash_table_unref(lod->peers);
 	g_hash_table_unref(lod->told);
-	g_array_unref(lod->hub_evidence);
+	lod_queue_clear(&lod->hub_evidence);
 	g_hash_table_unref(lod->hub_sends);
 	mem_view_unref(lod->view);
 	g_free(lod);
--- a/src/lod_hub.c
+++ b/src/lod_hub.c
@@ -20,6 +20,13 @@
 	       now_us - lod->hub_heard_us > LOD_SILENT_US;
 }
 
+/* Returns the pause between digests while failures are to be told. */
+static int64_t urgent_us(const struct lod *lod)
+{
+	return MAX(LOD_URGENT_DIGEST_US,
+		   lod->domain_nodes * LOD_URGENT_PEER_US);
+}
+
 static struct lod_peer *peer_of(struct lod *lod, node_id id)
 {
 	struct lod_peer *peer = g_hash_table_lookup(lod->peers, &id);
@@ -58,9 +65,11 @@
 		const struct lod_evidence *e = &g_array_index(
 			packet->evidence, struct lod_evidence, i);
 
-		lod->hub_urgent |= e->outcome != GRY_GOOD;
-		g_array_append_val(lod->hub_evidence, *e);
+		if (lod_judge_trusts(lod, e))
+			lod_judge_queue(lod, &lod->hub_evidence, e);
 	}
+	if (lod_queue_waiting(&lod->hub_evidence))
+		lod_hurry(lod, lod->digest_us + urgent_us(lod), now_us);
 	for (guint i = 0; i < packet->sends->len; i++)
 		lod_add_sends(
 			lod->hub_sends,
@@ -154,15 +163,6 @@
 	}
 }
 
-static void move_rows(GArray *from, GArray *to, guint max)
-{
-	guint n = MIN(from->len, max);
-
-	g_array_append_vals(to, from->data, n);
-	if (n)
-		g_array_remove_range(from, 0, n);
-}
-
 static void move_sends(GHashTable *from, GArray *to)
 {
 	GHashTableIter iter;
@@ -205,7 +205,7 @@
 	if (now_us - lod->feed_us < LOD_FEED_US)
 		packet.feed = lod->feed;
 	add_totals(lod, &packet, now_us);
-	move_rows(lod->hub_evidence, packet.evidence, LOD_EVIDENCE_MAX);
+	lod_queue_take(&lod->hub_evidence, packet.evidence, LOD_EVIDENCE_MAX);
 	move_sends(lod->hub_sends, packet.sends);
 	if (!lod_wire_encode(&packet, lod->node->set.fleet_key, data)) {
 		lod_send_domain(lod, data);
@@ -213,7 +213,6 @@
 	}
 	lod_take_digest(lod, &packet, now_us);
 	lod_packet_clear(&packet);
-	lod->hub_urgent = lod->hub_evidence->len > 0;
 	lod->digest_us = now_us;
 }
 
@@ -223,10 +222,24 @@
 		return;
 	/* The second choice drops what the first one tells. */
 	if (!lod_hub_speaks(lod, now_us)) {
-		g_array_set_size(lod->hub_evidence, 0);
+		lod_queue_drop(&lod->hub_evidence);
 		g_hash_table_remove_all(lod->hub_sends);
 		return;
 	}
-	if (lod->hub_urgent || now_us - lod->digest_us >= LOD_DIGEST_US)
+	if (now_us - lod->digest_us >= LOD_DIGEST_US)
 		tell_digest(lod, now_us);
 }
+
+int64_t lod_hub_flush(struct lod *lod, int64_t now_us)
+{
+	int64_t due_us = lod->digest_us + urgent_us(lod);
+
+	if (!is_hub(lod) || !lod_hub_speaks(lod, now_us) ||
+	    !lod_queue_waiting(&lod->hub_evidence))
+		return 0;
+	if (now_us < due_us)
+		return due_us;
+	tell_digest(lod, now_us);
+	return lod_queue_waiting(&lod->hub_evidence) ? now_us + urgent_us(lod) :
+						       0;
+}
--- a/src/lod_impl.h
+++ b/src/lod_impl.h
@@ -6,6 +6,7 @@
 #define LOD_IMPL_H
 
 #include "lod.h"
+#include "lod_queue.h"
 #include "lod_wire.h"
 
 /* A node reports changes at most so often; with many nodes less often, so that
@@ -14,6 +15,13 @@
 #define LOD_REPORT_PEER_US (5 * FS_US_PER_MS)
 #define LOD_REPEAT_US (1000 * FS_US_PER_MS) /* unchanged counts again */
 #define LOD_DIGEST_US (200 * FS_US_PER_MS)  /* between digests of a hub */
+/* A failure is told at once, but not more often than this: until others hear
+ * of it they go on sending to the target. */
+#define LOD_URGENT_REPORT_US (20 * FS_US_PER_MS)
+/* A hub sends a digest to each node of its domain: the pause grows with them,
+ * so that it sends at most five hundred urgent datagrams a second. */
+#define LOD_URGENT_DIGEST_US (40 * FS_US_PER_MS)
+#define LOD_URGENT_PEER_US (2 * FS_US_PER_MS)
 /* What the feed task told is not told on once it is older than this. */
 #define LOD_FEED_US (300 * FS_US_PER_MS)
 /* The second choice speaks when the hub was silent for so long. */
@@ -65,10 +73,11 @@
 	ev_io io;
 	uint32_t serial;
 	/* This node */
-	GHashTable *own;   /* target hash to requests, as last reported */
-	GHashTable *busy;  /* target hashes with requests of this node */
-	GArray *evidence;  /* struct lod_evidence, to be reported */
-	GHashTable *sends; /* service hash to struct lod_sends */
+	GHashTable *own;  /* target hash to requests, as last reported */
+	GHashTable *busy; /* target hashes with requests of this node */
+	struct lod_queue evidence; /* to be reported */
+	ev_timer flush;		   /* tells of failures between ticks */
+	GHashTable *sends;	   /* service hash to struct lod_sends */
 	bool changed;
 	bool urgent; /* an outcome that others should know at once */
 	int64_t reported_us;
@@ -81,11 +90,10 @@
 	/* As a hub */
 	node_id hubs[2]; /* of this domain: first and second choice */
 	uint32_t domain_nodes;
-	GHashTable *peers;     /* node_id * to struct lod_peer */
-	GHashTable *told;      /* target hash to struct lod_told */
-	GArray *hub_evidence;  /* struct lod_evidence, to be told */
-	GHashTable *hub_sends; /* service hash to struct lod_sends */
-	bool hub_urgent;
+	GHashTable *peers;	       /* node_id * to struct lod_peer */
+	GHashTable *told;	       /* target hash to struct lod_told */
+	struct lod_queue hub_evidence; /* to be told */
+	GHashTable *hub_sends;	       /* service hash to struct lod_sends */
 	int64_t digest_us;
 	int64_t hub_heard_us; /* last digest of this domain's hub */
 	struct lod_feed feed; /* of this node's feed task */
@@ -103,12 +111,20 @@
 
 /** Applies outcomes to a target that this node sees. */
 void lod_judge(struct lod *lod, const struct lod_evidence *e, bool own);
+/** Adds an outcome to a queue, by what is known here of its target. */
+void lod_judge_queue(const struct lod *lod, struct lod_queue *queue,
+		     const struct lod_evidence *e);
+/** Takes a node's outcome into account for how far its way is to be trusted.
+ *  @return whether the outcome counts */
+bool lod_judge_trusts(struct lod *lod, const struct lod_evidence *e);
 
 /* This domain's hub (lod_hub.c) */
 void lod_hub_choose(struct lod *lod);
 void lod_hub_report(struct lod *lod, const struct lod_packet *packet,
 		    int64_t now_us);
 void lod_hub_tick(struct lod *lod, int64_t now_us);
+/** Tells of failures, if any wait. @return when to try again, 0: none wait */
+int64_t lod_hub_flush(struct lod *lod, int64_t now_us);
 
 /* Datagrams (lod_net.c) */
 int lod_net_open(struct lod *lod);
@@ -128,6 +144,9 @@
 void lod_take_digest(struct lod *lod, const struct lod_packet *packet,
 		     int64_t now_us);
 
+/** Has what waits told before the next tick. */
+void lod_hurry(struct lod *lod, int64_t at_us, int64_t now_us);
+
 /** Adds sends to a table of struct lod_sends. */
 void lod_add_sends(GHashTable *table, const struct lod_sends *sends);
 
--- a/src/lod_judge.c
+++ b/src/lod_judge.c
@@ -4,20 +4,23 @@
 
 /* How far an outcome that another node told counts. A failure answer is the
  * target's. What that node's own way to it may explain counts little: a node
- * that is cut from a target alone goes on telling of it. It does not count at
- * all once two in five of that node's outcomes are of that kind. */
+ * that is cut from a target alone goes on telling of it. The hub does not pass
+ * it on once two in five of that node's outcomes are of that kind. */
 #define PATH_TRUST 0.25
 #define UNREACHABLE_TRUST 0.05
-#define PATH_DISTRUST 2.5
+#define PATH_DISTRUST 0.4
 #define PATH_WEIGHT 0.15 /* of one more outcome in a node's share of them */
 
 #define MEAN_WEIGHT 0.03 /* of one more answer in a service's mean time */
 /* The first answers count by their number, and say nothing of slowness. */
 #define MEAN_FIRST 20
+/* Good answers of a target that fails more often than any other may are told
+ * before those of the others. */
+#define DOUBT 0.05
 /* Such an answer did no work; it says nothing about the time that work takes. */
 #define WORK_MIN_US (10 * FS_US_PER_MS)
 
-static double weight_of(struct lod *lod, const struct lod_evidence *e)
+bool lod_judge_trusts(struct lod *lod, const struct lod_evidence *e)
 {
 	double *bad = g_hash_table_lookup(lod->trust, &e->origin);
 	bool path = gry_is_path(e->outcome);
@@ -30,11 +33,26 @@
 	}
 	for (uint32_t i = 0; i < e->count; i++)
 		*bad += PATH_WEIGHT * ((path ? 1.0 : 0.0) - *bad);
-	if (!path)
+	return !path || *bad < PATH_DISTRUST;
+}
+
+void lod_judge_queue(const struct lod *lod, struct lod_queue *queue,
+		     const struct lod_evidence *e)
+{
+	struct dir_target *target = dir_target_by_hash(lod->dir, e->target);
+	int64_t now_us = fs_now_us();
+
+	lod_queue_add(queue, e,
+		      target && gry_failure(&bal_of(target, now_us)->gry,
+					    now_us) > DOUBT);
+}
+
+/* How far an outcome that another node told counts here. */
+static double weight_of(const struct lod_evidence *e)
+{
+	if (!gry_is_path(e->outcome))
 		return 1.0;
-	return (e->outcome == GRY_UNREACHABLE ? UNREACHABLE_TRUST :
-						PATH_TRUST) *
-	       MAX(1.0 - PATH_DISTRUST * *bad, 0.0);
+	return e->outcome == GRY_UNREACHABLE ? UNREACHABLE_TRUST : PATH_TRUST;
 }
 
 static void add_time(struct lod *lod, struct dir_target *target, int64_t us,
@@ -75,7 +93,7 @@
 void lod_judge(struct lod *lod, const struct lod_evidence *e, bool own)
 {
 	struct dir_target *target = dir_target_by_hash(lod->dir, e->target);
-	double weight = own ? 1.0 : weight_of(lod, e);
+	double weight = own ? 1.0 : weight_of(e);
 	int64_t now_us = fs_now_us();
 	struct gry *gry;
 	bool was;
--- /dev/null
+++ b/src/lod_queue.c
@@ -0,0 +1,82 @@
+#include "lod_queue.h"
+
+void lod_queue_init(struct lod_queue *queue)
+{
+	queue->failures = g_array_new(FALSE, TRUE, sizeof(struct lod_evidence));
+	queue->doubtful = g_array_new(FALSE, TRUE, sizeof(struct lod_evidence));
+	queue->good = g_array_new(FALSE, TRUE, sizeof(struct lod_evidence));
+	queue->dropped = 0;
+}
+
+void lod_queue_clear(struct lod_queue *queue)
+{
+	g_clear_pointer(&queue->failures, g_array_unref);
+	g_clear_pointer(&queue->doubtful, g_array_unref);
+	g_clear_pointer(&queue->good, g_array_unref);
+}
+
+/* Adds to the row of the same target, if there is one. */
+static bool merge(GArray *rows, const struct lod_evidence *e, bool same_origin)
+{
+	for (guint i = 0; i < rows->len; i++) {
+		struct lod_evidence *row =
+			&g_array_index(rows, struct lod_evidence, i);
+
+		if (row->target != e->target || row->outcome != e->outcome ||
+		    (same_origin && row->origin != e->origin))
+			continue;
+		row->count += e->count;
+		row->took_us += e->took_us;
+		return true;
+	}
+	return false;
+}
+
+void lod_queue_add(struct lod_queue *queue, const struct lod_evidence *e,
+		   bool in_doubt)
+{
+	GArray *good = in_doubt ? queue->doubtful : queue->good;
+
+	if (e->outcome == GRY_GOOD) {
+		if (!merge(good, e, false))
+			g_array_append_val(good, *e);
+		return;
+	}
+	if (merge(queue->failures, e, true))
+		return;
+	if (queue->failures->len < LOD_QUEUE_FAILURES_MAX)
+		g_array_append_val(queue->failures, *e);
+	else
+		queue->dropped += e->count;
+}
+
+static void move_rows(GArray *from, GArray *to, guint max)
+{
+	guint room = max > to->len ? max - to->len : 0;
+	guint n = MIN(from->len, room);
+
+	if (!n)
+		return;
+	g_array_append_vals(to, from->data, n);
+	g_array_remove_range(from, 0, n);
+}
+
+void lod_queue_take(struct lod_queue *queue, GArray *out, guint max)
+{
+	move_rows(queue->failures, out, max);
+	move_rows(queue->doubtful, out, max);
+	move_rows(queue->good, out, max);
+	g_array_set_size(queue->good, 0);
+}
+
+void lod_queue_drop(struct lod_queue *queue)
+{
+	g_array_set_size(queue->failures, 0);
+	g_array_set_size(queue->doubtful, 0);
+	g_array_set_size(queue->good, 0);
+}
+
+guint lod_queue_waiting(const struct lod_queue *queue)
+{
+	return queue->failures->len + queue->doubtful->len;
+}
--- a/tests/unit_lod.c
+++ b/tests/unit_lod.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "fs_err.h"
+#include "lod_queue.h"
 #include "lod_wire.h"
 
 #define KEY "0123456789abcdef"
@@ -118,6 +119,92 @@
 	lod_packet_clear(&in);
 }
 
+static struct lod_evidence outcome(uint32_t target, enum gry_outcome what)
+{
+	return (struct lod_evidence){
+		.origin = 1,
+		.target = target,
+		.outcome = what,
+		.count = 1,
+		.took_us = what == GRY_GOOD ? 1000 : 0,
+	};
+}
+
+/* Much good work while one target turns gray: its failure is in the next
+ * datagram, whatever waits. */
+static void test_failures_are_told_first(void)
+{
+	g_autoptr(GArray)
+		out = g_array_new(FALSE, TRUE, sizeof(struct lod_evidence));
+	struct lod_evidence e;
+	struct lod_queue queue;
+
+	lod_queue_init(&queue);
+	for (uint32_t i = 0; i < 100; i++) {
+		e = outcome(i, GRY_GOOD);
+		lod_queue_add(&queue, &e, false);
+	}
+	e = outcome(200, GRY_GOOD);
+	lod_queue_add(&queue, &e, true);
+	e = outcome(300, GRY_FAILED);
+	lod_queue_add(&queue, &e, true);
+	g_assert_cmpuint(lod_queue_waiting(&queue), ==, 2);
+	lod_queue_take(&queue, out, 3);
+	g_assert_cmpuint(out->len, ==, 3);
+	g_assert_cmpuint(g_array_index(out, struct lod_evidence, 0).target, ==,
+			 300);
+	g_assert_cmpuint(g_array_index(out, struct lod_evidence, 1).target, ==,
+			 200);
+	/* The rest only said that nothing has changed. */
+	g_array_set_size(out, 0);
+	lod_queue_take(&queue, out, 100);
+	g_assert_cmpuint(out->len, ==, 0);
+	lod_queue_clear(&queue);
+}
+
+/* Good answers of a target are one row; failures keep who saw them. */
+static void test_rows_are_merged(void)
+{
+	g_autoptr(GArray)
+		out = g_array_new(FALSE, TRUE, sizeof(struct lod_evidence));
+	struct lod_queue queue;
+
+	lod_queue_init(&queue);
+	for (int i = 0; i < 4; i++) {
+		struct lod_evidence good = outcome(7, GRY_GOOD);
+		struct lod_evidence bad = outcome(7, GRY_BROKEN);
+
+		good.origin = bad.origin = (node_id)(1 + i / 2);
+		lod_queue_add(&queue, &good, false);
+		lod_queue_add(&queue, &bad, true);
+	}
+	lod_queue_take(&queue, out, 100);
+	g_assert_cmpuint(out->len, ==, 3);
+	g_assert_cmpuint(g_array_index(out, struct lod_evidence, 0).count, ==,
+			 2);
+	g_assert_cmpuint(g_array_index(out, struct lod_evidence, 2).count, ==,
+			 4);
+	g_assert_cmpint(g_array_index(out, struct lod_evidence, 2).took_us, ==,
+			4000);
+	lod_queue_clear(&queue);
+}
+
+/* A fleet in which all fails does not fill the memory. */
+static void test_queue_is_bounded(void)
+{
+	struct lod_queue queue;
+
+	lod_queue_init(&queue);
+	for (uint32_t i = 0; i < 2 * LOD_QUEUE_FAILURES_MAX; i++) {
+		struct lod_evidence e = outcome(i, GRY_FAILED);
+
+		lod_queue_add(&queue, &e, true);
+	}
+	g_assert_cmpuint(lod_queue_waiting(&queue), ==, LOD_QUEUE_FAILURES_MAX);
+	g_assert_cmpuint(queue.dropped, ==, LOD_QUEUE_FAILURES_MAX);
+	lod_queue_clear(&queue);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -126,5 +213,9 @@
 	g_test_add_func("/lod/largest_datagram_fits",
 			test_largest_datagram_fits);
 	g_test_add_func("/lod/cut_datagrams", test_cut_datagrams);
+	g_test_add_func("/lod/failures_are_told_first",
+			test_failures_are_told_first);
+	g_test_add_func("/lod/rows_are_merged", test_rows_are_merged);
+	g_test_add_func("/lod/queue_is_bounded", test_queue_is_bounded);
 	return g_test_run();
 }
