--- a/src/bal.c
+++ b/src/bal.c
@@ -1,5 +1,6 @@
 #include "bal.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Work slows when slots fill up: at the last slot by about a third. */
@@ -16,19 +17,34 @@
 #define JITTER 0.1
 #define MEAN_DEFAULT_US (300 * FS_US_PER_MS) /* until the service is known */
 #define SAMPLE_MAX 64 /* targets looked at in one choice */
-/* A target without work for so long is tried by a single request, one in
- * eight of those that come then. */
-#define IDLE_US (1300 * FS_US_PER_MS)
-#define EXPLORE_SHARE 0.125
-/* The deployments' floor is 70 % of a service's targets, counted when more than
- * a tenth of its requests fail; both are met with a margin. */
-#define IDLE_SHARE_MAX 0.25
-#define UNSERVED_MANY 0.08
-#define UNSERVED_SOME 0.035
-/* Otherwise the trial waits until the evidence against the
- * target has faded: its chance to be gray is near that of any. */
+/* A target is idle once nobody is known to have used it for so long: counts
+ * and outcomes of other nodes are 0.2 to 0.4 s old. */
+#define IDLE_US (1000 * FS_US_PER_MS)
+/* The mean time until one of all nodes tries an idle target. */
+#define TRIAL_NEED_US (1000 * FS_US_PER_MS)
+#define TRIAL_CALM_US (2000 * FS_US_PER_MS)
+#define TRIAL_SHARE_MAX 0.5 /* of requests */
+/* A trial without need waits until the evidence has faded: the target's chance
+ * to be gray is near that of any. One that is needed may rather fail. */
 #define FADED_FAILURE 0.12
-#define FADED_IDLE_US (2500 * FS_US_PER_MS)
+#define NEEDED_FAILURE 0.45
+/* An answer that costs more than this to fetch from another failure domain is
+ * no trial: nodes there try their own targets. */
+#define TRIAL_CROSS_US (400 * FS_US_PER_MS)
+/* The deployments' floor: 70 % of the sound targets of a service get work in
+ * any two seconds. It counts when a tenth of the requests is not served, also
+ * when that shows only later: when the nodes that hold them are lost. So the
+ * floor is kept at all times, with a margin once requests fail. A target that
+ * failed by itself is not sound for two seconds. */
+#define FLOOR_IDLE_US (1500 * FS_US_PER_MS)
+#define FLOOR_FAILED_US (2000 * FS_US_PER_MS)
+#define FLOOR_IDLE_SHARE 0.28
+#define FLOOR_IDLE_SHARE_FAILING 0.2
+#define FLOOR_TRIAL_US (1000 * FS_US_PER_MS)
+#define UNSERVED_MANY 0.07
+/* Among targets that are equally doubtful chance decides. */
+#define FLOOR_CHANCE 0.2
+#define RATE_MIN 0.5 /* requests a second; fewer are not measured well */
 
 struct bal_target *bal_of(struct dir_target *target, int64_t now_us)
 {
@@ -132,56 +148,123 @@
 	       (!kept || wish->now_us - kept->gry.other_us >= OTHER_US);
 }
 
-/* Returns whether idle targets are to be tried whatever the evidence. */
-static bool must_explore(const struct bal_wish *wish, uint32_t idle,
-			 uint32_t count)
-{
-	if (wish->unserved > UNSERVED_MANY)
-		return true;
-	return wish->unserved > UNSERVED_SOME &&
-	       (double)idle > IDLE_SHARE_MAX * (double)count;
-}
+/** Which idle targets a request may try, and how many should be tried soon. */
+struct trial {
+	double rate;	    /* trials a second, of all nodes */
+	double failure_max; /* targets more likely to fail are left alone */
+	double chance;	    /* weight of chance against the evidence */
+};
 
 static bool is_idle(struct dir_target *target, const struct bal_wish *wish,
 		    int64_t idle_us)
 {
-	return may_take(target, wish) &&
-	       wish->now_us - bal_of(target, wish->now_us)->used_us > idle_us;
+	const struct bal_target *kept = bal_of(target, wish->now_us);
+
+	return may_take(target, wish) && !kept->own && !kept->others &&
+	       wish->now_us - kept->used_us > idle_us;
+}
+
+static bool may_try(struct dir_target *target, const struct bal_wish *wish,
+		    const struct trial *trial)
+{
+	const struct bal_target *kept = bal_of(target, wish->now_us);
+
+	return is_idle(target, wish, IDLE_US) &&
+	       wish->now_us - kept->gry.failed_us > FLOOR_FAILED_US &&
+	       gry_failure(&kept->gry, wish->now_us) <= trial->failure_max &&
+	       (wish->cross_us <= TRIAL_CROSS_US ||
+		!strcmp(target->entry.domain, wish->domain));
 }
 
-static uint32_t count_idle(const struct dir_service *service,
-			   const struct bal_wish *wish)
+/* Returns how many targets lie idle beyond what the floor allows. */
+static double idle_below_floor(const struct dir_service *service,
+			       const struct bal_wish *wish)
 {
+	double share = wish->unserved > UNSERVED_MANY ?
+			       FLOOR_IDLE_SHARE_FAILING :
+			       FLOOR_IDLE_SHARE;
+	uint32_t sound = 0;
 	uint32_t idle = 0;
 
+	for (uint32_t i = 0; i < service->targets->len; i++) {
+		struct dir_target *target =
+			g_ptr_array_index(service->targets, i);
+		const struct bal_target *kept = bal_of(target, wish->now_us);
+
+		if (!may_take(target, wish) ||
+		    wish->now_us - kept->gry.failed_us < FLOOR_FAILED_US)
+			continue;
+		sound++;
+		idle += is_idle(target, wish, FLOOR_IDLE_US);
+	}
+	return (double)idle - share * (double)sound;
+}
+
+static uint32_t count_trials(const struct dir_service *service,
+			     const struct bal_wish *wish,
+			     const struct trial *trial)
+{
+	uint32_t count = 0;
+
 	for (uint32_t i = 0; i < service->targets->len; i++)
-		idle += is_idle(g_ptr_array_index(service->targets, i), wish,
-				IDLE_US);
-	return idle;
+		count += may_try(g_ptr_array_index(service->targets, i), wish,
+				 trial);
+	return count;
 }
 
-/* Returns the target to try that nobody has used for longest, or NULL. */
-static struct dir_target *choose_idle(const struct dir_service *service,
-				      const struct bal_wish *wish)
+static struct trial trial_of(const struct dir_service *service,
+			     const struct bal_wish *wish,
+			     const struct bal_choice *best)
 {
-	uint32_t idle = count_idle(service, wish);
-	bool all = must_explore(wish, idle, service->targets->len);
-	struct dir_target *longest = NULL;
+	bool needed = !best->target || best->wait_us > 0;
+	struct trial trial = {
+		.failure_max = needed ? NEEDED_FAILURE : FADED_FAILURE,
+		.chance = 1.0,
+	};
+	double below = ceil(idle_below_floor(service, wish)) * FS_US_PER_S /
+		       FLOOR_TRIAL_US;
 
-	for (uint32_t i = 0; idle && i < service->targets->len; i++) {
+	trial.rate = (double)count_trials(service, wish, &trial) * FS_US_PER_S /
+		     (needed ? TRIAL_NEED_US : TRIAL_CALM_US);
+	if (below > trial.rate)
+		return (struct trial){below, 1.0, FLOOR_CHANCE};
+	return trial;
+}
+
+/* Returns an idle target to try, or NULL. All nodes together make trials at the
+ * rate that is wanted; which target is left to chance, so that nodes that do
+ * not know of each other yet seldom meet. */
+static struct dir_target *choose_trial(const struct dir_service *service,
+				       const struct bal_wish *wish,
+				       const struct bal_choice *best,
+				       uint64_t *random)
+{
+	struct trial trial = trial_of(service, wish, best);
+	double rate = wish->cross_us > TRIAL_CROSS_US ?
+			      wish->rate * wish->domain_share :
+			      wish->rate;
+	struct dir_target *chosen = NULL;
+	double lowest = 0;
+
+	if (trial.rate <= 0 ||
+	    next_random(random) >=
+		    MIN(trial.rate / MAX(rate, RATE_MIN), TRIAL_SHARE_MAX))
+		return NULL;
+	for (uint32_t i = 0; i < service->targets->len; i++) {
 		struct dir_target *target =
 			g_ptr_array_index(service->targets, i);
-		const struct bal_target *kept = bal_of(target, wish->now_us);
+		double failure;
 
-		if (!is_idle(target, wish, all ? IDLE_US : FADED_IDLE_US))
+		if (!may_try(target, wish, &trial))
 			continue;
-		if (!all &&
-		    gry_failure(&kept->gry, wish->now_us) > FADED_FAILURE)
+		failure = gry_failure(&bal_of(target, 0)->gry, wish->now_us) +
+			  trial.chance * next_random(random);
+		if (chosen && failure >= lowest)
 			continue;
-		if (!longest || kept->used_us < bal_of(longest, 0)->used_us)
-			longest = target;
+		chosen = target;
+		lowest = failure;
 	}
-	return longest;
+	return chosen;
 }
 
 struct bal_choice bal_choose(const struct dir_service *service,
@@ -191,14 +274,9 @@
 	uint64_t random = wish->random | 1;
 	uint32_t count = service ? service->targets->len : 0;
 	uint32_t start = count ? (uint32_t)(wish->random % count) : 0;
+	struct dir_target *trial;
 	double best_us = 0;
 
-	if (count && next_random(&random) < EXPLORE_SHARE) {
-		best.target = choose_idle(service, wish);
-		best.usable = count;
-		if (best.target)
-			return best;
-	}
 	for (uint32_t i = 0; i < MIN(count, SAMPLE_MAX); i++) {
 		struct dir_target *target = g_ptr_array_index(
 			service->targets, (start + i) % count);
@@ -222,5 +300,14 @@
 		best_us = us;
 	}
 	best.cost_us = (int64_t)best_us;
+	trial = count ? choose_trial(service, wish, &best, &random) : NULL;
+	if (trial)
+		best = (struct bal_choice){
+			.target = trial,
+			.usable = best.usable,
+			.full = best.full,
+			.failure = gry_failure(&bal_of(trial, 0)->gry,
+					       wish->now_us),
+		};
 	return best;
 }
--- a/src/bal.h
+++ b/src/bal.h
@@ -10,8 +10,9 @@
  *
  * A target that has just shown to be another server is passed over. No other
  * target is ever left out altogether: when all look sick, all are used. A
- * target that is not used comes back by single trials: once the evidence has
- * faded; or at once while many requests fail, or while some do and more targets
+ * target that is not used comes back by trials, which all nodes together spread
+ * over time and targets: once the evidence has faded; or before that while
+ * waits show that its room is needed, or while requests fail and more targets
  * lie idle than the floor of a service allows.
  */
 #ifndef BAL_H
@@ -37,7 +38,9 @@
 	int64_t cross_us;   /* what another failure domain costs, as time */
 	const struct dir_target *const *avoid; /* targets tried before */
 	uint32_t avoid_count;
-	double unserved; /* share of the service's requests */
+	double unserved;     /* share of the service's requests */
+	double rate;	     /* requests for the service a second */
+	double domain_share; /* of them, those that nodes of this domain get */
 	int64_t now_us;
 	uint64_t random;
 };
--- a/src/bud.c
+++ b/src/bud.c
@@ -5,6 +5,9 @@
 /* A tenth is left unused: a node may count more nodes as lost than are. */
 #define USED_SHARE 0.9
 
+/* A rate is that of so many full buckets and the one that is being filled. */
+#define RATE_BUCKETS 4u
+
 /* Clears the buckets that have passed since the last call. */
 static uint32_t turn(struct bud *bud, const struct bud_rule *rule,
 		     int64_t now_us)
@@ -44,6 +47,19 @@
 	return bud->repeats[newest] + bud->repeats[before];
 }
 
+double bud_rate(struct bud *bud, const struct bud_rule *rule, int64_t now_us)
+{
+	uint32_t newest = turn(bud, rule, now_us);
+	double width_us = (double)MAX(rule->window_us / BUD_BUCKETS, 1);
+	double requests = 0;
+
+	for (uint32_t i = 0; i <= RATE_BUCKETS; i++)
+		requests +=
+			bud->requests[(newest + BUD_BUCKETS - i) % BUD_BUCKETS];
+	return requests * FS_US_PER_S /
+	       (RATE_BUCKETS * width_us + (double)(now_us % (int64_t)width_us));
+}
+
 double bud_left(struct bud *bud, const struct bud_rule *rule, uint32_t nodes,
 		int64_t now_us)
 {
--- a/src/bud.h
+++ b/src/bud.h
@@ -39,6 +39,9 @@
 uint32_t bud_recent(struct bud *bud, const struct bud_rule *rule,
 		    int64_t now_us);
 
+/** Returns how many requests a second there were in the last seconds. */
+double bud_rate(struct bud *bud, const struct bud_rule *rule, int64_t now_us);
+
 /** Counts a repeat. */
 void bud_repeat(struct bud *bud, const struct bud_rule *rule, int64_t now_us);
 
--- a/src/gry.c
+++ b/src/gry.c
@@ -17,10 +17,17 @@
 #define OVERDUE_STEP 2.1
 /* A connection that can't be made: a crash or a cut, hardly ever chance. */
 #define UNREACHABLE_STEP 5.0
-#define ODDS_MAX 8.0
+/* Weaker evidence than this does not start the time anew. */
+#define AGAINST_STEP 1.0
+#define ODDS_MAX 6.0
 #define ODDS_MIN (-3.0) /* good work is soon outweighed by failures */
-/* Spells of gray failure last five to ten seconds; the odds halve in 2.8 s. */
-#define MEMORY_US (4000 * FS_US_PER_MS)
+/* What speaks for a target is half forgotten in 2.8 s: spells begin at any
+ * time. */
+#define MEMORY_US (4 * FS_US_PER_S)
+/* Of the targets that failed twice, seven in ten requests still fail three
+ * seconds later, one in four after five and one in ten after eight. */
+#define HOLD_US (3 * FS_US_PER_S)
+#define FADE_US (2 * FS_US_PER_S)
 
 #define SLOWNESS_WEIGHT 0.1 /* of one more answer: the last ten or so */
 /* A slow spell passes as well: without answers the target is tried again. */
@@ -37,6 +44,7 @@
 		.slowness = 1.0,
 		.updated_us = now_us,
 		.timed_us = now_us,
+		.failed_us = INT64_MIN / 2,
 		.full_us = INT64_MIN / 2,
 		.other_us = INT64_MIN / 2,
 	};
@@ -44,9 +52,15 @@
 
 static double odds_at(const struct gry *gry, int64_t now_us)
 {
-	int64_t gap_us = MAX(now_us - gry->updated_us, 0);
-
-	return gry->odds * exp(-(double)gap_us / MEMORY_US);
+	int64_t memory_us = MEMORY_US;
+	int64_t from_us = gry->updated_us;
+
+	if (gry->odds > 0) {
+		memory_us = FADE_US;
+		from_us = MAX(from_us, gry->failed_us + HOLD_US);
+	}
+	return gry->odds *
+	       exp(-(double)MAX(now_us - from_us, 0) / (double)memory_us);
 }
 
 bool gry_is_path(enum gry_outcome outcome)
@@ -74,6 +88,8 @@
 	gry->odds = CLAMP(odds_at(gry, now_us) + weight * steps[outcome],
 			  ODDS_MIN, ODDS_MAX);
 	gry->updated_us = now_us;
+	if (weight * steps[outcome] >= AGAINST_STEP)
+		gry->failed_us = now_us;
 }
 
 static double slowness_at(const struct gry *gry, int64_t now_us)
--- a/src/gry.h
+++ b/src/gry.h
@@ -6,8 +6,9 @@
  * its work for some seconds. The judge keeps the odds of that, as a logarithm:
  * each outcome moves them by how much likelier it is at a gray target than at
  * a healthy one, and with time they go back to what holds for any target. So
- * one failure at a target with little work is enough to send work elsewhere,
- * and a target comes back by itself, to be tried again.
+ * one failure at a target with little work is enough to send work elsewhere.
+ * Evidence against a target is held as long as most spells last, then fades, so
+ * that the target is tried again.
  *
  * Besides, the judge keeps how slow the target is relative to its service.
  *
@@ -36,6 +37,7 @@
 	double odds;	    /* natural logarithm; above what holds for any */
 	double slowness;    /* time to answer relative to the service's mean */
 	int64_t updated_us; /* when odds were right */
+	int64_t failed_us;  /* last outcome against the target */
 	int64_t timed_us;   /* when slowness was */
 	int64_t full_us;    /* last refused for lack of room */
 	int64_t other_us;   /* last found to be another server */
--- a/src/gwy.c
+++ b/src/gwy.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "gwy_impl.h"
 
 #include "fs_log.h"
@@ -17,11 +19,19 @@
 
 static void take_view(struct gwy *gwy, struct mem_view *view)
 {
+	uint32_t local = 0;
+
 	mem_view_unref(gwy->view);
 	gwy->view = mem_view_ref(view);
 	gwy->alive = 0;
-	for (uint32_t i = 0; i < view->count; i++)
-		gwy->alive += view->members[i].state != MEM_DEAD;
+	for (uint32_t i = 0; i < view->count; i++) {
+		const struct mem_member *m = &view->members[i];
+
+		gwy->alive += m->state != MEM_DEAD;
+		local += m->state != MEM_DEAD &&
+			 !strcmp(m->domain, gwy->node->set.domain);
+	}
+	gwy->domain_share = (double)local / MAX(gwy->alive, 1);
 }
 
 static void receive(void *task, struct msg *m, int64_t now_us)
@@ -85,6 +95,7 @@
 	gwy->dir = dir;
 	gwy->random = (node->self ^ node->incarnation) | 1;
 	gwy->alive = 1;
+	gwy->domain_share = 1.0;
 	gwy->started_us = fs_now_us();
 	gwy->body_bytes_max = node->set.memory_bytes / BODY_SHARE;
 	gwy->budget_rule = (struct bud_rule){
--- a/src/gwy_choose.c
+++ b/src/gwy_choose.c
@@ -65,6 +65,8 @@
 		.avoid = avoid,
 		.avoid_count = tried(req, avoid),
 		.unserved = lod_unserved(gwy->lod, service),
+		.rate = lod_rate(gwy->lod, service, now_us),
+		.domain_share = gwy->domain_share,
 		.now_us = now_us,
 		.random = gwy_random(gwy),
 	};
--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -107,7 +107,8 @@
 	uint64_t counter; /* of requests without an id */
 	size_t body_bytes;
 	size_t body_bytes_max;
-	uint32_t alive; /* members, this one included */
+	uint32_t alive;	     /* members, this one included */
+	double domain_share; /* of them, those of this failure domain */
 	bool stopping;
 	int64_t started_us;
 	int64_t stop_us; /* when the stop began */
--- a/src/lod.c
+++ b/src/lod.c
@@ -2,7 +2,9 @@
 
 /* Of the fleet's budget a part is kept back for what is not known here yet. */
 #define POOL_SHARE 0.85
-#define UNSERVED_WEIGHT 0.02 /* of one more request in the unserved share */
+/* The unserved share is that of about the last second: of so many requests. */
+#define UNSERVED_REQUESTS_MIN 20.0
+#define UNSERVED_REQUESTS_MAX 200.0
 
 void lod_begin(struct lod *lod, struct lod_packet *packet, enum lod_type type)
 {
@@ -92,13 +94,18 @@
 {
 	struct bud_rule part = *rule;
 
-	lod->rule = *rule;
 	part.ratio *= POOL_SHARE;
 	part.slack *= POOL_SHARE;
 	return bud_left(&pool_of(lod, lod_name_hash(service))->budget, &part, 1,
 			now_us);
 }
 
+double lod_rate(struct lod *lod, const char *service, int64_t now_us)
+{
+	return bud_rate(&pool_of(lod, lod_name_hash(service))->budget,
+			&lod->rule, now_us);
+}
+
 double lod_unserved(const struct lod *lod, const char *service)
 {
 	const struct lod_pool *pool = g_hash_table_lookup(
@@ -112,11 +119,13 @@
 {
 	struct lod_pool *pool = pool_of(lod, sends->service);
 
+	double weight = 1.0 / CLAMP(bud_rate(&pool->budget, &lod->rule, now_us),
+				    UNSERVED_REQUESTS_MIN,
+				    UNSERVED_REQUESTS_MAX);
+
 	for (uint32_t i = 0; i < sends->requests; i++)
-		pool->unserved -= UNSERVED_WEIGHT * pool->unserved;
-	pool->unserved += UNSERVED_WEIGHT * sends->unserved;
-	if (!lod->rule.window_us)
-		return;
+		pool->unserved -= weight * pool->unserved;
+	pool->unserved += weight * sends->unserved;
 	for (uint32_t i = 0; i < sends->requests; i++)
 		bud_request(&pool->budget, &lod->rule, now_us);
 	for (uint32_t i = 0; i < sends->repeats; i++)
@@ -411,6 +420,11 @@
 		return NULL;
 	}
 	lod->domain = lod_name_hash(node->set.domain);
+	lod->rule = (struct bud_rule){
+		.ratio = node->set.retry_ratio,
+		.slack = node->set.retry_slack,
+		.window_us = node->set.retry_window_us,
+	};
 	make_tables(lod);
 	ev_timer_init(&lod->flush, on_flush, 0.0, 0.0);
 	lod->flush.data = lod;
--- a/src/lod.h
+++ b/src/lod.h
@@ -46,6 +46,10 @@
  *  whole fleet. */
 double lod_unserved(const struct lod *lod, const char *service);
 
+/** Returns how many requests a second callers send a service, in the whole
+ *  fleet. */
+double lod_rate(struct lod *lod, const char *service, int64_t now_us);
+
 /** Returns the mean time of good answers of a service, 0 if unknown. */
 int64_t lod_mean(const struct lod *lod, const char *service);
 
--- a/tests/unit_policy_gateway.c
+++ b/tests/unit_policy_gateway.c
@@ -34,6 +34,8 @@
 		.mean_us = MEAN_US,
 		.failure_us = 4 * SECOND,
 		.cross_us = 120 * MS,
+		.rate = 10,
+		.domain_share = 1.0,
 		.now_us = 100 * SECOND,
 	};
 }
@@ -149,8 +151,22 @@
 	dir_free(s.dir);
 }
 
-/* Many requests fail and more targets lie idle than the floor allows: they
- * are tried although the evidence is against them. */
+/* Makes target @p number gray two seconds before now. */
+static void make_gray(struct scene *s, const char *number)
+{
+	struct dir_target *target = dir_target_find(s->dir, number);
+
+	s->wish.now_us -= 2100 * MS;
+	for (int n = 0; n < 3; n++)
+		note(s, target, GRY_FAILED);
+	bal_of(target, 0)->used_us = s->wish.now_us;
+	s->wish.now_us += 2100 * MS;
+}
+
+/* As many gray targets as the floor allows get nothing; once there are more,
+ * they are tried although the evidence is against them, and no more often than
+ * the floor needs. It is kept at all times: what fails may show only later,
+ * when the nodes that hold requests are lost. */
 static void test_floor_tries_idle_targets(void)
 {
 	struct scene s;
@@ -158,19 +174,69 @@
 	scene_begin(&s);
 	for (int i = 0; i < 4; i++)
 		add(&s, i, "here");
-	for (int i = 0; i < 2; i++) {
-		struct dir_target *t =
-			dir_target_find(s.dir, (const char[]){'0' + i, 0});
-
-		for (int n = 0; n < 3; n++)
-			note(&s, t, GRY_FAILED);
-		bal_of(t, 0)->used_us = s.wish.now_us - 2 * SECOND;
-	}
+	make_gray(&s, "0");
 	run(&s);
-	g_assert_cmpint(s.chosen[0] + s.chosen[1], ==, 0);
-	s.wish.unserved = 0.05;
+	g_assert_cmpint(s.chosen[0], ==, 0);
+	make_gray(&s, "1");
 	run(&s);
 	g_assert_cmpint(s.chosen[0] + s.chosen[1], >, ROUNDS / 20);
+	g_assert_cmpint(s.chosen[0] + s.chosen[1], <, ROUNDS / 5);
+	g_assert_cmpint(s.chosen[0], >, ROUNDS / 50);
+	g_assert_cmpint(s.chosen[1], >, ROUNDS / 50);
+	dir_free(s.dir);
+}
+
+/* With many requests failing the margin to the floor is wider. */
+static void test_floor_margin_while_many_fail(void)
+{
+	struct scene s;
+
+	scene_begin(&s);
+	for (int i = 0; i < 4; i++)
+		add(&s, i, "here");
+	make_gray(&s, "0");
+	s.wish.unserved = 0.1;
+	run(&s);
+	g_assert_cmpint(s.chosen[0], >, ROUNDS / 20);
+	dir_free(s.dir);
+}
+
+/* Good work at all targets but the first, until now. */
+static void work_elsewhere(const struct scene *s)
+{
+	for (int i = 1; i < 4; i++) {
+		struct dir_target *target =
+			dir_target_find(s->dir, (const char[]){'0' + i, 0});
+
+		for (int n = 0; n < 5; n++)
+			note(s, target, GRY_GOOD);
+		bal_of(target, 0)->used_us = s->wish.now_us;
+	}
+}
+
+/* A spell of failures lasts some seconds: a target that failed twice is not
+ * tried before most spells are over, and once the evidence has faded by few
+ * requests of all nodes. */
+static void test_spell_is_waited_for(void)
+{
+	struct scene s;
+
+	scene_begin(&s);
+	for (int i = 0; i < 4; i++)
+		add(&s, i, "here");
+	s.wish.rate = 100;
+	make_gray(&s, "0");
+	for (int i = 0; i < 7; i++) {
+		work_elsewhere(&s);
+		run(&s);
+		g_assert_cmpint(s.chosen[0], ==, 0);
+		s.wish.now_us += 500 * MS;
+	}
+	s.wish.now_us += 6 * SECOND;
+	work_elsewhere(&s);
+	run(&s);
+	g_assert_cmpint(s.chosen[0], >, 0);
+	g_assert_cmpint(s.chosen[0], <, ROUNDS / 50);
 	dir_free(s.dir);
 }
 
@@ -341,6 +407,10 @@
 	g_test_add_func("/gateway/all_sick_all_used", test_all_sick_all_used);
 	g_test_add_func("/gateway/floor_tries_idle_targets",
 			test_floor_tries_idle_targets);
+	g_test_add_func("/gateway/floor_margin_while_many_fail",
+			test_floor_margin_while_many_fail);
+	g_test_add_func("/gateway/spell_is_waited_for",
+			test_spell_is_waited_for);
 	g_test_add_func("/gateway/spill_to_another_domain",
 			test_spill_to_another_domain);
 	g_test_add_func("/gateway/long_answers_do_not_cross",
