--- a/src/lod.c
+++ b/src/lod.c
@@ -133,11 +133,11 @@
 }
 
 /* Sets what others have at a target: all domains' counts but this node's. */
-static void set_others(struct lod *lod, void *hash)
+static void set_others(struct lod *lod, uint32_t hash)
 {
-	struct dir_target *target =
-		dir_target_by_hash(lod->dir, GPOINTER_TO_UINT(hash));
-	uint32_t own = GPOINTER_TO_UINT(g_hash_table_lookup(lod->own, hash));
+	struct dir_target *target = dir_target_by_hash(lod->dir, hash);
+	uint32_t own = GPOINTER_TO_UINT(
+		g_hash_table_lookup(lod->own, GUINT_TO_POINTER(hash)));
 	uint32_t total = 0;
 	GHashTableIter iter;
 	void *value;
@@ -146,8 +146,8 @@
 		return;
 	g_hash_table_iter_init(&iter, lod->domains);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		total += GPOINTER_TO_UINT(g_hash_table_lookup(
-			((struct lod_domain *)value)->counts, hash));
+		total += lod_counts_get(&((struct lod_domain *)value)->counts,
+					hash);
 	bal_of(target, fs_now_us())->others = total - MIN(own, total);
 	if (total)
 		bal_of(target, 0)->used_us = fs_now_us();
@@ -161,7 +161,7 @@
 	if (!domain) {
 		domain = g_new0(struct lod_domain, 1);
 		domain->hash = hash;
-		domain->counts = g_hash_table_new(NULL, NULL);
+		lod_counts_init(&domain->counts);
 		g_hash_table_insert(lod->domains, key, domain);
 	}
 	return domain;
@@ -202,16 +202,14 @@
 	domain->hub = packet->sender;
 	domain->incarnation = packet->incarnation;
 	domain->serial = packet->serial;
-	domain->heard_us = now_us;
 	if (packet->domain == lod->domain && packet->sender != lod->node->self)
 		lod->hub_heard_us = now_us;
 	for (guint i = 0; i < packet->counts->len; i++) {
 		const struct lod_count *c =
 			&g_array_index(packet->counts, struct lod_count, i);
 
-		g_hash_table_insert(domain->counts, GUINT_TO_POINTER(c->target),
-				    GUINT_TO_POINTER(c->requests));
-		set_others(lod, GUINT_TO_POINTER(c->target));
+		lod_counts_put(&domain->counts, c->target, c->requests, now_us);
+		set_others(lod, c->target);
 	}
 	for (guint i = 0; i < packet->evidence->len; i++) {
 		const struct lod_evidence *e = &g_array_index(
@@ -228,22 +226,17 @@
 
 static void drop_stale(struct lod *lod, int64_t now_us)
 {
+	g_autoptr(GArray) lapsed = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	GHashTableIter iter;
 	void *value;
 
 	g_hash_table_iter_init(&iter, lod->domains);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct lod_domain *domain = value;
-		g_autoptr(GList) targets = NULL;
-
-		if (now_us - domain->heard_us <= LOD_STALE_US ||
-		    !g_hash_table_size(domain->counts))
-			continue;
-		targets = g_hash_table_get_keys(domain->counts);
-		g_hash_table_remove_all(domain->counts);
-		for (GList *l = targets; l; l = l->next)
-			set_others(lod, l->data);
-	}
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		lod_counts_lapse(&((struct lod_domain *)value)->counts,
+				 now_us - LOD_STALE_US, lapsed);
+	for (guint i = 0; i < lapsed->len; i++)
+		set_others(lod, g_array_index(lapsed, uint32_t, i));
+	ctr_count(lod->node->ctr, "lod_counts_lapsed", lapsed->len);
 }
 
 static void add_own_counts(struct lod *lod, struct lod_packet *packet)
@@ -386,7 +379,7 @@
 {
 	struct lod_domain *domain = data;
 
-	g_hash_table_unref(domain->counts);
+	lod_counts_clear(&domain->counts);
 	g_free(domain);
 }
 
--- /dev/null
+++ b/src/lod_counts.c
@@ -0,0 +1,61 @@
+#include "lod_counts.h"
+
+/** One target. */
+struct row {
+	uint32_t requests;
+	int64_t told_us;
+};
+
+void lod_counts_init(struct lod_counts *counts)
+{
+	counts->rows = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+}
+
+void lod_counts_clear(struct lod_counts *counts)
+{
+	g_clear_pointer(&counts->rows, g_hash_table_unref);
+}
+
+void lod_counts_put(struct lod_counts *counts, uint32_t target,
+		    uint32_t requests, int64_t now_us)
+{
+	void *key = GUINT_TO_POINTER(target);
+	struct row *row = g_hash_table_lookup(counts->rows, key);
+
+	if (!requests) {
+		g_hash_table_remove(counts->rows, key);
+		return;
+	}
+	if (!row) {
+		row = g_new0(struct row, 1);
+		g_hash_table_insert(counts->rows, key, row);
+	}
+	row->requests = requests;
+	row->told_us = now_us;
+}
+
+uint32_t lod_counts_get(const struct lod_counts *counts, uint32_t target)
+{
+	const struct row *row =
+		g_hash_table_lookup(counts->rows, GUINT_TO_POINTER(target));
+
+	return row ? row->requests : 0;
+}
+
+void lod_counts_lapse(struct lod_counts *counts, int64_t before_us,
+		      GArray *lapsed)
+{
+	GHashTableIter iter;
+	void *key;
+	void *value;
+
+	g_hash_table_iter_init(&iter, counts->rows);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		uint32_t target = GPOINTER_TO_UINT(key);
+
+		if (((struct row *)value)->told_us >= before_us)
+			continue;
+		g_array_append_val(lapsed, target);
+		g_hash_table_iter_remove(&iter);
+	}
+}
--- a/src/lod_impl.h
+++ b/src/lod_impl.h
@@ -6,6 +6,7 @@
 #define LOD_IMPL_H
 
 #include "lod.h"
+#include "lod_counts.h"
 #include "lod_queue.h"
 #include "lod_wire.h"
 
@@ -41,8 +42,7 @@
 	uint64_t incarnation; /* of the hub heard last */
 	node_id hub;
 	uint32_t serial;
-	int64_t heard_us;
-	GHashTable *counts; /* target hash to requests in that domain */
+	struct lod_counts counts; /* requests in that domain */
 };
 
 /** Mean time of good answers of a service. */
--- a/tests/unit_lod.c
+++ b/tests/unit_lod.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "fs_err.h"
+#include "lod_counts.h"
 #include "lod_queue.h"
 #include "lod_wire.h"
 
@@ -205,6 +206,28 @@
 	lod_queue_clear(&queue);
 }
 
+/* A hub falls away right after it told of busy targets: the next one does not
+ * take the counts back, but they lapse, and those that are repeated stay. */
+static void test_counts_of_a_lost_hub_lapse(void)
+{
+	g_autoptr(GArray) lapsed = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	struct lod_counts counts;
+
+	lod_counts_init(&counts);
+	lod_counts_put(&counts, 1, 5, 0);
+	lod_counts_put(&counts, 2, 3, 0);
+	lod_counts_put(&counts, 3, 3, 0);
+	lod_counts_put(&counts, 3, 0, 1);
+	lod_counts_put(&counts, 2, 4, 100);
+	lod_counts_lapse(&counts, 50, lapsed);
+	g_assert_cmpuint(lapsed->len, ==, 1);
+	g_assert_cmpuint(g_array_index(lapsed, uint32_t, 0), ==, 1);
+	g_assert_cmpuint(lod_counts_get(&counts, 1), ==, 0);
+	g_assert_cmpuint(lod_counts_get(&counts, 2), ==, 4);
+	g_assert_cmpuint(lod_counts_get(&counts, 3), ==, 0);
+	lod_counts_clear(&counts);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -217,5 +240,7 @@
 			test_failures_are_told_first);
 	g_test_add_func("/lod/rows_are_merged", test_rows_are_merged);
 	g_test_add_func("/lod/queue_is_bounded", test_queue_is_bounded);
+	g_test_add_func("/lod/counts_of_a_lost_hub_lapse",
+			test_counts_of_a_lost_hub_lapse);
 	return g_test_run();
 }
