--- a/src/bal.c
+++ b/src/bal.c
@@ -16,7 +16,12 @@
 /* Costs within a tenth of each other are the same. */
 #define JITTER 0.1
 #define MEAN_DEFAULT_US (300 * FS_US_PER_MS) /* until the service is known */
-#define SAMPLE_MAX 64 /* targets looked at in one choice */
+/* Once all slots are taken, a target whose slot comes free is the cheapest for
+ * all nodes until they hear of what the others sent there: each leaves out this
+ * share of the targets at random, so that not all choose it. */
+#define SKIP_SHARE 0.8
+#define NEWS_US (300 * FS_US_PER_MS) /* until nodes hear of a send */
+#define SAMPLE_MAX 64		     /* targets looked at in one choice */
 /* A target is idle once nobody is known to have used it for so long: counts
  * and outcomes of other nodes are 0.2 to 0.4 s old. */
 #define IDLE_US (1000 * FS_US_PER_MS)
@@ -267,14 +272,42 @@
 	return chosen;
 }
 
-struct bal_choice bal_choose(const struct dir_service *service,
-			     const struct bal_wish *wish)
+/* Returns the share of targets to leave out. Nothing, while the slots that are
+ * free hold what all nodes send until they hear of each other. */
+static double skip_share(const struct dir_service *service,
+			 const struct bal_wish *wish)
+{
+	double unheard = wish->rate * (double)NEWS_US / FS_US_PER_S;
+	double room = 0;
+	uint32_t usable = 0;
+	uint32_t saturated = 0;
+
+	for (uint32_t i = 0; i < service->targets->len; i++) {
+		struct dir_target *target =
+			g_ptr_array_index(service->targets, i);
+		const struct bal_target *kept = bal_of(target, wish->now_us);
+		uint32_t slots = target->entry.slots;
+
+		if (!may_take(target, wish) ||
+		    gry_is_suspect(&kept->gry, wish->now_us))
+			continue;
+		usable++;
+		saturated += busy_of(kept) >= slots;
+		room += slots - MIN(busy_of(kept), slots);
+	}
+	if (!usable || room >= unheard)
+		return 0.0;
+	return SKIP_SHARE * saturated / usable * (1.0 - room / unheard);
+}
+
+/* Returns the cheapest target, each one left out with the chance @p skip. */
+static struct bal_choice choose_cheapest(const struct dir_service *service,
+					 const struct bal_wish *wish,
+					 double skip, uint64_t *random)
 {
 	struct bal_choice best = {0};
-	uint64_t random = wish->random | 1;
-	uint32_t count = service ? service->targets->len : 0;
-	uint32_t start = count ? (uint32_t)(wish->random % count) : 0;
-	struct dir_target *trial;
+	uint32_t count = service->targets->len;
+	uint32_t start = (uint32_t)(wish->random % count);
 	double best_us = 0;
 
 	for (uint32_t i = 0; i < MIN(count, SAMPLE_MAX); i++) {
@@ -290,8 +323,10 @@
 			continue;
 		}
 		best.usable++;
+		if (skip > 0 && next_random(random) < skip)
+			continue;
 		us = cost_of(target, wish, &one) *
-		     (1.0 + JITTER * next_random(&random));
+		     (1.0 + JITTER * next_random(random));
 		if (best.target && us >= best_us)
 			continue;
 		one.usable = best.usable;
@@ -300,7 +335,24 @@
 		best_us = us;
 	}
 	best.cost_us = (int64_t)best_us;
-	trial = count ? choose_trial(service, wish, &best, &random) : NULL;
+	return best;
+}
+
+struct bal_choice bal_choose(const struct dir_service *service,
+			     const struct bal_wish *wish)
+{
+	struct bal_choice best = {0};
+	uint64_t random = wish->random | 1;
+	struct dir_target *trial;
+	double skip;
+
+	if (!service || !service->targets->len)
+		return best;
+	skip = skip_share(service, wish);
+	best = choose_cheapest(service, wish, skip, &random);
+	if (!best.target && best.usable)
+		best = choose_cheapest(service, wish, 0.0, &random);
+	trial = choose_trial(service, wish, &best, &random);
 	if (trial)
 		best = (struct bal_choice){
 			.target = trial,
--- a/tests/unit_policy_gateway.c
+++ b/tests/unit_policy_gateway.c
@@ -240,6 +240,30 @@
 	dir_free(s.dir);
 }
 
+/* All slots are taken and one comes free: until the nodes hear of what the
+ * others send, they must not all choose that target. With slots free elsewhere
+ * the cheapest target is the best one. */
+static void test_free_slot_draws_no_herd(void)
+{
+	struct scene s;
+
+	scene_begin(&s);
+	s.wish.rate = 60;
+	for (int i = 0; i < 5; i++)
+		bal_of(add(&s, i, "here"), 0)->others = i ? 8 : 0;
+	run(&s);
+	g_assert_cmpint(s.total, ==, ROUNDS);
+	g_assert_cmpint(s.chosen[0], <, ROUNDS * 6 / 10);
+	g_assert_cmpint(s.chosen[0], >, ROUNDS / 4);
+	for (int i = 0; i < 5; i++)
+		bal_of(dir_target_find(s.dir, (const char[]){'0' + i, 0}), 0)
+			->others = i ? 3 : 0;
+	s.wish.rate = 10;
+	run(&s);
+	g_assert_cmpint(s.chosen[0], >, ROUNDS * 9 / 10);
+	dir_free(s.dir);
+}
+
 /* Work stays in its failure domain until waits there cost more. */
 static void test_spill_to_another_domain(void)
 {
@@ -411,6 +435,8 @@
 			test_floor_margin_while_many_fail);
 	g_test_add_func("/gateway/spell_is_waited_for",
 			test_spell_is_waited_for);
+	g_test_add_func("/gateway/free_slot_draws_no_herd",
+			test_free_slot_draws_no_herd);
 	g_test_add_func("/gateway/spill_to_another_domain",
 			test_spill_to_another_domain);
 	g_test_add_func("/gateway/long_answers_do_not_cross",
