--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -5,6 +5,7 @@
 #ifndef GWY_IMPL_H
 #define GWY_IMPL_H
 
+#include "adm.h"
 #include "bal.h"
 #include "bud.h"
 #include "fed.h"
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -2,19 +2,34 @@
 
 #include "rty.h"
 
-/* Requests for which no target has room are tried again so often. */
-#define PARK_US (70 * FS_US_PER_MS)
-/* They wait as long as their work can still be done after that. */
-#define PARK_MEANS 1.5
+/* Requests that are held until a target has room look for one so often. */
+#define PARK_US (50 * FS_US_PER_MS)
 
 /* Callers come back spread over this time, so that they do not meet again. */
-#define COME_BACK_MIN_US (200 * FS_US_PER_MS)
 #define COME_BACK_SPREAD_US (400 * FS_US_PER_MS)
 
-static int64_t come_back(struct gwy *gwy)
+static struct adm_numbers admission(const struct gwy_request *req,
+				    const struct bal_choice *choice,
+				    int64_t now_us)
 {
-	return COME_BACK_MIN_US +
-	       (int64_t)(gwy_random(gwy) % COME_BACK_SPREAD_US);
+	return (struct adm_numbers){
+		.age_us = now_us - req->started_us,
+		.left_us = req->deadline_us - now_us,
+		.objective_us = gwy_choose_objective(req),
+		.mean_us = lod_mean(req->gwy->lod, gwy_service_name(req)),
+		.wait_us = choice->wait_us,
+		.room = choice->target != NULL,
+		.offered = req->try_count > 0,
+	};
+}
+
+static int64_t come_back(struct gwy_request *req,
+			 const struct bal_choice *choice, int64_t now_us)
+{
+	struct adm_numbers n = admission(req, choice, now_us);
+
+	return adm_retry_after(&n) +
+	       (int64_t)(gwy_random(req->gwy) % COME_BACK_SPREAD_US);
 }
 
 static struct bud *budget_of(struct gwy_request *req)
@@ -120,25 +135,24 @@
 		       const struct bal_choice *choice, int64_t now_us)
 {
 	int64_t left_us = req->deadline_us - now_us;
+	struct adm_numbers n;
 
 	if (left_us < GWY_LEFT_MIN_US)
 		return req->may_have_run ? FS_E_DEADLINE : FS_E_DEADLINE_QUEUED;
 	if (!choice->target)
 		return choice->full ? FS_E_QUEUE_FULL : FS_E_NO_TARGET;
-	if (gwy_choose_too_long(req, choice->wait_us, now_us))
-		return FS_E_WAIT_TOO_LONG;
-	return 0;
+	n = admission(req, choice, now_us);
+	return adm_decide(&n) == ADM_SEND ? 0 : FS_E_WAIT_TOO_LONG;
 }
 
-/* Keeps a request here for a moment if no target has room, but only while its
- * work can still be done in time. */
-static bool park(struct gwy_request *req, int err, int64_t now_us)
+/* Keeps a request here for a moment if no target has room. */
+static bool park(struct gwy_request *req, const struct bal_choice *choice,
+		 int err, int64_t now_us)
 {
-	int64_t mean_us = lod_mean(req->gwy->lod, gwy_service_name(req));
-	int64_t left_us = req->deadline_us - now_us;
+	struct adm_numbers n = admission(req, choice, now_us);
 
-	req->parked = err == FS_E_QUEUE_FULL &&
-		      (double)left_us > (double)mean_us * PARK_MEANS;
+	req->parked = (err == FS_E_QUEUE_FULL || err == FS_E_WAIT_TOO_LONG) &&
+		      adm_decide(&n) == ADM_HOLD;
 	if (req->parked) {
 		ctr_count(req->gwy->node->ctr, "gwy_parked", 1);
 		gwy_request_timer(req, now_us + PARK_US, now_us);
@@ -198,10 +212,10 @@
 	if (!req->sent)
 		n.budget_milli = RTY_COST_MILLI;
 	err = cannot_send(req, &choice, now_us);
-	if (err == FS_E_QUEUE_FULL)
+	if (err == FS_E_QUEUE_FULL || err == FS_E_WAIT_TOO_LONG)
 		n.usable = 1;
 	if (req->try_count == GWY_TRIES_MAX || !rty_allowed(&n) ||
-	    (err && !park(req, err, now_us))) {
+	    (err && !park(req, &choice, err, now_us))) {
 		req->no_retry = reason(&n);
 		return false;
 	}
@@ -219,8 +233,9 @@
 	int err = cannot_send(req, &choice, now_us);
 
 	if (err) {
-		if (!park(req, err, now_us))
-			gwy_answer_refuse(req, err, come_back(req->gwy),
+		if (!park(req, &choice, err, now_us))
+			gwy_answer_refuse(req, err,
+					  come_back(req, &choice, now_us),
 					  now_us);
 		return;
 	}
@@ -228,8 +243,8 @@
 	if (req->running)
 		set_timer(req, now_us);
 	else
-		gwy_answer_refuse(req, FS_E_NO_TARGET, come_back(req->gwy),
-				  now_us);
+		gwy_answer_refuse(req, FS_E_NO_TARGET,
+				  come_back(req, &choice, now_us), now_us);
 }
 
 void gwy_send_first(struct gwy_request *req, int64_t now_us)
@@ -297,8 +312,12 @@
 		return;
 	}
 	err = final_err(t);
-	gwy_answer_refuse(req, err, req->may_have_run ? 0 : come_back(req->gwy),
-			  now_us);
+	gwy_answer_refuse(
+		req, err,
+		req->may_have_run ?
+			0 :
+			come_back(req, &(struct bal_choice){0}, now_us),
+		now_us);
 }
 
 /* A failure answer is passed on only if no better one can be had. */
