--- a/src/fs_err.c
+++ b/src/fs_err.c
@@ -26,7 +26,7 @@
 	{FS_E_QUEUE_FULL, "queue_full", 503, FS_NOT_RUN,
 	 "Too many requests wait."},
 	{FS_E_WAIT_TOO_LONG, "wait_too_long", 503, FS_NOT_RUN,
-	 "The expected wait passes the deadline."},
+	 "The queue is too long for an answer in time."},
 	{FS_E_DEADLINE_QUEUED, "deadline_queued", 504, FS_NOT_RUN,
 	 "The deadline passed while waiting."},
 	{FS_E_NO_TARGET, "no_target", 503, FS_NOT_RUN,
--- a/src/fs_err.h
+++ b/src/fs_err.h
@@ -24,9 +24,10 @@
 	FS_E_NO_DISPATCHER = -8,     /* no live dispatcher for the service */
 	FS_E_SERVICE_LEAVING = -9,   /* the service is being taken out of use */
 	/* Refusals by the dispatcher before a target has the request */
-	FS_E_NOT_OWNER = -10,	    /* another node dispatches this shard */
-	FS_E_QUEUE_FULL = -11,	    /* too many requests wait */
-	FS_E_WAIT_TOO_LONG = -12,   /* the expected wait passes the deadline */
+	FS_E_NOT_OWNER = -10,  /* another node dispatches this shard */
+	FS_E_QUEUE_FULL = -11, /* too many requests wait */
+	FS_E_WAIT_TOO_LONG =
+		-12, /* the queue is too long for an answer in time */
 	FS_E_DEADLINE_QUEUED = -13, /* the deadline passed while waiting */
 	FS_E_NO_TARGET = -14,	    /* no target may take this request now */
 	FS_E_CONNECT = -15,	    /* the target could not be connected to */
--- a/src/gwy_answer.c
+++ b/src/gwy_answer.c
@@ -31,11 +31,18 @@
 	req->state = GWY_ENDED;
 }
 
-static void add_fields(struct MHD_Response *response, struct tgt *tgt)
+static void add_fields(struct gwy_request *req, struct MHD_Response *response,
+		       struct tgt *tgt)
 {
 	g_autoptr(GArray) headers = tgt_take_headers(tgt);
 	g_autoptr(GArray) kept = ent_end_to_end(headers);
 
+	if (tgt_status(tgt) < 300 &&
+	    !msg_headers_get(kept, req->gwy->fields.target.proof))
+		fs_log_eventf("gwy", G_LOG_LEVEL_CRITICAL, "answer_unproved",
+			      "\"request\":\"%s\",\"fields_read\":%u,"
+			      "\"fields_kept\":%u",
+			      req->id, headers->len, kept->len);
 	for (guint i = 0; i < kept->len; i++) {
 		const struct msg_header *h =
 			&g_array_index(kept, struct msg_header, i);
@@ -88,7 +95,7 @@
 	struct MHD_Response *response = MHD_create_response_from_buffer(
 		size, (void *)data, MHD_RESPMEM_MUST_COPY);
 
-	add_fields(response, t->tgt);
+	add_fields(req, response, t->tgt);
 	if (t->status < 300)
 		note_size(req, (int64_t)size);
 	req->status = t->status;
@@ -162,7 +169,7 @@
 		length < 0 ? MHD_SIZE_UNKNOWN : (uint64_t)length, BLOCK_SIZE,
 		read_body, req, NULL);
 
-	add_fields(response, t->tgt);
+	add_fields(req, response, t->tgt);
 	if (length > 0)
 		note_size(req, length);
 	req->state = GWY_STREAMING;
--- a/src/tgt.h
+++ b/src/tgt.h
@@ -63,13 +63,15 @@
 
 /**
  * How targets of a platform differ from those of the fleet's own interface.
- * They name an answer by the caller's request id, may end a body with its
+ * They name an answer by the caller's request id and prove a success, may end a body with its
  * connection, and may send bytes behind an answer that is whole; a connection
  * with such bytes is not used again.
  */
 struct tgt_dialect {
 	const char *request_id;	 /* header field, echoed by the target */
 	const char *deadline_ms; /* header field: what is left, in ms */
+	const char *proof;	 /* header field that only a target's own
+				  * success bears */
 	long idle_s;		 /* kept connections are used for so long */
 	int64_t connect_us;	 /* longest time to connect */
 };
--- a/src/tgt_answer.c
+++ b/src/tgt_answer.c
@@ -77,8 +77,11 @@
 	if (tgt_has_body(tgt) && !tgt->chunked && tgt->length < 0 &&
 	    !tgt->dialect)
 		tgt->invalid = true;
-	/* A success that does not name its request may be anybody's. */
-	if (tgt->dialect && !tgt->named && tgt->status < 300)
+	/* A success that does not name its request, or bears no proof, may be
+	 * anybody's. */
+	if (tgt->dialect && tgt->status < 300 &&
+	    (!tgt->named ||
+	     !msg_headers_get(tgt->headers, tgt->dialect->proof)))
 		tgt->invalid = true;
 }
 
--- a/tests/unit_gwy.c
+++ b/tests/unit_gwy.c
@@ -81,7 +81,8 @@
 {
 	(void)arg;
 	(void)request;
-	fake_send_text(conn, "HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\nunframed");
+	fake_send_text(conn, "HTTP/1.1 200 OK\r\nX-Id: r1\r\n"
+			     "X-Seal: z\r\n\r\nunframed");
 	fake_close_after(conn);
 }
 
@@ -94,6 +95,16 @@
 			     "Content-Length: 1\r\n\r\nx");
 }
 
+/* A success that names the request, without the target's proof. */
+static void serve_unproved(void *arg, struct fake_conn *conn,
+			   const struct fake_request *request)
+{
+	(void)arg;
+	(void)request;
+	fake_send_text(conn, "HTTP/1.1 200 OK\r\nX-Id: r1\r\n"
+			     "Content-Length: 5\r\n\r\nhello");
+}
+
 static void test_whole_answer(void)
 {
 	const struct fake_request *r;
@@ -216,6 +227,16 @@
 }
 
 /* The answer comes when the route's time is over, not later. */
+static void test_success_without_proof_is_not_given(void)
+{
+	begin();
+	yard_target(&y, "pay", serve_unproved, NULL);
+	yard_call(&y, &c, PAY);
+	yard_expect(&y, &c, 502);
+	g_assert_cmpuint(yard_arrivals(&y), ==, 1);
+	end();
+}
+
 static void test_time_of_the_route(void)
 {
 	int64_t start_us;
@@ -354,6 +375,8 @@
 			test_caller_gone_ends_the_work);
 	g_test_add_func("/gwy/stream_ends_other_sends",
 			test_stream_ends_other_sends);
+	g_test_add_func("/gwy/success_without_proof_is_not_given",
+			test_success_without_proof_is_not_given);
 	g_test_add_func("/gwy/no_route", test_no_route);
 	g_test_add_func("/gwy/not_ready_refuses", test_not_ready_refuses);
 	g_test_add_func("/gwy/pipelined_answers_keep_their_order",
