--- a/src/gwy_choose.c
+++ b/src/gwy_choose.c
@@ -9,7 +9,7 @@
  * more than this. Bytes between domains are dear: an answer of 90 kB costs the
  * dearer deployment three requests' worth, and waits for its own domain. */
 #define CROSS_US (120 * FS_US_PER_MS)
-#define CROSS_BYTE_US 20
+#define CROSS_BYTE_US 60
 #define OBJECTIVE_DEFAULT_US FS_US_PER_S /* of routes that tell none */
 
 /* A wait that is expected to be longer than what is left by this much can't be
--- a/src/lod_hub.c
+++ b/src/lod_hub.c
@@ -178,7 +178,8 @@
 	}
 }
 
-/* Sends a digest to the hubs of the other domains. */
+/* Sends a digest to the hubs of the other domains; to the second choice, which
+ * only listens as long as the first one speaks, now and then. */
 static void publish_far(struct lod *lod, const GByteArray *data)
 {
 	g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
@@ -192,7 +193,8 @@
 			continue;
 		mem_view_first(lod->view, domain, hubs);
 		lod_send(lod, data, hubs[0]);
-		lod_send(lod, data, hubs[1]);
+		if (lod->digests % LOD_SECOND_HUB == 0)
+			lod_send(lod, data, hubs[1]);
 	}
 }
 
@@ -210,6 +212,7 @@
 	if (!lod_wire_encode(&packet, lod->node->set.fleet_key, data)) {
 		lod_send_domain(lod, data);
 		publish_far(lod, data);
+		lod->digests++;
 	}
 	lod_take_digest(lod, &packet, now_us);
 	lod_packet_clear(&packet);
--- a/src/lod_impl.h
+++ b/src/lod_impl.h
@@ -23,6 +23,9 @@
  * so that it sends at most five hundred urgent datagrams a second. */
 #define LOD_URGENT_DIGEST_US (40 * FS_US_PER_MS)
 #define LOD_URGENT_PEER_US (2 * FS_US_PER_MS)
+/* Of the digests for another domain, the second choice there gets one in so
+ * many: with five a second the news is no older than its silence. */
+#define LOD_SECOND_HUB 4u
 /* What the feed task told is not told on once it is older than this. */
 #define LOD_FEED_US (300 * FS_US_PER_MS)
 /* The second choice speaks when the hub was silent for so long. */
@@ -95,6 +98,7 @@
 	struct lod_queue hub_evidence; /* to be told */
 	GHashTable *hub_sends;	       /* service hash to struct lod_sends */
 	int64_t digest_us;
+	uint32_t digests;     /* sent so far */
 	int64_t hub_heard_us; /* last digest of this domain's hub */
 	struct lod_feed feed; /* of this node's feed task */
 	int64_t feed_us;      /* when it was told */
