--- a/src/bal.c
+++ b/src/bal.c
@@ -44,7 +44,7 @@
 #define FLOOR_IDLE_US (1500 * FS_US_PER_MS)
 #define FLOOR_FAILED_US (2000 * FS_US_PER_MS)
 #define FLOOR_IDLE_SHARE 0.28
-#define FLOOR_IDLE_SHARE_FAILING 0.2
+#define FLOOR_IDLE_SHARE_FAILING 0.05
 #define FLOOR_TRIAL_US (1000 * FS_US_PER_MS)
 #define UNSERVED_MANY 0.07
 /* Among targets that are equally doubtful chance decides. */
--- /dev/null
+++ b/tests/soak/caller.py
@@ -0,0 +1,126 @@
+"""Callers: they ask the fleet where to connect, keep the answer for a while,
+and note how each request ended."""
+
+import asyncio
+import time
+
+import wire
+from target import body_of, seal_of
+
+KEEP_S = 2.0  # an answer of /resolve
+TRY_S = 1.0  # for each node asked, and for a new connection
+LATE_S = 0.5  # an answer may come so long after its deadline
+
+
+class Request:
+    """One request and how it ended: a status, "closed" or "silent"."""
+
+    def __init__(self, request_id, kind, node, deadline_s):
+        self.id, self.kind, self.node, self.deadline_s = request_id, kind, node, deadline_s
+        self.incarnation = node.incarnation
+        self.sent = time.monotonic()
+        self.ended = None
+        self.end = None
+        self.whole = None  # of a success: its own whole answer
+
+
+class Caller:
+    """One client; zone and kept connections are its own."""
+
+    def __init__(self, world, zone):
+        self.world, self.zone = world, zone
+        self.addresses, self.asked = [], 0.0
+        self.kept = {}  # address to (reader, writer)
+
+    async def resolve(self):
+        if self.addresses and time.monotonic() - self.asked < KEEP_S:
+            return
+        nodes = list(self.world.nodes)
+        self.world.rng.shuffle(nodes)
+        for node in nodes[:3]:
+            try:
+                status, body = await asyncio.wait_for(
+                    ask(node.ip, node.directory, "/resolve?name=h&region=r&zone=" + self.zone),
+                    TRY_S,
+                )
+            except (wire.Broken, OSError, asyncio.TimeoutError):
+                continue
+            if status == 200:
+                self.addresses = wire_json(body)["addrs"]
+                self.asked = time.monotonic()
+                for address in [a for a in self.kept if a not in self.addresses]:
+                    self.kept.pop(address)[1].close()
+                return
+
+    async def _connection(self, address, fresh):
+        kept = None if fresh else self.kept.pop(address, None)
+        if kept:
+            return kept
+        ip, port = address.split(":")
+        return await asyncio.wait_for(asyncio.open_connection(ip, int(port), limit=1 << 20), TRY_S)
+
+    async def send(self, kind, path, method, body=b"", deadline_s=3.0, leave_s=None):
+        """Sends one request; leave_s: hangs up after that time."""
+        await self.resolve()
+        if not self.addresses:
+            return None
+        address = self.world.rng.choice(self.addresses)
+        node = self.world.node_at(address)
+        request = Request("%016x" % self.world.rng.getrandbits(64), kind, node, deadline_s)
+        try:
+            reader, writer = await self._connection(address, method == "POST")
+        except (OSError, asyncio.TimeoutError):
+            self.addresses = [a for a in self.addresses if a != address]
+            return None
+        fields = {
+            "Host": "h.example",
+            "X-Request-Id": request.id,
+            "X-Deadline-Ms": str(int(deadline_s * 1000)),
+        }
+        start = "%s %s HTTP/1.1" % (method, path)
+        request.sent = time.monotonic()
+        request.path, request.method, request.body = path, method, body
+        self.world.requests[request.id] = request
+        try:
+            writer.write(wire.message(start, fields, body))
+            limit = leave_s or deadline_s + 2.0
+            await asyncio.wait_for(self._read(request, address, reader, writer), limit)
+        except (wire.Broken, OSError):
+            request.end = "closed"
+            writer.close()
+        except asyncio.TimeoutError:
+            request.end = "left" if leave_s else "silent"
+            writer.close()
+        request.ended = time.monotonic()
+        self.world.check(request)
+        return request
+
+    async def _read(self, request, address, reader, writer):
+        start, fields = await wire.read_head(reader)
+        body = await wire.read_body(reader, fields, to_end=True)
+        request.end = int(start.split(" ")[1])
+        if 200 <= request.end < 300:
+            request.whole = body == body_of(request.id, request.path) and fields.get(
+                "x-response-seal"
+            ) == seal_of(request.id)
+        if fields.get("connection", "").lower() == "close" or request.method == "POST":
+            writer.close()
+        else:
+            self.kept[address] = (reader, writer)
+
+
+def wire_json(body):
+    import json
+
+    return json.loads(body)
+
+
+async def ask(ip, port, target):
+    """Asks one question on a connection of its own."""
+    reader, writer = await asyncio.open_connection(ip, port)
+    try:
+        writer.write(wire.message("GET %s HTTP/1.1" % target, {"Host": ip}))
+        start, fields = await wire.read_head(reader)
+        return int(start.split(" ")[1]), await wire.read_body(reader, fields)
+    finally:
+        writer.close()
--- /dev/null
+++ b/tests/soak/node.py
@@ -0,0 +1,117 @@
+"""The real program as processes, one a node, each with an address of its own in
+127/8. Signals only go to processes that were started here."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import time
+
+GRACE_S = 6.0
+STARTED_S = 1.0  # until a new process is ready
+
+SETTINGS = """\
+name: "{name}"
+region: "r"
+failure_domain: "{zone}"
+caller_listen: "{ip}:{base}"
+ready_listen: "{ip}:{ready}"
+peer_listen: "{ip}:{peer}"
+resolve_listen: "{ip}:{directory}"
+operator_listen: "{ip}:{operator}"
+load_listen: "{ip}:{load}"
+platform: "127.0.0.1:{store}"
+fleet_key: "fescuesaddle-soak-fleet-key"
+seeds: [{seeds}]
+answer_ttl_ms: {ttl_ms}
+memory_mb: 260
+max_fds: 1024
+stop_grace_s: 6
+retry_ratio: 0.2
+retry_slack: 60
+retry_window_s: 10
+"""
+
+
+class Node:
+    def __init__(self, folder, program, name, zone, ip, base, store, seeds):
+        self.folder, self.program = folder, program
+        self.name, self.zone, self.ip, self.base = name, zone, ip, base
+        self.directory, self.store, self.seeds = base + 3, store, seeds
+        self.ttl_ms = 2000
+        self.process = None
+        self.incarnation = 0
+        self.expected_end = True  # not running, or told to end
+        self.term_at = None
+        self.paused = False
+        self.disturbed_at = 0.0
+        self.log = open(os.path.join(folder, name + ".log"), "ab")
+
+    def write_settings(self):
+        path = os.path.join(self.folder, self.name + ".yaml")
+        text = SETTINGS.format(
+            name=self.name, zone=self.zone, ip=self.ip, base=self.base,
+            ready=self.base + 1, peer=self.base + 2, directory=self.directory,
+            operator=self.base + 4, load=self.base + 5, store=self.store,
+            seeds=",".join('"%s"' % seed for seed in self.seeds), ttl_ms=self.ttl_ms,
+        )
+        with open(path + ".new", "w", encoding="ascii") as out:
+            out.write(text)
+        os.rename(path + ".new", path)
+        return path
+
+    def start(self):
+        env = {"PATH": os.environ["PATH"], "FESCUESADDLE_NODE_FILE": self.write_settings()}
+        self.process = subprocess.Popen([self.program], env=env, stdout=self.log, stderr=self.log)
+        self.incarnation += 1
+        self.expected_end = False
+        self.term_at = None
+        self.disturb()
+
+    def disturb(self):
+        self.disturbed_at = time.monotonic()
+
+    def calm_for(self, seconds):
+        return not (self.paused or self.expected_end) and (
+            time.monotonic() - self.disturbed_at >= seconds
+        )
+
+    def running(self):
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, number):
+        self.disturb()
+        if self.running():
+            self.process.send_signal(number)
+
+    def kill(self):
+        self.expected_end = True
+        self.signal(signal.SIGKILL)
+
+    def pause(self):
+        self.paused = True
+        self.signal(signal.SIGSTOP)
+
+    def resume(self):
+        self.paused = False
+        self.signal(signal.SIGCONT)
+
+    async def stop(self, report):
+        """A planned stop: tells of a process that outlasts its grace time."""
+        self.expected_end = True
+        self.term_at = time.monotonic()
+        self.signal(signal.SIGTERM)
+        while self.running() and time.monotonic() - self.term_at < GRACE_S + 0.5:
+            await asyncio.sleep(0.05)
+        if self.running() and not self.paused:
+            report("STOP", "%s runs %.1f s after SIGTERM" % (self.name, GRACE_S + 0.5))
+        if self.running():
+            self.process.kill()
+
+    def end(self):
+        if self.running():
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+        if self.process:
+            self.process.wait()
+        self.log.close()
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,403 @@
+#!/usr/bin/env python3
+"""A randomized soak of the gateway: real processes, stand-ins around them, faults
+from outside, and the promises of the pages checked from what callers and targets
+see while it runs.
+
+    soak.py PROGRAM --seed N --seconds S [--nodes N] [--keep FOLDER]
+
+Exit 0 if every check held. The same seed draws the same faults; processes and
+the network keep their own time. Faults between nodes are pauses and kills only:
+they gossip directly. The time of day is not changed: that needs privileges.
+"""
+
+import argparse
+import asyncio
+import collections
+import json
+import os
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+from caller import LATE_S, Caller
+from node import Node
+from store import Store
+from target import Target
+
+ZONES = ("a", "b", "c")
+SERVICES = ("list", "pay", "export", "list2")
+TARGETS_A_ZONE = 2
+STABLE_S = 3.0  # of the pages: machines and store without a fault
+DRAIN_S = 2.0  # until nobody sends to a leaving target
+CONFIG_S = 2.0  # until a configuration is in force
+BACK_S = 0.25  # a node that has shown a version does not show an older one
+CALM_END_S = 8.0  # without faults at the end
+SERVED_MIN = 0.9  # of the requests in that calm
+NOT_RUN = (408, 421, 429, 503)
+LAG_MAX_S = 0.15  # a check of times is void while this process itself is late
+RATE = 60  # requests a second
+PAUSE_SHARE = 0.15  # of the faults are followed by a pause
+PAUSE_S = 6.0  # twice the time after which a machine counts as calm
+
+
+class World:
+    def __init__(self, args, folder):
+        self.args, self.folder = args, folder
+        self.rng = random.Random(args.seed)
+        self.store = Store(self.rng)
+        self.nodes, self.targets, self.callers = [], [], []
+        self.requests, self.runs = {}, collections.defaultdict(list)
+        self.work, self.found = {}, []
+        self.count = collections.Counter()
+        self.version, self.acked = 0, []  # (time, version, service of /moved/)
+        self.seen = {}  # (node, incarnation) to (version, time)
+        self.lagged_at = 0.0
+        self.names = 0
+        self.begun = time.monotonic()
+
+    # Checks
+
+    def report(self, rule, text):
+        line = "%7.2f %s: %s" % (time.monotonic() - self.begun, rule, text)
+        self.found.append(line)
+        print(line, flush=True)
+
+    def on_time(self):
+        return time.monotonic() - self.lagged_at > 1.0
+
+    def arrived(self, target, request_id, path, fields):
+        request = self.requests.get(request_id)
+        if not request:
+            self.report("UNASKED", "%s got request %s" % (target.name, request_id))
+            return
+        late = time.monotonic() - (target.leaving_at or time.monotonic())
+        if (
+            late > DRAIN_S
+            and request.sent > target.leaving_at + DRAIN_S
+            and self.store.calm_for(STABLE_S + late)
+            and request.node.calm_for(STABLE_S + late)
+        ):
+            self.report("DRAIN", "%s got %s %.1f s after it drained" % (target.name, request_id, late))
+
+    def ran(self, target, request_id, method, path, body):
+        request = self.requests.get(request_id)
+        runs = self.runs[request_id]
+        runs.append((time.monotonic(), target))
+        if not request:
+            return
+        if (method, path, body) != (request.method, request.path, request.body):
+            self.report("UNASKED", "%s ran a changed %s" % (target.name, request_id))
+        if request.kind == "unsafe" and len(runs) > 1:
+            self.report("TWICE", "%s ran on %s" % (request_id, [t.name for _, t in runs]))
+        if request.kind == "unsafe" and request.end in NOT_RUN:
+            self.report("REFUSED", "%s ran after its %s" % (request_id, request.end))
+        if request.kind == "moved":
+            self.check_config(request, target.service)
+        allowed = {"/list/": ("list",), "/pay/": ("pay",), "/export/": ("export",)}
+        for prefix, services in allowed.items():
+            if path.startswith(prefix) and target.service not in services:
+                self.report("ROUTE", "%s ran %s" % (target.service, path))
+
+    def check_config(self, request, service):
+        now = time.monotonic()
+        version = max(v for _, v, s in self.acked if s == service)
+        key = (request.node.name, request.incarnation)
+        due = [v for at, v, _ in self.acked if at + CONFIG_S < request.sent]
+        calm = request.node.calm_for(STABLE_S + CONFIG_S) and self.store.calm_for(STABLE_S + CONFIG_S)
+        if due and version < max(due) and calm and self.on_time():
+            self.report("CONFIG", "%s shows %d, %d is due" % (request.node.name, version, max(due)))
+        known, at = self.seen.get(key, (0, now))
+        if version < known and request.sent > at + BACK_S and request.node.calm_for(STABLE_S):
+            self.report("CONFIG", "%s went back from %d to %d" % (request.node.name, known, version))
+        if version > known:
+            self.seen[key] = (version, now)
+
+    def check(self, request):
+        node, took = request.node, request.ended - request.sent
+        self.count["%s %s" % (request.kind, request.end)] += 1
+        if request.whole is False:
+            self.report("MIXED", "%s got %s, not its own whole answer" % (request.id, request.end))
+        if request.kind == "unsafe" and request.end in NOT_RUN and self.runs.get(request.id):
+            self.report("REFUSED", "%s got %s and has run" % (request.id, request.end))
+        if request.end in (400, 401, 403, 404, 405, 413, 431):
+            self.report("DENIED", "%s got %s at %s" % (request.id, request.end, node.name))
+        same = node.incarnation == request.incarnation and node.running() and not node.paused
+        late = took - request.deadline_s
+        if late > LATE_S and same and node.calm_for(took + STABLE_S) and self.on_time():
+            self.report("LATE", "%s ended %.2f s late at %s" % (request.id, late, node.name))
+        stopped = node.term_at and request.sent < node.term_at and same
+        if request.end == "closed" and stopped and took < request.deadline_s * 0.7:
+            bad = [t for _, t in self.runs.get(request.id, []) if t.fault or not t.alive]
+            if not bad and not request.path.startswith("/export/"):
+                self.report("LOST", "%s cut by the stop of %s" % (request.id, node.name))
+
+    # The world
+
+    def node_at(self, address):
+        ip = address.split(":")[0]
+        return next(n for n in self.nodes if n.ip == ip)
+
+    def configure(self, moved):
+        """Writes a version that sends /moved/ to a service."""
+        self.version += self.rng.randrange(1, 5)
+        columns = ["name", "host", "prefix", "kind", "service", "timeout_ms",
+                   "target_latency_ms", "max_attempts", "priority"]
+        rows = [
+            ["r-list", "h.example", "/list/", "safe", "list", 4000, 1000, 3, 1],
+            ["r-pay", "h.example", "/pay/", "unsafe", "pay", 4000, 1000, 3, 0],
+            ["r-export", "h.example", "/export/", "download", "export", 4000, 1500, 2, 2],
+            ["r-moved", "h.example", "/moved/", "safe", moved, 4000, 1000, 2, 2],
+        ]
+        value = {
+            "version": self.version,
+            "routes": {"columns": columns, "rows": rows},
+            "services": {"columns": ["name", "health_path"],
+                         "rows": [[s, "/health"] for s in SERVICES]},
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 20,
+                       "header_timeout_ms": 10000, "idle_timeout_ms": 20000},
+        }
+        if self.store.put("op/config", json.dumps(value)):
+            self.acked.append((time.monotonic(), self.version, moved))
+        else:
+            self.version -= 1
+
+    def next_moved(self):
+        """Each version moves the route on, so that the service tells it."""
+        name = "moved%d" % len(self.acked)
+        return name
+
+    async def add_target(self, service, zone, port=0):
+        self.names += 1
+        target = Target(self, "t%d" % self.names, service, zone)
+        await target.start(port)
+        self.targets.append(target)
+        return target
+
+    async def start(self):
+        base = 20000 + self.rng.randrange(0, 3000) * 8
+        for service in ("list", "pay", "export"):
+            for zone in ZONES:
+                for _ in range(TARGETS_A_ZONE):
+                    await self.add_target(service, zone)
+        await self.move()
+        ips = ["127.%d.%d.%d" % (1 + i % 3, self.args.seed % 250, 1 + i // 3)
+               for i in range(self.args.nodes)]
+        seeds = ["%s:%d" % (ip, base + 2) for ip in ips[:3]]
+        for i, ip in enumerate(ips):
+            name = "n%d" % i
+            port = await self.store.serve(name)
+            node = Node(self.folder, os.path.abspath(self.args.program), name, ZONES[i % 3],
+                        ip, base, port, seeds)
+            node.start()
+            self.nodes.append(node)
+        for i in range(12):
+            self.callers.append(Caller(self, ZONES[i % 3]))
+
+    async def move(self):
+        """A new version, and a target for the service that is new with it."""
+        service = self.next_moved()
+        global SERVICES
+        if service not in SERVICES:
+            SERVICES = SERVICES + (service,)
+            await self.add_target(service, self.rng.choice(ZONES))
+            await asyncio.sleep(1.5)  # its entry is known before it is used
+        self.configure(service)
+
+    async def load(self, until):
+        kinds = (("safe", "/list/1", "GET"), ("unsafe", "/pay/1", "POST"),
+                 ("download", "/export/1", "GET"), ("moved", "/moved/1", "GET"))
+        tasks = set()
+        while time.monotonic() < until:
+            kind, path, method = self.rng.choices(kinds, (5, 5, 1, 2))[0]
+            caller = self.rng.choice(self.callers)
+            leave_s = self.rng.uniform(0.01, 0.2) if self.rng.random() < 0.02 else None
+            body = b"x" * self.rng.randrange(0, 3000) if method == "POST" else b""
+            task = asyncio.ensure_future(caller.send(kind, path, method, body, leave_s=leave_s))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            await asyncio.sleep(self.rng.expovariate(RATE))
+        if tasks:
+            await asyncio.wait(tasks, timeout=8)
+
+    async def watch(self, until):
+        """Finds processes that end by themselves, and lateness of this one."""
+        while time.monotonic() < until:
+            at = time.monotonic()
+            await asyncio.sleep(0.05)
+            if time.monotonic() - at > 0.05 + LAG_MAX_S:
+                self.lagged_at = time.monotonic()
+            for node in self.nodes:
+                if not node.running() and not node.expected_end:
+                    self.report("EXIT", "%s ended with %s" % (node.name, node.process.returncode))
+                    node.expected_end = True
+                    node.start()
+
+    # Faults
+
+    def pick_nodes(self, share):
+        up = [n for n in self.nodes if n.running() and not n.expected_end]
+        return self.rng.sample(up, min(len(up), max(1, int(len(self.nodes) * share))))
+
+    async def fault_kill(self):
+        nodes = self.pick_nodes(self.rng.choice((0.1, 0.5, 1.0)))
+        for node in nodes:
+            node.kill()
+        await asyncio.sleep(self.rng.uniform(0.3, 1.5))
+        for node in nodes:
+            node.process.wait()
+            node.start()
+
+    async def fault_pause(self):
+        nodes = self.pick_nodes(self.rng.choice((0.1, 0.3)))
+        for node in nodes:
+            node.pause()
+        await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+        for node in nodes:
+            node.resume()
+
+    async def fault_stop(self):
+        for node in self.pick_nodes(self.rng.choice((0.1, 0.4))):
+            if node.expected_end:
+                continue  # another fault has taken it meanwhile
+            await node.stop(self.report)
+            node.process.wait()
+            node.start()
+            await asyncio.sleep(self.rng.uniform(0, 0.5))
+
+    async def fault_settings(self):
+        for node in self.pick_nodes(0.5):
+            node.ttl_ms = self.rng.choice((1000, 2000, 3000))
+            node.write_settings()
+            if self.rng.random() < 0.7 and not node.expected_end:
+                node.signal(signal.SIGHUP)
+
+    async def fault_store(self):
+        store, how = self.store, self.rng.choice(("reset", "silent", "503"))
+        what = self.rng.choice(("down", "refused", "slow", "lost", "compact"))
+        if what == "down":
+            store.down = how
+        elif what == "refused":
+            store.refused = {n.name: how for n in self.pick_nodes(0.5)}
+        elif what == "slow":
+            store.slow_s = self.rng.uniform(0.1, 0.5)
+        elif what == "lost":
+            store.lost = 0.3
+        else:
+            store.compact()
+        await asyncio.sleep(self.rng.uniform(1.0, 5.0))
+        store.down, store.refused, store.slow_s, store.lost = None, {}, 0.0, 0.0
+        store.disturbed_at = time.monotonic()
+
+    def pick_target(self):
+        up = [t for t in self.targets
+              if t.alive and not t.leaving_at and t.service in ("list", "pay", "export")]
+        return self.rng.choice(up)
+
+    async def fault_target(self):
+        target = self.pick_target()
+        target.share = self.rng.choice((0.1, 0.6, 1.0))
+        target.fault = self.rng.choice(Target.FAULTS)
+        await asyncio.sleep(self.rng.uniform(1.0, 6.0))
+        target.fault = None
+
+    async def fault_target_crash(self):
+        target = self.pick_target()
+        await target.crash(forget=self.rng.random() < 0.5)
+        await asyncio.sleep(self.rng.uniform(0.2, 3.0))
+        again = Target(self, target.name, target.service, target.zone)
+        again.born = int(time.time() * 1000)
+        if self.rng.random() < 0.5:
+            self.names += 1
+            again.name = "t%d" % self.names
+            self.store.delete("servers/" + target.name)
+        await again.start(target.port if self.rng.random() < 0.3 else 0)
+        self.targets.append(again)
+
+    async def fault_target_leaves(self):
+        target = self.pick_target()
+        await self.add_target(target.service, target.zone)
+        await asyncio.sleep(1.0)
+        await target.leave()
+
+    async def fault_junk(self):
+        self.store.put("servers/junk", self.rng.choice(("{", "[]", '{"service":1}', "\xff")))
+
+    async def fault_config(self):
+        await self.move()
+
+    async def faults(self, until):
+        kinds = [getattr(self, name) for name in sorted(dir(self)) if name.startswith("fault_")]
+        tasks = set()
+        while time.monotonic() < until:
+            fault = self.rng.choice(kinds)
+            print("%7.2f fault %s" % (time.monotonic() - self.begun, fault.__name__), flush=True)
+            self.count[fault.__name__] += 1
+            task = asyncio.ensure_future(self.guard(fault))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            # Faults come in series; between them some promises can be checked.
+            pause = PAUSE_S if self.rng.random() < PAUSE_SHARE else 0.0
+            await asyncio.sleep(pause + self.rng.uniform(0.2, 1.5))
+        if tasks:
+            await asyncio.wait(tasks)
+
+    async def guard(self, fault):
+        try:
+            await fault()
+        except Exception as error:  # a fault that fails is a fault of the soak
+            self.report("SOAK", "%s: %r" % (fault.__name__, error))
+
+    async def run(self):
+        await self.start()
+        await asyncio.sleep(4.0)
+        now = time.monotonic()
+        ends = now + self.args.seconds
+        watch = asyncio.ensure_future(self.watch(ends))
+        load = asyncio.ensure_future(self.load(ends))
+        await self.faults(ends - CALM_END_S - 6.0)
+        calm = time.monotonic() + 4.0
+        await load
+        await watch
+        calm_requests = [r for r in self.requests.values() if r.sent > calm and r.end != "left"]
+        served = sum(1 for r in calm_requests if r.whole)
+        share = served / max(len(calm_requests), 1)
+        print("calm end: %d of %d served" % (served, len(calm_requests)))
+        if share < SERVED_MIN:
+            self.report("SERVED", "%.2f of the requests after the faults" % share)
+        await self.stop_all()
+
+    async def stop_all(self):
+        await asyncio.gather(*[n.stop(self.report) for n in self.nodes if n.running()])
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("program")
+    parser.add_argument("--seed", type=int, required=True)
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--nodes", type=int, default=6)
+    parser.add_argument("--keep", help="folder for settings and logs")
+    args = parser.parse_args()
+    folder = args.keep or tempfile.mkdtemp(prefix="soak-")
+    os.makedirs(folder, exist_ok=True)
+    world = World(args, folder)
+    try:
+        asyncio.run(world.run())
+    finally:
+        for node in world.nodes:
+            node.end()
+    print(" ".join("%s=%d" % item for item in sorted(world.count.items())))
+    print("seed %d: %d requests, %d found" % (args.seed, len(world.requests), len(world.found)))
+    if world.found:
+        print("logs in %s" % folder)
+        return 1
+    if not args.keep:
+        shutil.rmtree(folder)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/target.py
@@ -0,0 +1,186 @@
+"""Targets as stand-ins. Each runs in the soak's process, notes what it ran, and
+plays faults: failures, hangs, slowness, resets after the work, cut, spoiled,
+foreign and additional answers."""
+
+import asyncio
+import base64
+import hashlib
+import json
+import time
+
+import wire
+
+BEAT_S = 1.5
+QUEUE = 16
+LINGER_S = 6.0  # a leaving target goes on serving for so long
+DOWNLOAD_BYTES = 200_000
+
+
+def seal_of(request_id):
+    return hashlib.sha256(b"seal" + request_id.encode()).hexdigest()[:24]
+
+
+def body_of(request_id, path):
+    """The only right body of an answer to this request."""
+    word = hashlib.sha256(request_id.encode()).hexdigest().encode()
+    size = DOWNLOAD_BYTES if "/export/" in path else 300
+    return (word * (size // len(word) + 1))[:size]
+
+
+class Target:
+    def __init__(self, world, name, service, zone, slots=4, work_s=0.08):
+        self.world, self.name, self.service, self.zone = world, name, service, zone
+        self.slots, self.work_s = slots, work_s
+        self.born = int(time.time() * 1000)
+        self.free = asyncio.Semaphore(slots)
+        self.waiting = 0
+        self.fault = None  # one of the kinds in FAULTS
+        self.share = 1.0  # of requests that the fault hits
+        self.leaving_at = None  # when the store took "draining"
+        self.alive = True
+        self.server = None
+        self.writers = set()
+        self.port = 0
+
+    FAULTS = ("errors", "hang", "slow", "reset", "lost", "cut", "foreign", "extra", "unproved")
+
+    async def start(self, port=0):
+        self.server = await asyncio.start_server(self._connection, "127.0.0.1", port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.beat_task = asyncio.ensure_future(self._beat())
+
+    def entry(self, state):
+        return json.dumps(
+            {
+                "service": self.service,
+                "address": "127.0.0.1:%d" % self.port,
+                "zone": self.zone,
+                "version": "v1",
+                "capacity": self.slots,
+                "state": state,
+                "cold_left_ms": 0,
+                "call_seq": 1,
+                "born": self.born,
+            }
+        )
+
+    async def _beat(self):
+        while self.alive:
+            state = "draining" if self.leaving_at else "ready"
+            key = "servers/" + self.name
+            known = self.world.store.items.get(key)
+            if not known or self._differs(known, state):
+                self.world.store.put(key, self.entry(state))
+            await asyncio.sleep(BEAT_S)
+
+    def _differs(self, known, state):
+        return json.loads(base64.b64decode(known["value"])) != json.loads(self.entry(state))
+
+    async def leave(self):
+        """Reports that it drains, serves on for a while, and ends."""
+        while not self.world.store.put("servers/" + self.name, self.entry("draining")):
+            await asyncio.sleep(0.3)
+        self.leaving_at = time.monotonic()
+        await asyncio.sleep(LINGER_S)
+        while self.world.work.get(self.name):
+            await asyncio.sleep(0.1)
+        await self.crash()
+
+    async def crash(self, forget=True):
+        self.alive = False
+        self.beat_task.cancel()
+        self.server.close()
+        for writer in list(self.writers):
+            wire.reset(writer)
+        if forget:
+            while not self.world.store.delete("servers/" + self.name):
+                await asyncio.sleep(0.3)
+
+    async def _connection(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while self.alive:
+                start, fields = await wire.read_head(reader)
+                body = await wire.read_body(reader, fields)
+                if not await self._serve(start, fields, body, reader, writer):
+                    return
+        except (wire.Broken, OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def _send(self, writer, status, fields, body=b""):
+        writer.write(wire.message("HTTP/1.1 %d X" % status, fields, body))
+
+    async def _serve(self, start, fields, body, reader, writer):
+        method, path = start.split(" ")[:2]
+        request_id = fields.get("x-request-id", "")
+        base = {"X-Request-Id": request_id, "X-Instance-Id": self.name}
+        if fields.get("x-expect-instance", self.name) != self.name:
+            self._send(writer, 421, base)
+            return True
+        if not request_id:
+            self._send(writer, 400, {"X-Not-Executed": "1"})
+            return True
+        self.world.arrived(self, request_id, path, fields)
+        if self.waiting >= QUEUE:
+            self._send(writer, 503, dict(base, **{"X-Not-Executed": "1"}))
+            return True
+        self.waiting += 1
+        try:
+            await self.free.acquire()
+        finally:
+            self.waiting -= 1
+        self.world.work[self.name] = self.world.work.get(self.name, 0) + 1
+        try:
+            return await self._run(method, path, request_id, fields, body, base, reader, writer)
+        finally:
+            self.world.work[self.name] -= 1
+            self.free.release()
+
+    async def _run(self, method, path, request_id, fields, body, base, reader, writer):
+        fault = self.fault if self.world.rng.random() < self.share else None
+        self.world.ran(self, request_id, method, path, body)
+        left_s = int(fields.get("x-deadline-ms", "10000")) / 1000
+        work_s = self.work_s * self.world.rng.uniform(0.5, 1.5)
+        if fault == "errors":
+            self._send(writer, 500, dict(base, **{"X-Response-Seal": seal_of(request_id)}))
+            return True
+        if fault == "reset":
+            wire.reset(writer)
+            return False
+        if fault == "hang":
+            work_s = left_s
+        elif fault == "slow":
+            work_s *= 8
+        gone = asyncio.ensure_future(reader.read(1))
+        done, _ = await asyncio.wait([gone], timeout=min(work_s, left_s))
+        if done:  # the caller left, or sent what it may not
+            return False
+        gone.cancel()
+        await asyncio.wait([gone])
+        whole = body_of(request_id, path)
+        proved = dict(base, **{"X-Response-Seal": seal_of(request_id)})
+        if work_s >= left_s:
+            self._send(writer, 504, proved)
+            return False
+        if fault == "lost":
+            wire.reset(writer)
+            return False
+        if fault == "cut":
+            text = wire.message("HTTP/1.1 200 OK", proved, whole)
+            writer.write(text[: self.world.rng.randrange(1, len(text))])
+            await writer.drain()
+            return False
+        if fault == "foreign":
+            self._send(writer, 200, dict(proved, **{"X-Request-Id": "f" * 16}), b"foreign")
+            return False
+        if fault == "unproved":
+            self._send(writer, 200, base, whole)
+            return False
+        self._send(writer, 200, proved, whole)
+        if fault == "extra":
+            self._send(writer, 200, proved, whole)
+        await writer.drain()
+        return True
--- /dev/null
+++ b/tests/soak/wire.py
@@ -0,0 +1,55 @@
+"""A little HTTP/1.1 for the soak: enough to read and write what its processes
+speak. Limits: heads of 64 KiB, bodies with a length, in chunks or to the end."""
+
+import asyncio
+
+HEAD_MAX = 64 * 1024
+
+
+class Broken(Exception):
+    """The peer closed or reset the connection, or sent what is no HTTP."""
+
+
+async def read_head(reader):
+    """Returns the start line and the header fields, names in lower case."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, OSError) as error:
+        raise Broken(str(error)) from error
+    lines = head.decode("latin-1").split("\r\n")
+    fields = {}
+    for line in lines[1:]:
+        name, colon, value = line.partition(":")
+        if colon:
+            fields[name.strip().lower()] = value.strip()
+    return lines[0], fields
+
+
+async def read_body(reader, fields, to_end=False):
+    """Returns a body; one that is cut raises Broken."""
+    try:
+        if "content-length" in fields:
+            return await reader.readexactly(int(fields["content-length"]))
+        if fields.get("transfer-encoding", "").lower() == "chunked":
+            parts = []
+            while True:
+                size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+                parts.append(await reader.readexactly(size))
+                await reader.readexactly(2)
+                if not size:
+                    return b"".join(parts)
+        return await reader.read() if to_end else b""
+    except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, OSError, ValueError) as error:
+        raise Broken(str(error)) from error
+
+
+def message(start, fields, body=b""):
+    """Returns the bytes of a message with a length."""
+    lines = [start] + ["%s: %s" % item for item in fields.items()]
+    lines.append("Content-Length: %d" % len(body))
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def reset(writer):
+    """Closes a connection with a reset."""
+    writer.transport.abort()
