--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 #   make gateway    the users' platform's program alone
 #   make test       all tests; closes with "N passed, N failed"
 #   make test-sanitized  a part of them under ASan and UBSan
+#   make soak SEED=7 SECONDS=60 NODES=6  gateways with faults from outside
 #   make demo       one deployment in separate processes, for a look
 #   make measure    figures as JSON lines
 #   make check      formatter, linters, documentation
@@ -19,6 +20,7 @@
 #   tests/prop_*.cpp                          property tests (RapidCheck)
 #   tests/run_*.c                             GLib tests over real processes
 #   tests/tool_*.c                            demo, measures
+#   tests/soak/                               the fault soak, in Python
 #   examples/*.c                              one feature each
 
 # No built-in rules: they make make search for minutes.
@@ -60,10 +62,10 @@
 PROGS := $(patsubst src/%.c,$(BUILD)/%,$(wildcard $(MAINS))) $(GATEWAY) \
 	$(patsubst tests/%.c,$(BUILD)/%,$(PROG_SRC)) \
 	$(patsubst examples/%.c,$(BUILD)/example_%,$(EXAMPLE_SRC)) \
-	$(patsubst tests/%.cpp,$(BUILD)/%,$(PROP_SRC))
+	$(patsubst tests/%.cpp,$(BUILD)/%,$(PROP_SRC)) $(BUILD)/run_soak
 
 # Where everything is built; the platform wants its own folder.
-.PHONY: all gateway test test-sanitized demo measure check format format-check lint doc clean
+.PHONY: all gateway soak test test-sanitized demo measure check format format-check lint doc clean
 .SECONDARY:
 all: $(PROGS)
 
@@ -107,6 +109,17 @@
 $(BUILD)/%: $(BUILD)/tests/%.cpp.o $(LIB)
 	@$(CXX) $(SAN) -o $@ $^ -lrapidcheck $(LIBS)
 
+$(BUILD)/run_soak: tests/run_soak.sh
+	@install -m 755 $< $@
+
+SEED ?= 1
+SECONDS ?= 60
+NODES ?= 6
+
+soak: $(GATEWAY)
+	python3 tests/soak/soak.py $(GATEWAY) --seed $(SEED) \
+		--seconds $(SECONDS) --nodes $(NODES)
+
 test: all
 	tests/run_all.sh $(BUILD)
 
