--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -145,13 +145,15 @@
 	return adm_decide(&n) == ADM_SEND ? 0 : FS_E_WAIT_TOO_LONG;
 }
 
-/* Keeps a request here for a moment if no target has room. */
+/* Keeps a request here for a moment if no target has room. One that a target
+ * works on is not kept: its own answer may come at any time. */
 static bool park(struct gwy_request *req, const struct bal_choice *choice,
 		 int err, int64_t now_us)
 {
 	struct adm_numbers n = admission(req, choice, now_us);
 
-	req->parked = (err == FS_E_QUEUE_FULL || err == FS_E_WAIT_TOO_LONG) &&
+	req->parked = !req->running &&
+		      (err == FS_E_QUEUE_FULL || err == FS_E_WAIT_TOO_LONG) &&
 		      adm_decide(&n) == ADM_HOLD;
 	if (req->parked) {
 		ctr_count(req->gwy->node->ctr, "gwy_parked", 1);
--- a/tests/unit_gwy.c
+++ b/tests/unit_gwy.c
@@ -4,6 +4,7 @@
 
 #include "fleet_gwy.h"
 #include "fs_log.h"
+#include "gwy_impl.h"
 
 #define FIELDS "Host: h\r\nX-Id: r1\r\nX-Left: 3000\r\n"
 #define PAY "POST /pay/1 HTTP/1.1\r\n" FIELDS "Content-Length: 3\r\n\r\na=1"
@@ -301,6 +302,33 @@
 	end();
 }
 
+/* A second send beside one that runs finds no room: nothing is held for it, so
+ * that the answer which is under way stays the only one. */
+static void test_no_hold_beside_a_running_send(void)
+{
+	struct dir_target *full;
+	GHashTableIter iter;
+	void *req;
+
+	begin();
+	yard_target(&y, "list", serve_nothing, NULL);
+	yard_target(&y, "list", serve_ok, NULL);
+	full = dir_target_find(y.dir, "s1");
+	bal_of(full, fs_now_us())->others = 20;
+	gry_note(&bal_of(full, 0)->gry, GRY_FULL, 1.0, fs_now_us());
+	bal_note_full(full, fs_now_us());
+	yard_call(&y, &c, LIST);
+	yard_until(&y, yard_arrivals(&y) == 1);
+	g_hash_table_iter_init(&iter, y.gwy->requests);
+	g_assert_true(g_hash_table_iter_next(&iter, &req, NULL));
+	g_assert_cmpuint(((struct gwy_request *)req)->running, ==, 1);
+	g_assert_false(gwy_send_again(req, fs_now_us()));
+	g_assert_false(((struct gwy_request *)req)->parked);
+	yard_run(&y, 200 * FS_US_PER_MS);
+	g_assert_cmpuint(((struct gwy_request *)req)->running, ==, 1);
+	end();
+}
+
 static void test_no_route(void)
 {
 	begin();
@@ -377,6 +405,8 @@
 			test_stream_ends_other_sends);
 	g_test_add_func("/gwy/success_without_proof_is_not_given",
 			test_success_without_proof_is_not_given);
+	g_test_add_func("/gwy/no_hold_beside_a_running_send",
+			test_no_hold_beside_a_running_send);
 	g_test_add_func("/gwy/no_route", test_no_route);
 	g_test_add_func("/gwy/not_ready_refuses", test_not_ready_refuses);
 	g_test_add_func("/gwy/pipelined_answers_keep_their_order",
