--- a/src/cnf.c
+++ b/src/cnf.c
@@ -1,16 +1,6 @@
 #include "cnf_priv.h"
 #include "fs_log.h"
 
-/* splitmix64 */
-static uint64_t next_random(struct cnf *cnf)
-{
-	uint64_t z = cnf->random += 0x9e3779b97f4a7c15ULL;
-
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-	z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-	return z ^ (z >> 31);
-}
-
 void cnf_call_end(struct cnf *cnf, struct cnf_call *call, bool ok,
 		  int64_t pause_us, int64_t now_us)
 {
@@ -25,7 +15,7 @@
 	}
 	delay_us = MIN(delay_us, CNF_RETRY_MAX_US);
 	call->next_us = now_us + delay_us / 2 +
-			(int64_t)(next_random(cnf) % (uint64_t)delay_us);
+			(int64_t)(fs_random(&cnf->random) % (uint64_t)delay_us);
 }
 
 static void audit(struct cnf *cnf, enum aud_rule rule, uint64_t version,
--- a/src/fed.c
+++ b/src/fed.c
@@ -2,14 +2,9 @@
 
 #include "fs_log.h"
 
-/* splitmix64 */
 int64_t fed_random(struct fed *fed, int64_t limit)
 {
-	uint64_t z = fed->random += 0x9e3779b97f4a7c15ULL;
-
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-	z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-	return (int64_t)((z ^ (z >> 31)) % (uint64_t)limit);
+	return (int64_t)(fs_random(&fed->random) % (uint64_t)limit);
 }
 
 void fed_take_config(struct fed *fed, const char *text, size_t size,
--- a/src/fs_types.h
+++ b/src/fs_types.h
@@ -38,6 +38,9 @@
 /** Returns the identifier of the node called @p name. */
 node_id fs_node_id(const char *name);
 
+/** Returns the next number of a sequence (splitmix64); not for secrets. */
+uint64_t fs_random(uint64_t *state);
+
 /** Returns whether two requests are the same one. */
 static inline bool req_id_equal(const struct req_id *a, const struct req_id *b)
 {
--- a/src/mem_core.c
+++ b/src/mem_core.c
@@ -7,14 +7,9 @@
 #define PULL_MAX 60 /* members asked for in one datagram */
 #define CONTACTS_MAX FS_NODES_MAX
 
-/* splitmix64 */
 uint64_t mem_random(struct mem_core *core)
 {
-	uint64_t z = core->random += 0x9e3779b97f4a7c15ULL;
-
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-	z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-	return z ^ (z >> 31);
+	return fs_random(&core->random);
 }
 
 uint32_t mem_random_below(struct mem_core *core, uint32_t limit)
