--- a/src/adm.h
+++ b/src/adm.h
@@ -1,12 +1,12 @@
 /**
  * @file adm.h
- * @brief Admission: may a request queue at a target now, is it held here for a
+ * @brief Admission: may a request queue at a target now, is it parked here for a
  * moment, or is it refused? Pure.
  *
  * While callers ask for more than the targets can do, a queue without a bound
  * makes every answer late: the queue stays as long as the load does, and all
  * who come later wait behind it. So a request joins a queue only if its answer
- * is still likely within the route's objective. Whoever can't is held until a
+ * is still likely within the route's objective. Whoever can't is parked until a
  * slot is free, but not for long, and then refused while the caller has time to
  * come back.
  */
@@ -17,7 +17,7 @@
 
 enum adm_verdict {
 	ADM_SEND,
-	ADM_HOLD, /* look again in a moment */
+	ADM_PARK, /* look again in a moment */
 	ADM_REFUSE,
 };
 
@@ -29,8 +29,7 @@
 	int64_t mean_us;      /* mean time of the service's work */
 	int64_t wait_us;      /* for a slot at the best target */
 	bool room;	      /* there is a target that is not full */
-	bool offered;	      /* a target had it already and did not run it, or
-				 it may be repeated */
+	bool offered;	      /* a target had it before, and it may go on */
 };
 
 enum adm_verdict adm_decide(const struct adm_numbers *n);
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -2,7 +2,7 @@
 
 #include "rty.h"
 
-/* Requests that are held until a target has room look for one so often. */
+/* Requests that are parked until a target has room look for one so often. */
 #define PARK_US (50 * FS_US_PER_MS)
 
 /* Callers come back spread over this time, so that they do not meet again. */
@@ -154,7 +154,7 @@
 
 	req->parked = !req->running &&
 		      (err == FS_E_QUEUE_FULL || err == FS_E_WAIT_TOO_LONG) &&
-		      adm_decide(&n) == ADM_HOLD;
+		      adm_decide(&n) == ADM_PARK;
 	if (req->parked) {
 		ctr_count(req->gwy->node->ctr, "gwy_parked", 1);
 		gwy_request_timer(req, now_us + PARK_US, now_us);
--- a/tests/unit_adm.c
+++ b/tests/unit_adm.c
@@ -19,7 +19,7 @@
 	};
 }
 
-/* Load below capacity: nothing is held. */
+/* Load below capacity: nothing is parked. */
 static void test_short_queues_are_joined(void)
 {
 	struct adm_numbers n = fresh(0);
@@ -35,14 +35,14 @@
 {
 	struct adm_numbers n = fresh(1000 * MS);
 
-	g_assert_cmpint(adm_decide(&n), ==, ADM_HOLD);
+	g_assert_cmpint(adm_decide(&n), ==, ADM_PARK);
 	n.age_us = 600 * MS;
 	n.left_us = 2400 * MS;
 	g_assert_cmpint(adm_decide(&n), ==, ADM_REFUSE);
 }
 
-/* A short burst: a held request goes as soon as a slot is free. */
-static void test_held_request_takes_a_free_slot(void)
+/* A short burst: a parked request goes as soon as a slot is free. */
+static void test_parked_request_takes_a_free_slot(void)
 {
 	struct adm_numbers n = fresh(0);
 
@@ -57,7 +57,7 @@
 	struct adm_numbers n = fresh(0);
 
 	n.room = false;
-	g_assert_cmpint(adm_decide(&n), ==, ADM_HOLD);
+	g_assert_cmpint(adm_decide(&n), ==, ADM_PARK);
 	n.age_us = 500 * MS;
 	g_assert_cmpint(adm_decide(&n), ==, ADM_REFUSE);
 }
@@ -71,7 +71,7 @@
 	n.offered = true;
 	n.age_us = 1500 * MS;
 	n.left_us = 1500 * MS;
-	g_assert_cmpint(adm_decide(&n), ==, ADM_HOLD);
+	g_assert_cmpint(adm_decide(&n), ==, ADM_PARK);
 	n.left_us = 400 * MS;
 	g_assert_cmpint(adm_decide(&n), ==, ADM_REFUSE);
 }
@@ -93,8 +93,8 @@
 			test_short_queues_are_joined);
 	g_test_add_func("/adm/queue_does_not_outgrow_the_objective",
 			test_queue_does_not_outgrow_the_objective);
-	g_test_add_func("/adm/held_request_takes_a_free_slot",
-			test_held_request_takes_a_free_slot);
+	g_test_add_func("/adm/parked_request_takes_a_free_slot",
+			test_parked_request_takes_a_free_slot);
 	g_test_add_func("/adm/full_targets_refuse_in_time",
 			test_full_targets_refuse_in_time);
 	g_test_add_func("/adm/turned_away_request_waits_longer",
--- a/tests/unit_gwy.c
+++ b/tests/unit_gwy.c
@@ -302,9 +302,9 @@
 	end();
 }
 
-/* A second send beside one that runs finds no room: nothing is held for it, so
+/* A second send beside one that runs finds no room: the request is not parked, so
  * that the answer which is under way stays the only one. */
-static void test_no_hold_beside_a_running_send(void)
+static void test_no_parking_beside_a_running_send(void)
 {
 	struct dir_target *full;
 	GHashTableIter iter;
@@ -405,8 +405,8 @@
 			test_stream_ends_other_sends);
 	g_test_add_func("/gwy/success_without_proof_is_not_given",
 			test_success_without_proof_is_not_given);
-	g_test_add_func("/gwy/no_hold_beside_a_running_send",
-			test_no_hold_beside_a_running_send);
+	g_test_add_func("/gwy/no_parking_beside_a_running_send",
+			test_no_parking_beside_a_running_send);
 	g_test_add_func("/gwy/no_route", test_no_route);
 	g_test_add_func("/gwy/not_ready_refuses", test_not_ready_refuses);
 	g_test_add_func("/gwy/pipelined_answers_keep_their_order",
