--- a/tests/unit_lod.c
+++ b/tests/unit_lod.c
@@ -175,7 +175,7 @@
 		struct lod_evidence good = outcome(7, GRY_GOOD);
 		struct lod_evidence bad = outcome(7, GRY_BROKEN);
 
-		good.origin = bad.origin = (node_id)(1 + i / 2);
+		good.origin = bad.origin = 1 + (node_id)i / 2;
 		lod_queue_add(&queue, &good, false);
 		lod_queue_add(&queue, &bad, true);
 	}
