--- a/src/fed.c
+++ b/src/fed.c
@@ -65,9 +65,10 @@
 
 static void choose(struct fed *fed, int64_t now_us)
 {
-	bool deaf = now_us - fed->heard_us > FED_DEAF_US &&
-		    now_us - fed->listed_us > FED_LISTED_US;
 	bool was = fed->reading;
+	/* Who has begun goes on until a reader is heard. */
+	bool deaf = now_us - fed->heard_us > FED_DEAF_US &&
+		    (was || now_us - fed->listed_us > FED_LISTED_US);
 
 	if (deaf)
 		fed->deaf_us = now_us;
--- a/tests/unit_fed.c
+++ b/tests/unit_fed.c
@@ -217,6 +217,23 @@
 	end();
 }
 
+/* No reader is heard for long: the node goes on reading for itself, so that a
+ * target which leaves is known as soon as at a reader. */
+static void test_deaf_node_goes_on_reading(void)
+{
+	begin();
+	run(3700 * FS_US_PER_MS);
+	for (int i = 0; i < 4; i++) {
+		g_autofree char *key = g_strdup_printf("t/s%d", i);
+		g_autofree char *id = g_strdup_printf("s%d", i);
+
+		shelf_put(&d.shelf, key, NULL);
+		run(900 * FS_US_PER_MS);
+		g_assert_false(has(id));
+	}
+	end();
+}
+
 static void hear_beat(uint64_t digest, uint64_t version, bool local)
 {
 	struct msg *m = msg_new(MSG_FEED_BEAT, d.node.self, MSG_TASK_CONFIG);
@@ -320,6 +337,8 @@
 	g_test_add_func("/fed/foreign_entry", test_foreign_entry);
 	g_test_add_func("/fed/outage_takes_no_target_away",
 			test_outage_takes_no_target_away);
+	g_test_add_func("/fed/deaf_node_goes_on_reading",
+			test_deaf_node_goes_on_reading);
 	g_test_add_func("/fed/fresh_reader_spares_calls",
 			test_fresh_reader_spares_calls);
 	g_test_add_func("/fed/peers_tell_what_the_store_does_not",
