--- a/src/lod.h
+++ b/src/lod.h
@@ -11,10 +11,12 @@
  * hub falls silent. Hubs follow from membership: there is no election.
  *
  * Outcomes go as evidence, with the node that saw them, not as verdicts: every
- * node judges by itself (gry.h), and discounts a node whose own way is bad.
+ * node judges by itself (gry.h). A hub does not pass on what a node tells of ways
+ * once most of them are bad: that node's own way is. Failures go at once and
+ * first (lod_queue.h).
  *
- * Datagrams may be lost. Counts are told again and again; an outcome that is
- * lost is missed. What a silent domain told lapses after LOD_STALE_US.
+ * Datagrams may be lost. Counts are told again and again, and lapse after
+ * LOD_STALE_US if they are not; an outcome that is lost is missed.
  */
 #ifndef LOD_H
 #define LOD_H
--- a/src/lod_impl.h
+++ b/src/lod_impl.h
@@ -86,7 +86,7 @@
 	int64_t reported_us;
 	/* What is known */
 	GHashTable *domains; /* hash to struct lod_domain */
-	GHashTable *trust;   /* node_id * to double *, see lod_judge.c */
+	GHashTable *trust;   /* as a hub: node_id * to double *, lod_judge.c */
 	GHashTable *means;   /* service name to struct lod_mean */
 	GHashTable *pools;   /* service hash to struct lod_pool */
 	struct bud_rule rule;
