--- a/src/lod_judge.c
+++ b/src/lod_judge.c
@@ -41,10 +41,14 @@
 {
 	struct dir_target *target = dir_target_by_hash(lod->dir, e->target);
 	int64_t now_us = fs_now_us();
+	uint64_t dropped = queue->dropped;
 
 	lod_queue_add(queue, e,
 		      target && gry_failure(&bal_of(target, now_us)->gry,
 					    now_us) > DOUBT);
+	if (queue->dropped > dropped)
+		ctr_count(lod->node->ctr, "lod_evidence_dropped",
+			  queue->dropped - dropped);
 }
 
 /* How far an outcome that another node told counts here. */
