Tell when targets were last sent a request, and log how they are used

Requests that a lost node held leave no log line, so the windows in which FLOOR broke could not be read from logs. Count rows of the load exchange now carry the time since the last send (10 ms steps, at most two bytes a row; a target whose requests have ended is told once more for it). The hub of each domain writes service_use every two seconds, and counts that find no room in a datagram are counted (lod_counts_left). No decision uses the new figures yet.

--- a/src/bal.c
+++ b/src/bal.c
@@ -58,6 +58,7 @@
 	if (!kept) {
 		kept = g_new0(struct bal_target, 1);
 		gry_init(&kept->gry, now_us);
+		kept->sent_us = INT64_MIN / 2;
 		target->judge = kept;
 	}
 	return kept;
--- a/src/bal.h
+++ b/src/bal.h
@@ -27,6 +27,7 @@
 	uint32_t own;	  /* requests of this node there now */
 	uint32_t others;  /* requests of other nodes there, as last told */
 	int64_t used_us;  /* last time that any node is known to use it */
+	int64_t sent_us;  /* last request that any node is known to send */
 	uint32_t full_at; /* requests there when it last refused one */
 };
 
--- a/src/lod.c
+++ b/src/lod.c
@@ -17,13 +17,8 @@
 
 void lod_change(struct lod *lod, struct dir_target *target)
 {
-	void *key = GUINT_TO_POINTER(target->hash);
-
 	lod->changed = true;
-	if (target->judge && bal_of(target, 0)->own)
-		g_hash_table_add(lod->busy, key);
-	else
-		g_hash_table_remove(lod->busy, key);
+	g_hash_table_add(lod->busy, GUINT_TO_POINTER(target->hash));
 }
 
 void lod_outcome(struct lod *lod, struct dir_target *target,
@@ -153,6 +148,18 @@
 		bal_of(target, 0)->used_us = fs_now_us();
 }
 
+static void note_send(struct lod *lod, const struct lod_count *c,
+		      int64_t now_us)
+{
+	struct dir_target *target = dir_target_by_hash(lod->dir, c->target);
+	struct bal_target *kept;
+
+	if (!target || c->sent_ago_us >= LOD_SENT_AGO_MAX_US)
+		return;
+	kept = bal_of(target, now_us);
+	kept->sent_us = MAX(kept->sent_us, now_us - c->sent_ago_us);
+}
+
 static struct lod_domain *domain_of(struct lod *lod, uint32_t hash)
 {
 	void *key = GUINT_TO_POINTER(hash);
@@ -210,6 +217,7 @@
 
 		lod_counts_put(&domain->counts, c->target, c->requests, now_us);
 		set_others(lod, c->target);
+		note_send(lod, c, now_us);
 	}
 	for (guint i = 0; i < packet->evidence->len; i++) {
 		const struct lod_evidence *e = &g_array_index(
@@ -239,7 +247,9 @@
 	ctr_count(lod->node->ctr, "lod_counts_lapsed", lapsed->len);
 }
 
-static void add_own_counts(struct lod *lod, struct lod_packet *packet)
+/* A target without requests is told once, for the time of its last send. */
+static void add_own_counts(struct lod *lod, struct lod_packet *packet,
+			   int64_t now_us)
 {
 	GHashTableIter iter;
 	void *hash;
@@ -249,14 +259,24 @@
 	while (g_hash_table_iter_next(&iter, &hash, NULL)) {
 		struct dir_target *target =
 			dir_target_by_hash(lod->dir, GPOINTER_TO_UINT(hash));
-		struct lod_count c = {GPOINTER_TO_UINT(hash), 0};
+		struct lod_count c = {.target = GPOINTER_TO_UINT(hash)};
 
-		if (!target || packet->counts->len >= LOD_COUNTS_MAX)
+		if (!target) {
+			g_hash_table_iter_remove(&iter);
+			continue;
+		}
+		if (packet->counts->len >= LOD_COUNTS_MAX) {
+			ctr_add(lod->node->ctr, lod->left, 1);
 			continue;
-		c.requests = bal_of(target, 0)->own;
+		}
+		c.requests = bal_of(target, now_us)->own;
+		c.sent_ago_us = now_us - bal_of(target, now_us)->sent_us;
 		g_array_append_val(packet->counts, c);
-		g_hash_table_insert(lod->own, hash,
-				    GUINT_TO_POINTER(c.requests));
+		if (c.requests)
+			g_hash_table_insert(lod->own, hash,
+					    GUINT_TO_POINTER(c.requests));
+		else
+			g_hash_table_iter_remove(&iter);
 	}
 }
 
@@ -279,7 +299,7 @@
 	struct lod_packet packet;
 
 	lod_begin(lod, &packet, LOD_REPORT);
-	add_own_counts(lod, &packet);
+	add_own_counts(lod, &packet, now_us);
 	lod_queue_take(&lod->evidence, packet.evidence, LOD_EVIDENCE_MAX);
 	add_sends(lod, &packet);
 	if (lod->hubs[0] == lod->node->self || lod->hubs[1] == lod->node->self)
@@ -423,6 +443,7 @@
 	lod->flush.data = lod;
 	lod->sent = ctr_counter(node->ctr, "lod_sent_datagrams");
 	lod->received = ctr_counter(node->ctr, "lod_received_datagrams");
+	lod->left = ctr_counter(node->ctr, "lod_counts_left");
 	lod->refused = ctr_counter(node->ctr, "lod_refused_datagrams");
 	bus_attach(node->bus, MSG_TASK_LOAD, &ops, lod);
 	node_add_tick(node, on_tick, lod);
--- a/src/lod_hub.c
+++ b/src/lod_hub.c
@@ -40,6 +40,29 @@
 	return peer;
 }
 
+static struct lod_told *told_of(struct lod *lod, void *target)
+{
+	struct lod_told *told = g_hash_table_lookup(lod->told, target);
+
+	if (!told) {
+		told = g_new0(struct lod_told, 1);
+		told->sent_us = INT64_MIN / 2;
+		g_hash_table_insert(lod->told, target, told);
+	}
+	return told;
+}
+
+static void note_send(struct lod *lod, const struct lod_count *c,
+		      int64_t now_us)
+{
+	struct lod_told *told;
+
+	if (c->sent_ago_us >= LOD_SENT_AGO_MAX_US)
+		return;
+	told = told_of(lod, GUINT_TO_POINTER(c->target));
+	told->sent_us = MAX(told->sent_us, now_us - c->sent_ago_us);
+}
+
 void lod_hub_report(struct lod *lod, const struct lod_packet *packet,
 		    int64_t now_us)
 {
@@ -58,8 +81,11 @@
 		const struct lod_count *c =
 			&g_array_index(packet->counts, struct lod_count, i);
 
-		g_hash_table_insert(peer->counts, GUINT_TO_POINTER(c->target),
-				    GUINT_TO_POINTER(c->requests));
+		if (c->requests)
+			g_hash_table_insert(peer->counts,
+					    GUINT_TO_POINTER(c->target),
+					    GUINT_TO_POINTER(c->requests));
+		note_send(lod, c, now_us);
 	}
 	for (guint i = 0; i < packet->evidence->len; i++) {
 		const struct lod_evidence *e = &g_array_index(
@@ -111,28 +137,24 @@
 	return totals;
 }
 
-static struct lod_told *told_of(struct lod *lod, void *target)
-{
-	struct lod_told *told = g_hash_table_lookup(lod->told, target);
-
-	if (!told) {
-		told = g_new0(struct lod_told, 1);
-		g_hash_table_insert(lod->told, target, told);
-	}
-	return told;
-}
-
 /* Tells what changed, and what was not told for a while. */
 static void add_total(struct lod *lod, struct lod_packet *packet, void *target,
 		      uint32_t requests, int64_t now_us)
 {
 	struct lod_told *told = told_of(lod, target);
-	struct lod_count c = {GPOINTER_TO_UINT(target), requests};
-
-	if ((told->requests == requests &&
-	     now_us - told->at_us < LOD_REPEAT_US) ||
-	    packet->counts->len >= LOD_COUNTS_MAX)
+	struct lod_count c = {
+		.target = GPOINTER_TO_UINT(target),
+		.requests = requests,
+		.sent_ago_us = now_us - told->sent_us,
+	};
+
+	if (told->requests == requests && told->sent_us <= told->at_us &&
+	    now_us - told->at_us < LOD_REPEAT_US)
+		return;
+	if (packet->counts->len >= LOD_COUNTS_MAX) {
+		ctr_add(lod->node->ctr, lod->left, 1);
 		return;
+	}
 	told->requests = requests;
 	told->at_us = now_us;
 	g_array_append_val(packet->counts, c);
@@ -156,7 +178,7 @@
 
 		if (g_hash_table_contains(totals, target))
 			continue;
-		if (told->requests)
+		if (told->requests || told->sent_us > told->at_us)
 			add_total(lod, packet, target, 0, now_us);
 		else if (now_us - told->at_us >= LOD_REPEAT_US)
 			g_hash_table_iter_remove(&iter);
@@ -229,6 +251,7 @@
 		g_hash_table_remove_all(lod->hub_sends);
 		return;
 	}
+	lod_use_log(lod, now_us);
 	if (now_us - lod->digest_us >= LOD_DIGEST_US)
 		tell_digest(lod, now_us);
 }
--- a/src/lod_impl.h
+++ b/src/lod_impl.h
@@ -64,6 +64,7 @@
 struct lod_told {
 	uint32_t requests;
 	int64_t at_us;
+	int64_t sent_us; /* last send in the domain, as reported */
 };
 
 struct lod {
@@ -77,7 +78,7 @@
 	uint32_t serial;
 	/* This node */
 	GHashTable *own;  /* target hash to requests, as last reported */
-	GHashTable *busy; /* target hashes with requests of this node */
+	GHashTable *busy; /* target hashes that the next report tells */
 	struct lod_queue evidence; /* to be reported */
 	ev_timer flush;		   /* tells of failures between ticks */
 	GHashTable *sends;	   /* service hash to struct lod_sends */
@@ -98,11 +99,13 @@
 	struct lod_queue hub_evidence; /* to be told */
 	GHashTable *hub_sends;	       /* service hash to struct lod_sends */
 	int64_t digest_us;
+	int64_t use_logged_us;
 	uint32_t digests;     /* sent so far */
 	int64_t hub_heard_us; /* last digest of this domain's hub */
 	struct lod_feed feed; /* of this node's feed task */
 	int64_t feed_us;      /* when it was told */
 	handle sent, received, refused;
+	handle left; /* counts that found no room in a datagram */
 };
 
 /** Names a service or failure domain in datagrams. */
@@ -130,6 +133,10 @@
 /** Tells of failures, if any wait. @return when to try again, 0: none wait */
 int64_t lod_hub_flush(struct lod *lod, int64_t now_us);
 
+/** Writes a line a service now and then: how its targets are used
+ *  (lod_use.c). */
+void lod_use_log(struct lod *lod, int64_t now_us);
+
 /* Datagrams (lod_net.c) */
 int lod_net_open(struct lod *lod);
 void lod_net_close(struct lod *lod);
--- /dev/null
+++ b/src/lod_use.c
@@ -0,0 +1,82 @@
+#include "fs_log.h"
+#include "lod_impl.h"
+
+/* The lines of hubs stay few beside those of requests. */
+#define USE_LOG_US (2 * FS_US_PER_S)
+/* A target that nobody sent a request for so long has no share of the work. */
+#define USE_IDLE_US (2 * FS_US_PER_S)
+
+/** How the targets of one service are used. */
+struct use {
+	uint32_t targets; /* that are not leaving */
+	uint32_t idle;	  /* no send known for USE_IDLE_US */
+	uint32_t idle_at_work;
+	uint32_t idle_suspected;
+	uint32_t suspected;
+};
+
+struct survey {
+	GHashTable *uses; /* service name to struct use */
+	int64_t now_us;
+};
+
+static struct use *use_of(struct survey *survey, const char *service)
+{
+	struct use *use = g_hash_table_lookup(survey->uses, service);
+
+	if (!use) {
+		use = g_new0(struct use, 1);
+		g_hash_table_insert(survey->uses, (void *)service, use);
+	}
+	return use;
+}
+
+static void add_target(void *arg, const struct dir_target *target)
+{
+	struct survey *survey = arg;
+	const struct bal_target *kept = target->judge;
+	bool suspected = kept && gry_is_suspect(&kept->gry, survey->now_us);
+	struct use *use;
+
+	if (target->entry.leaving)
+		return;
+	use = use_of(survey, target->entry.service);
+	use->targets++;
+	use->suspected += suspected;
+	if (kept && survey->now_us - kept->sent_us <= USE_IDLE_US)
+		return;
+	use->idle++;
+	use->idle_at_work += kept && kept->own + kept->others > 0;
+	use->idle_suspected += suspected;
+}
+
+void lod_use_log(struct lod *lod, int64_t now_us)
+{
+	g_autoptr(GHashTable) uses =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	struct survey survey = {uses, now_us};
+	GHashTableIter iter;
+	void *service;
+	void *value;
+
+	if (now_us - lod->use_logged_us < USE_LOG_US)
+		return;
+	lod->use_logged_us = now_us;
+	dir_each(lod->dir, add_target, &survey);
+	g_hash_table_iter_init(&iter, uses);
+	while (g_hash_table_iter_next(&iter, &service, &value)) {
+		const struct use *use = value;
+
+		fs_log_eventf("lod", G_LOG_LEVEL_INFO, "service_use",
+			      "\"service\":\"%s\",\"targets\":%u,"
+			      "\"idle\":%u,\"idle_at_work\":%u,"
+			      "\"idle_suspected\":%u,\"suspected\":%u,"
+			      "\"requests_per_s\":%.1f,\"unserved\":%.3f,"
+			      "\"counts_left\":%" G_GUINT64_FORMAT,
+			      (const char *)service, use->targets, use->idle,
+			      use->idle_at_work, use->idle_suspected,
+			      use->suspected, lod_rate(lod, service, now_us),
+			      lod_unserved(lod, service),
+			      ctr_get(lod->node->ctr, lod->left));
+	}
+}
--- a/src/lod_wire.c
+++ b/src/lod_wire.c
@@ -41,13 +41,16 @@
 
 static void put_lists(msgpack_packer *packer, const struct lod_packet *packet)
 {
-	msgpack_pack_array(packer, (size_t)2 * packet->counts->len);
+	msgpack_pack_array(packer, (size_t)3 * packet->counts->len);
 	for (guint i = 0; i < packet->counts->len; i++) {
 		const struct lod_count *c =
 			&g_array_index(packet->counts, struct lod_count, i);
 
 		put(packer, c->target);
 		put(packer, c->requests);
+		put(packer,
+		    (uint64_t)(CLAMP(c->sent_ago_us, 0, LOD_SENT_AGO_MAX_US) /
+			       LOD_SENT_AGO_STEP_US));
 	}
 	msgpack_pack_array(packer, (size_t)5 * packet->evidence->len);
 	for (guint i = 0; i < packet->evidence->len; i++) {
@@ -137,13 +140,17 @@
 
 static void get_counts(struct reader *r, struct lod_packet *packet)
 {
-	struct reader list = get_list(r, 2);
+	struct reader list = get_list(r, 3);
 
 	while (!list.bad && list.left) {
 		struct lod_count c = {0};
 
 		c.target = (uint32_t)get(&list, UINT32_MAX);
 		c.requests = (uint32_t)get(&list, REQUESTS_MAX);
+		c.sent_ago_us =
+			(int64_t)get(&list, LOD_SENT_AGO_MAX_US /
+						    LOD_SENT_AGO_STEP_US) *
+			LOD_SENT_AGO_STEP_US;
 		g_array_append_val(packet->counts, c);
 	}
 	r->bad |= list.bad;
--- a/src/lod_wire.h
+++ b/src/lod_wire.h
@@ -20,6 +20,8 @@
 struct lod_count {
 	uint32_t target; /* dir_target.hash */
 	uint32_t requests;
+	int64_t sent_ago_us; /* since the last send; from LOD_SENT_AGO_MAX_US
+			      * on: not told */
 };
 
 /** Outcomes at a target, seen by one node. */
@@ -59,6 +61,11 @@
 	GArray *sends;	      /* struct lod_sends */
 };
 
+/** Sends are told in these steps, and as not told beyond the last step: this
+ *  takes at most two bytes of each row. */
+#define LOD_SENT_AGO_STEP_US (10 * FS_US_PER_MS)
+#define LOD_SENT_AGO_MAX_US (255 * LOD_SENT_AGO_STEP_US)
+
 /** Room for rows in one datagram, by their largest size. */
 #define LOD_COUNTS_MAX 48
 #define LOD_EVIDENCE_MAX 24
--- a/tests/unit_lod.c
+++ b/tests/unit_lod.c
@@ -11,7 +11,7 @@
 
 static void fill(struct lod_packet *packet)
 {
-	struct lod_count count = {7, 3};
+	struct lod_count count = {7, 3, 120 * FS_US_PER_MS};
 	struct lod_evidence evidence = {
 		.origin = UINT64_MAX,
 		.target = 7,
@@ -84,7 +84,7 @@
 
 	fill(&packet);
 	for (int i = 1; i < LOD_COUNTS_MAX; i++) {
-		struct lod_count c = {UINT32_MAX, 1000};
+		struct lod_count c = {UINT32_MAX, 1000, LOD_SENT_AGO_MAX_US};
 
 		g_array_append_val(packet.counts, c);
 	}
