Tell the counts first that were told longest ago

A digest has room for 48 counts and took them in the order of a hash table: while more change than that, the same targets were left out each time, and nodes took them for idle or busy until their counts lapsed.

Which counts go is now decided by age, in a function of its own; unit_lod every_count_gets_its_turn fails when the order by age is taken out.

--- a/src/lod_counts.c
+++ b/src/lod_counts.c
@@ -59,3 +59,22 @@
 		g_hash_table_iter_remove(&iter);
 	}
 }
+
+static int by_age(const void *a, const void *b)
+{
+	const struct lod_waiting *x = a;
+	const struct lod_waiting *y = b;
+
+	return x->told_us < y->told_us ? -1 : x->told_us > y->told_us;
+}
+
+guint lod_counts_first(GArray *waiting, guint max)
+{
+	guint dropped = waiting->len > max ? waiting->len - max : 0;
+
+	if (!dropped)
+		return 0;
+	g_array_sort(waiting, by_age);
+	g_array_set_size(waiting, max);
+	return dropped;
+}
--- a/src/lod_counts.h
+++ b/src/lod_counts.h
@@ -31,4 +31,16 @@
 void lod_counts_lapse(struct lod_counts *counts, int64_t before_us,
 		      GArray *lapsed);
 
+/** A count that waits to be told. */
+struct lod_waiting {
+	uint32_t target;
+	uint32_t requests;
+	int64_t told_us; /* when this target was told last */
+};
+
+/** Keeps the @p max counts that were told longest ago, in that order, and drops
+ *  the others: each gets its turn. @param waiting  struct lod_waiting
+ *  @return how many are dropped */
+guint lod_counts_first(GArray *waiting, guint max);
+
 #endif
--- a/src/lod_hub.c
+++ b/src/lod_hub.c
@@ -137,31 +137,23 @@
 	return totals;
 }
 
-/* Tells what changed, and what was not told for a while. */
-static void add_total(struct lod *lod, struct lod_packet *packet, void *target,
-		      uint32_t requests, int64_t now_us)
+/* Notes what changed, and what was not told for a while. */
+static void add_waiting(struct lod *lod, GArray *waiting, void *target,
+			uint32_t requests, int64_t now_us)
 {
-	struct lod_told *told = told_of(lod, target);
-	struct lod_count c = {
+	const struct lod_told *told = told_of(lod, target);
+	struct lod_waiting w = {
 		.target = GPOINTER_TO_UINT(target),
 		.requests = requests,
-		.sent_ago_us = now_us - told->sent_us,
+		.told_us = told->at_us,
 	};
 
-	if (told->requests == requests && told->sent_us <= told->at_us &&
-	    now_us - told->at_us < LOD_REPEAT_US)
-		return;
-	if (packet->counts->len >= LOD_COUNTS_MAX) {
-		ctr_add(lod->node->ctr, lod->left, 1);
-		return;
-	}
-	told->requests = requests;
-	told->at_us = now_us;
-	g_array_append_val(packet->counts, c);
+	if (told->requests != requests || told->sent_us > told->at_us ||
+	    now_us - told->at_us >= LOD_REPEAT_US)
+		g_array_append_val(waiting, w);
 }
 
-static void add_totals(struct lod *lod, struct lod_packet *packet,
-		       int64_t now_us)
+static void find_waiting(struct lod *lod, GArray *waiting, int64_t now_us)
 {
 	g_autoptr(GHashTable) totals = total_counts(lod, now_us);
 	GHashTableIter iter;
@@ -170,7 +162,8 @@
 
 	g_hash_table_iter_init(&iter, totals);
 	while (g_hash_table_iter_next(&iter, &target, &value))
-		add_total(lod, packet, target, GPOINTER_TO_UINT(value), now_us);
+		add_waiting(lod, waiting, target, GPOINTER_TO_UINT(value),
+			    now_us);
 	/* A target without requests is told once, then forgotten. */
 	g_hash_table_iter_init(&iter, lod->told);
 	while (g_hash_table_iter_next(&iter, &target, &value)) {
@@ -179,12 +172,38 @@
 		if (g_hash_table_contains(totals, target))
 			continue;
 		if (told->requests || told->sent_us > told->at_us)
-			add_total(lod, packet, target, 0, now_us);
+			add_waiting(lod, waiting, target, 0, now_us);
 		else if (now_us - told->at_us >= LOD_REPEAT_US)
 			g_hash_table_iter_remove(&iter);
 	}
 }
 
+static void add_totals(struct lod *lod, struct lod_packet *packet,
+		       int64_t now_us)
+{
+	g_autoptr(GArray)
+		waiting = g_array_new(FALSE, FALSE, sizeof(struct lod_waiting));
+
+	find_waiting(lod, waiting, now_us);
+	ctr_add(lod->node->ctr, lod->left,
+		lod_counts_first(waiting, LOD_COUNTS_MAX));
+	for (guint i = 0; i < waiting->len; i++) {
+		const struct lod_waiting *w =
+			&g_array_index(waiting, struct lod_waiting, i);
+		struct lod_told *told =
+			told_of(lod, GUINT_TO_POINTER(w->target));
+		struct lod_count c = {
+			.target = w->target,
+			.requests = w->requests,
+			.sent_ago_us = now_us - told->sent_us,
+		};
+
+		told->requests = w->requests;
+		told->at_us = now_us;
+		g_array_append_val(packet->counts, c);
+	}
+}
+
 static void move_sends(GHashTable *from, GArray *to)
 {
 	GHashTableIter iter;
--- a/tests/unit_lod.c
+++ b/tests/unit_lod.c
@@ -228,6 +228,36 @@
 	lod_counts_clear(&counts);
 }
 
+/* More counts change than a digest has room for: each target gets its turn, or
+ * nodes would take those at the end for idle. */
+static void test_every_count_gets_its_turn(void)
+{
+	enum {
+		TARGETS = 200,
+		DIGESTS = (TARGETS + LOD_COUNTS_MAX - 1) / LOD_COUNTS_MAX,
+	};
+	int64_t told_us[TARGETS] = {0};
+
+	for (int64_t now_us = 1; now_us <= DIGESTS; now_us++) {
+		g_autoptr(GArray) waiting =
+			g_array_new(FALSE, FALSE, sizeof(struct lod_waiting));
+
+		for (uint32_t i = 0; i < TARGETS; i++) {
+			struct lod_waiting w = {i, 1, told_us[i]};
+
+			g_array_append_val(waiting, w);
+		}
+		g_assert_cmpuint(lod_counts_first(waiting, LOD_COUNTS_MAX), ==,
+				 TARGETS - LOD_COUNTS_MAX);
+		g_assert_cmpuint(waiting->len, ==, LOD_COUNTS_MAX);
+		for (guint i = 0; i < waiting->len; i++)
+			told_us[g_array_index(waiting, struct lod_waiting, i)
+					.target] = now_us;
+	}
+	for (int i = 0; i < TARGETS; i++)
+		g_assert_cmpint(told_us[i], >, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -242,5 +272,7 @@
 	g_test_add_func("/lod/queue_is_bounded", test_queue_is_bounded);
 	g_test_add_func("/lod/counts_of_a_lost_hub_lapse",
 			test_counts_of_a_lost_hub_lapse);
+	g_test_add_func("/lod/every_count_gets_its_turn",
+			test_every_count_gets_its_turn);
 	return g_test_run();
 }
