--- a/tests/unit_gwy.c
+++ b/tests/unit_gwy.c
@@ -1,6 +1,7 @@
 /* The gateway task: whose answer a caller gets, what is sent again, and when
  * a request is given up. */
 #include <string.h>
+#include <sys/socket.h>
 
 #include "fleet_gwy.h"
 #include "fs_log.h"
@@ -377,6 +378,105 @@
 	end();
 }
 
+static struct fake_conn *flooded;
+
+/* Begins an answer that the test goes on with. */
+static void serve_beginning(void *arg, struct fake_conn *conn,
+			    const struct fake_request *request)
+{
+	(void)request;
+	flooded = conn;
+	fake_send_text(conn, arg);
+}
+
+/* Sends a piece again and again until the gateway closes the connection. */
+static void flood(const struct fake *target, const char *piece,
+		  int64_t limit_us)
+{
+	int64_t until_us = fs_now_us() + limit_us;
+
+	yard_until(&y, yard_arrivals(&y) == 1);
+	while (fake_open(target)) {
+		g_assert_cmpint(fs_now_us(), <, until_us);
+		fake_send_text(flooded, piece);
+		yard_run(&y, FS_US_PER_MS);
+	}
+}
+
+/* Header fields without end: given up at the limit, long before the deadline. */
+static void test_endless_head_is_given_up(void)
+{
+	struct fake *target;
+
+	begin();
+	target = yard_target(&y, "pay", serve_beginning, "HTTP/1.1 200 OK\r\n");
+	yard_call(&y, &c, PAY);
+	flood(target, "X-Filler: 0123456789012345678901234567890123456789\r\n",
+	      YARD_TIMEOUT_MS * FS_US_PER_MS / 2);
+	yard_expect(&y, &c, 502);
+	end();
+}
+
+/* One header line without end. */
+static void test_endless_line_is_given_up(void)
+{
+	g_autofree char *piece = g_strnfill(16 * 1024, 'x');
+	struct fake *target;
+
+	begin();
+	target = yard_target(&y, "pay", serve_beginning,
+			     "HTTP/1.1 200 OK\r\nX-");
+	yard_call(&y, &c, PAY);
+	flood(target, piece, YARD_TIMEOUT_MS * FS_US_PER_MS / 2);
+	yard_expect(&y, &c, 502);
+	end();
+}
+
+/* A body without end, in chunks: it ends with the route's time, and the caller
+ * sees that it is cut. */
+static void test_endless_body_ends_in_time(void)
+{
+	g_autofree char *filler = g_strnfill(16 * 1024, 'x');
+	g_autofree char *piece = g_strdup_printf("4000\r\n%s\r\n", filler);
+	struct fake *target;
+
+	begin();
+	target = yard_target(&y, "pay", serve_beginning,
+			     "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: z\r\n"
+			     "Transfer-Encoding: chunked\r\n\r\n");
+	yard_call(&y, &c, PAY);
+	flood(target, piece, (YARD_TIMEOUT_MS + 500) * FS_US_PER_MS);
+	for (int i = 0; i < 1000 && !c.closed; i++) {
+		yard_read(&c);
+		yard_run(&y, FS_US_PER_MS);
+	}
+	g_assert_true(c.closed);
+	g_assert_false(g_str_has_suffix(c.got->str, "\r\n0\r\n\r\n"));
+	end();
+}
+
+/* The same, and the caller leaves: the target's connection is closed at once. */
+static void test_endless_body_ends_with_its_caller(void)
+{
+	g_autofree char *filler = g_strnfill(16 * 1024, 'x');
+	g_autofree char *piece = g_strdup_printf("4000\r\n%s\r\n", filler);
+	struct fake *target;
+
+	begin();
+	target = yard_target(&y, "pay", serve_beginning,
+			     "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: z\r\n"
+			     "Transfer-Encoding: chunked\r\n\r\n");
+	yard_call(&y, &c, PAY);
+	yard_until(&y, yard_arrivals(&y) == 1);
+	for (int i = 0; i < 50; i++) {
+		fake_send_text(flooded, piece);
+		yard_run(&y, FS_US_PER_MS);
+	}
+	shutdown(c.fd, SHUT_RDWR);
+	flood(target, piece, FS_US_PER_S / 2);
+	end();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -413,5 +513,13 @@
 			test_pipelined_answers_keep_their_order);
 	g_test_add_func("/gwy/stop_finishes_the_request",
 			test_stop_finishes_the_request);
+	g_test_add_func("/gwy/endless_head_is_given_up",
+			test_endless_head_is_given_up);
+	g_test_add_func("/gwy/endless_line_is_given_up",
+			test_endless_line_is_given_up);
+	g_test_add_func("/gwy/endless_body_ends_in_time",
+			test_endless_body_ends_in_time);
+	g_test_add_func("/gwy/endless_body_ends_with_its_caller",
+			test_endless_body_ends_with_its_caller);
 	return g_test_run();
 }
