--- a/tests/unit_bal.c
+++ b/tests/unit_bal.c
@@ -347,8 +347,9 @@
  * just most of all targets. In particular those that have just recovered do, since
  * faults that end together leave just them sound. Targets in a spell of failures
  * are tried sparingly. */
-static void check(const struct load *load)
+static void check(const void *arg)
 {
+	const struct load *load = arg;
 	struct sum sum = {0};
 
 	for (uint32_t seed = 1; seed <= load->days; seed++)
@@ -371,14 +372,12 @@
 			  <, KNOWN_BAD_MAX);
 }
 
-/* Few sound targets without work while many requests fail: long work, one
- * request a second and target. */
-static void test_every_sound_target_works_long(void)
-{
-	static const struct load load = {
+static const struct load loads[] = {
+	{
+		/* One request a second and target. */
 		.name = "long work",
-		.repeatable = true,
 		.days = 6,
+		.repeatable = true,
 		.targets = 105,
 		.domains = 4,
 		.slots = 6,
@@ -387,15 +386,9 @@
 		.chance = 0.03,
 		.spells = 0.02,
 		.cross_us = 120 * MS,
-	};
-
-	check(&load);
-}
-
-/* The same with short work and many requests. */
-static void test_every_sound_target_works_short(void)
-{
-	static const struct load load = {
+	},
+	{
+		/* Requests that are lost if they fail. */
 		.name = "short work",
 		.days = 4,
 		.targets = 146,
@@ -406,18 +399,12 @@
 		.chance = 0.03,
 		.spells = 0.02,
 		.cross_us = 120 * MS,
-	};
-
-	check(&load);
-}
-
-/* The same with few targets and answers that are too long to cross. */
-static void test_every_sound_target_works_downloads(void)
-{
-	static const struct load load = {
+	},
+	{
+		/* Answers that are too long to cross. */
 		.name = "downloads",
-		.repeatable = true,
 		.days = 24,
+		.repeatable = true,
 		.targets = 12,
 		.domains = 4,
 		.slots = 6,
@@ -426,18 +413,11 @@
 		.chance = 0.03,
 		.spells = 0.02,
 		.cross_us = 5 * SECOND,
-	};
-
-	check(&load);
-}
-
-/* The same in a small fleet at a low rate. */
-static void test_every_sound_target_works_small(void)
-{
-	static const struct load load = {
+	},
+	{
 		.name = "small fleet",
-		.repeatable = true,
 		.days = 32,
+		.repeatable = true,
 		.targets = 12,
 		.domains = 3,
 		.slots = 4,
@@ -446,21 +426,18 @@
 		.chance = 0.03,
 		.spells = 0.02,
 		.cross_us = 120 * MS,
-	};
-
-	check(&load);
-}
+	},
+};
 
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	g_test_add_func("/bal/every_sound_target_works/long",
-			test_every_sound_target_works_long);
-	g_test_add_func("/bal/every_sound_target_works/short",
-			test_every_sound_target_works_short);
-	g_test_add_func("/bal/every_sound_target_works/downloads",
-			test_every_sound_target_works_downloads);
-	g_test_add_func("/bal/every_sound_target_works/small",
-			test_every_sound_target_works_small);
+	/* Few sound targets without work while many requests fail. */
+	for (size_t i = 0; i < G_N_ELEMENTS(loads); i++) {
+		g_autofree char *path = g_strdup_printf(
+			"/bal/every_sound_target_works/%s", loads[i].name);
+
+		g_test_add_data_func(path, &loads[i], check);
+	}
 	return g_test_run();
 }
--- a/tests/unit_gwy.c
+++ b/tests/unit_gwy.c
@@ -432,12 +432,8 @@
 	end();
 }
 
-/* A body without end, in chunks: it ends with the route's time, and the caller
- * sees that it is cut. */
-static void test_endless_body_ends_in_time(void)
+static struct fake *begin_endless_body(void)
 {
-	g_autofree char *filler = g_strnfill(16 * 1024, 'x');
-	g_autofree char *piece = g_strdup_printf("4000\r\n%s\r\n", filler);
 	struct fake *target;
 
 	begin();
@@ -445,6 +441,24 @@
 			     "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: z\r\n"
 			     "Transfer-Encoding: chunked\r\n\r\n");
 	yard_call(&y, &c, PAY);
+	yard_until(&y, yard_arrivals(&y) == 1);
+	return target;
+}
+
+static char *body_piece(void)
+{
+	g_autofree char *filler = g_strnfill(16 * 1024, 'x');
+
+	return g_strdup_printf("4000\r\n%s\r\n", filler);
+}
+
+/* A body without end, in chunks: it ends with the route's time, and the caller
+ * sees that it is cut. */
+static void test_endless_body_ends_in_time(void)
+{
+	g_autofree char *piece = body_piece();
+	struct fake *target = begin_endless_body();
+
 	flood(target, piece, (YARD_TIMEOUT_MS + 500) * FS_US_PER_MS);
 	for (int i = 0; i < 1000 && !c.closed; i++) {
 		yard_read(&c);
@@ -458,16 +472,9 @@
 /* The same, and the caller leaves: the target's connection is closed at once. */
 static void test_endless_body_ends_with_its_caller(void)
 {
-	g_autofree char *filler = g_strnfill(16 * 1024, 'x');
-	g_autofree char *piece = g_strdup_printf("4000\r\n%s\r\n", filler);
-	struct fake *target;
+	g_autofree char *piece = body_piece();
+	struct fake *target = begin_endless_body();
 
-	begin();
-	target = yard_target(&y, "pay", serve_beginning,
-			     "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: z\r\n"
-			     "Transfer-Encoding: chunked\r\n\r\n");
-	yard_call(&y, &c, PAY);
-	yard_until(&y, yard_arrivals(&y) == 1);
 	for (int i = 0; i < 50; i++) {
 		fake_send_text(flooded, piece);
 		yard_run(&y, FS_US_PER_MS);
