--- a/src/lod.c
+++ b/src/lod.c
@@ -18,7 +18,7 @@
 void lod_change(struct lod *lod, struct dir_target *target)
 {
 	lod->changed = true;
-	g_hash_table_add(lod->busy, GUINT_TO_POINTER(target->hash));
+	g_hash_table_add(lod->to_tell, GUINT_TO_POINTER(target->hash));
 }
 
 void lod_outcome(struct lod *lod, struct dir_target *target,
@@ -253,7 +253,7 @@
 	void *hash;
 
 	g_hash_table_remove_all(lod->own);
-	g_hash_table_iter_init(&iter, lod->busy);
+	g_hash_table_iter_init(&iter, lod->to_tell);
 	while (g_hash_table_iter_next(&iter, &hash, NULL)) {
 		struct dir_target *target =
 			dir_target_by_hash(lod->dir, GPOINTER_TO_UINT(hash));
@@ -357,7 +357,7 @@
 	if (!lod->view)
 		return;
 	drop_stale(lod, now_us);
-	if ((lod->changed || g_hash_table_size(lod->busy)) &&
+	if ((lod->changed || g_hash_table_size(lod->to_tell)) &&
 	    now_us - lod->reported_us >= pause_us(lod))
 		report(lod, now_us);
 	lod_hub_tick(lod, now_us);
@@ -404,7 +404,7 @@
 static void make_tables(struct lod *lod)
 {
 	lod->own = g_hash_table_new(NULL, NULL);
-	lod->busy = g_hash_table_new(NULL, NULL);
+	lod->to_tell = g_hash_table_new(NULL, NULL);
 	lod_queue_init(&lod->evidence);
 	lod->sends = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	lod->domains = g_hash_table_new_full(NULL, NULL, NULL, domain_free);
@@ -456,7 +456,7 @@
 	lod_net_close(lod);
 	node_remove_tick(lod->node, lod);
 	g_hash_table_unref(lod->own);
-	g_hash_table_unref(lod->busy);
+	g_hash_table_unref(lod->to_tell);
 	lod_queue_clear(&lod->evidence);
 	g_hash_table_unref(lod->sends);
 	g_hash_table_unref(lod->domains);
--- a/src/lod_hub.c
+++ b/src/lod_hub.c
@@ -52,8 +52,8 @@
 	return told;
 }
 
-static void note_send(struct lod *lod, const struct lod_count *c,
-		      int64_t now_us)
+static void note_reported_send(struct lod *lod, const struct lod_count *c,
+			       int64_t now_us)
 {
 	struct lod_told *told;
 
@@ -85,7 +85,7 @@
 			g_hash_table_insert(peer->counts,
 					    GUINT_TO_POINTER(c->target),
 					    GUINT_TO_POINTER(c->requests));
-		note_send(lod, c, now_us);
+		note_reported_send(lod, c, now_us);
 	}
 	for (guint i = 0; i < packet->evidence->len; i++) {
 		const struct lod_evidence *e = &g_array_index(
--- a/src/lod_impl.h
+++ b/src/lod_impl.h
@@ -77,8 +77,8 @@
 	ev_io io;
 	uint32_t serial;
 	/* This node */
-	GHashTable *own;  /* target hash to requests, as last reported */
-	GHashTable *busy; /* target hashes that the next report tells */
+	GHashTable *own;     /* target hash to requests, as last reported */
+	GHashTable *to_tell; /* target hashes for the next report */
 	struct lod_queue evidence; /* to be reported */
 	ev_timer flush;		   /* tells of failures between ticks */
 	GHashTable *sends;	   /* service hash to struct lod_sends */
