Serve requests with short deadlines in a saturated service

Cause: their deadlines are short, and requests with long ones kept all queues at their own limit of 1 s; a request with 0.85 s left was refused at once. Ruled out: members of the service, tries, objective, the moment of the change; nothing knows whether a route was added.

A request that can be parked now joins short queues only, one that can't may use three quarters of its time. Before it refuses a request that may be repeated, a gateway tries any target; one that must not be repeated is no longer sent to a suspected target because all waits exceed its deadline.

--- a/src/adm.c
+++ b/src/adm.c
@@ -4,30 +4,52 @@
  * less the mean service time: service times vary, and load counts are a few
  * tenths of a second old. */
 #define QUEUE_SLACK_SHARE 0.75
+/* A request that can still be parked joins only a queue of at most this many
+ * mean service times: longer ones are left to requests with less time. */
+#define SHORT_QUEUE_MEANS 0.8
 /* A request without an attempt is parked for at most this share of its
  * objective; a later refusal would only cost its caller time. */
 #define PARK_OBJECTIVE_SHARE 0.3
-/* Parked requests are refused with at most this many mean service times left. */
-#define PARK_TIME_LEFT_MEANS 1.5
+/* A request with at most this many mean service times left is urgent: it is not
+ * parked. */
+#define URGENT_MEANS 1.5
 #define RETRY_AFTER_MIN_US (200 * FS_US_PER_MS)
 
+static bool is_urgent(const struct adm_input *n)
+{
+	return (double)n->left_us <= (double)n->mean_us * URGENT_MEANS;
+}
+
+/* Many requests take far less than the mean service time, and those with short
+ * deadlines are among them: the deadline alone limits an urgent one. */
 static int64_t max_queue_wait_us(const struct adm_input *n)
 {
 	int64_t spare_us = n->objective_us - n->age_us - n->mean_us;
 
+	if (is_urgent(n))
+		spare_us = n->left_us;
 	return (int64_t)((double)MAX(spare_us, 0) * QUEUE_SLACK_SHARE);
 }
 
+static bool can_park(const struct adm_input *n)
+{
+	if (is_urgent(n))
+		return false;
+	return n->attempted || (double)n->age_us < (double)n->objective_us *
+							   PARK_OBJECTIVE_SHARE;
+}
+
 enum adm_decision adm_decide(const struct adm_input *n)
 {
-	if (n->has_capacity && n->wait_us <= max_queue_wait_us(n))
+	int64_t max_us = max_queue_wait_us(n);
+	bool parkable = can_park(n);
+
+	if (parkable)
+		max_us = MIN(max_us,
+			     (int64_t)((double)n->mean_us * SHORT_QUEUE_MEANS));
+	if (n->has_capacity && n->wait_us <= max_us)
 		return ADM_SEND;
-	if ((double)n->left_us <= (double)n->mean_us * PARK_TIME_LEFT_MEANS)
-		return ADM_REFUSE;
-	if (n->attempted ||
-	    (double)n->age_us < (double)n->objective_us * PARK_OBJECTIVE_SHARE)
-		return ADM_PARK;
-	return ADM_REFUSE;
+	return parkable ? ADM_PARK : ADM_REFUSE;
 }
 
 int64_t adm_retry_after(const struct adm_input *n)
--- a/src/adm.h
+++ b/src/adm.h
@@ -8,6 +8,10 @@
  * queue only if its answer is still likely within the route's objective. Any
  * other request is parked until a slot is free, but not for long, and is then
  * refused while the caller has time to retry.
+ *
+ * Requests with short deadlines can't be parked. So that they are not starved,
+ * a request that can be parked joins only short queues, and longer ones when
+ * its parking time is over.
  */
 #ifndef ADM_H
 #define ADM_H
--- a/src/gwy_choose.c
+++ b/src/gwy_choose.c
@@ -48,25 +48,25 @@
 	return req->attempt_count;
 }
 
-struct bal_choice gwy_choose(struct gwy_request *req, int64_t now_us)
+static struct bal_query query_of(struct gwy_request *req,
+				 const struct dir_target **avoid,
+				 int64_t now_us)
 {
 	struct gwy *gwy = req->gwy;
-	const struct dir_target *avoid[GWY_ATTEMPTS_MAX];
 	const char *service = gwy_service_name(req);
-	const struct dir_service *targets = dir_find(gwy->dir, service);
 	int64_t objective_us = gwy_choose_objective(req);
-	struct bal_choice choice;
-	struct bal_query query = {
+	bool repeatable = gwy_route_of(req)->repeatable;
+
+	return (struct bal_query){
 		.domain = gwy->node->set.domain,
 		.mean_us = lod_mean_latency(gwy->lod, service),
 		.failure_cost_us =
-			objective_us * (gwy_route_of(req)->repeatable ?
-						FAILURE_COST_REPEATABLE :
-						FAILURE_COST_UNSAFE),
+			objective_us * (repeatable ? FAILURE_COST_REPEATABLE :
+						     FAILURE_COST_UNSAFE),
 		.cross_domain_cost_us =
 			CROSS_DOMAIN_US +
 			CROSS_DOMAIN_BYTE_US * gwy_answer_mean_bytes(req),
-		.repeatable = gwy_route_of(req)->repeatable,
+		.repeatable = repeatable,
 		.avoid = avoid,
 		.avoid_count = attempted_targets(req, avoid),
 		.rate = lod_request_rate(gwy->lod, service, now_us),
@@ -74,14 +74,29 @@
 		.now_us = now_us,
 		.random = gwy_random(gwy),
 	};
+}
 
-	choice = bal_choose(targets, &query);
-	if (!choice.target ||
+struct bal_choice gwy_choose(struct gwy_request *req, int64_t now_us)
+{
+	const struct dir_target *avoid[GWY_ATTEMPTS_MAX];
+	struct bal_query query = query_of(req, avoid, now_us);
+	struct bal_choice choice = bal_choose(
+		dir_find(req->gwy->dir, gwy_service_name(req)), &query);
+
+	if (!query.repeatable || !choice.target ||
 	    !gwy_choose_wait_exceeds_deadline(req, choice.wait_us, now_us))
 		return choice;
-	/* The wait exceeds the deadline, so that the costs of failures and of other
-	 * domains no longer matter: a suspected target is better. */
+	return gwy_choose_last_resort(req, now_us);
+}
+
+struct bal_choice gwy_choose_last_resort(struct gwy_request *req,
+					 int64_t now_us)
+{
+	const struct dir_target *avoid[GWY_ATTEMPTS_MAX];
+	struct bal_query query = query_of(req, avoid, now_us);
+
 	query.failure_cost_us = 0;
 	query.cross_domain_cost_us = 0;
-	return bal_choose(targets, &query);
+	return bal_choose(dir_find(req->gwy->dir, gwy_service_name(req)),
+			  &query);
 }
--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -145,6 +145,10 @@
 int64_t gwy_choose_objective(const struct gwy_request *req);
 /** Selects among the targets that were not attempted yet. */
 struct bal_choice gwy_choose(struct gwy_request *req, int64_t now_us);
+/** Selects without regard to failures and failure domains: for a request that
+ *  would be refused otherwise, and may be repeated. */
+struct bal_choice gwy_choose_last_resort(struct gwy_request *req,
+					 int64_t now_us);
 /** Returns whether the wait exceeds the time left by more than the tolerance. */
 bool gwy_choose_wait_exceeds_deadline(const struct gwy_request *req,
 				      int64_t wait_us, int64_t now_us);
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -237,11 +237,15 @@
 	struct bal_choice choice = gwy_choose(req, now_us);
 	int err = check_send(req, &choice, now_us);
 
+	if (err && park(req, &choice, err, now_us))
+		return;
+	if (err == FS_E_WAIT_TOO_LONG && gwy_route_of(req)->repeatable) {
+		choice = gwy_choose_last_resort(req, now_us);
+		err = check_send(req, &choice, now_us);
+	}
 	if (err) {
-		if (!park(req, &choice, err, now_us))
-			gwy_answer_refuse(req, err,
-					  retry_after_us(req, &choice, now_us),
-					  now_us);
+		gwy_answer_refuse(req, err,
+				  retry_after_us(req, &choice, now_us), now_us);
 		return;
 	}
 	start_attempt(req, &choice, now_us);
--- a/tests/unit_gwy.c
+++ b/tests/unit_gwy.c
@@ -10,6 +10,7 @@
 #define PAY_REQUEST \
 	"POST /pay/1 HTTP/1.1\r\n" FIELDS "Content-Length: 3\r\n\r\na=1"
 #define LONG_BODY (300 * 1024) /* bytes; streamed, not buffered */
+#define LONG_QUEUE 30	       /* requests: a wait of over two seconds */
 #define LIST_REQUEST "GET /list/1?q=1 HTTP/1.1\r\n" FIELDS "\r\n"
 
 static struct yard y;
@@ -173,6 +174,44 @@
 	end();
 }
 
+/* Puts so many requests of other nodes at a target that its queue outlasts the
+ * deadline, or marks it as failing. */
+static void put_load(const char *id, uint32_t others)
+{
+	struct bal_target *state =
+		bal_target_get(dir_target_find(y.dir, id), fs_now_us());
+
+	state->others = others;
+	state->sent_us = fs_now_us();
+	if (!others)
+		for (int i = 0; i < 3; i++)
+			gry_record_outcome(&state->gry, GRY_FAILED, 1.0,
+					   fs_now_us());
+}
+
+/* Saturated service: guards against a refusal of a safe request while a
+ * suspected target is free, and against an unsafe one that is sent there. */
+static void test_last_resort_is_for_safe_requests(void)
+{
+	begin();
+	yard_target(&y, "list", serve_ok, NULL);
+	yard_target(&y, "list", serve_ok, NULL);
+	put_load("s0", LONG_QUEUE);
+	put_load("s1", 0);
+	yard_call(&y, &c, LIST_REQUEST);
+	yard_expect(&y, &c, 200);
+	end();
+	begin();
+	yard_target(&y, "pay", serve_ok, NULL);
+	yard_target(&y, "pay", serve_ok, NULL);
+	put_load("s0", LONG_QUEUE);
+	put_load("s1", 0);
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_expect(&y, &c, 503);
+	g_assert_cmpuint(yard_arrivals(&y), ==, 0);
+	end();
+}
+
 static void test_not_run_is_retried(void)
 {
 	int shed = 0;
@@ -498,6 +537,8 @@
 			test_failure_is_retried_if_safe);
 	g_test_add_func("/gwy/failure_is_forwarded_if_unsafe",
 			test_failure_is_forwarded_if_unsafe);
+	g_test_add_func("/gwy/last_resort_is_for_safe_requests",
+			test_last_resort_is_for_safe_requests);
 	g_test_add_func("/gwy/not_run_is_retried", test_not_run_is_retried);
 	g_test_add_func("/gwy/reset_may_have_run", test_reset_may_have_run);
 	g_test_add_func("/gwy/unreachable_is_not_run",
