Read the store by few nodes at a start, and by standbys when it refuses a hub

Ruled out: nodes that join, and the readers' own watches (3 calls a second and domain).

The decision is now a pure module, fed_role. At the first start of a fleet only readers list; a node that restarts lists once and then waits for a heartbeat. Two standbys take over in turn when no heartbeat of their domain arrives, before the other nodes do, and the hub passes on their state (lod_feed), as it may be the hub that the store refuses. Nodes that wait for readers call a lost store every 2.5 s instead of every second.

unit_fed_role is new; first_page_serves, followers_back_off and hub_passes_on_a_reader fail without the change. Tests of unit_fed now begin after the start of the node: its first 1.8 s have their own tests.

--- a/src/fed.c
+++ b/src/fed.c
@@ -51,41 +51,25 @@
 	return fed->cfg && fed->directory_known;
 }
 
-static bool is_chosen(const struct fed *fed, int64_t now_us)
-{
-	const struct node *node = fed->node;
-	node_id first[2];
-
-	if (node->stopping || !fed->view ||
-	    now_us - fed->started_us < FED_SETTLE_US)
-		return false;
-	mem_view_hubs(fed->view, node->set.domain, first);
-	return first[0] == node->self;
-}
+/* Until the first view of the members. */
+#define RANK_UNKNOWN UINT32_MAX
 
 static void update_reading(struct fed *fed, int64_t now_us)
 {
-	bool was = fed->reading;
-	/* A node that reads continues until a heartbeat arrives. */
-	bool no_reader = now_us - fed->last_rx_us > FED_READER_TIMEOUT_US &&
-			 (was || now_us - fed->listed_us > FED_LIST_FRESH_US);
-
-	if (no_reader)
-		fed->no_reader_us = now_us;
-	if (is_chosen(fed, now_us))
-		fed->chosen_us = now_us;
-	fed->chosen = fed->chosen_us && !fed->node->stopping &&
-		      now_us - fed->chosen_us < FED_HANDOVER_US;
-	fed->reading =
-		fed->chosen || no_reader ||
-		(was && now_us - fed->no_reader_us < FED_READ_HYSTERESIS_US);
-	if (was != fed->reading)
-		fs_log_eventf(
-			"fed", G_LOG_LEVEL_INFO, "reading",
-			"\"on\":%s,\"chosen\":%s,\"heard_ms_ago\":%lld",
-			fed->reading ? "true" : "false",
-			fed->chosen ? "true" : "false",
-			(long long)((now_us - fed->last_rx_us) / FS_US_PER_MS));
+	struct fed_role *role = &fed->role;
+	uint32_t rank = fed->view ?
+				mem_view_rank(fed->view, fed->node->set.domain,
+					      fed->node->self) :
+				RANK_UNKNOWN;
+
+	if (!fed_role_update(role, rank, fed->node->stopping, now_us))
+		return;
+	fs_log_eventf("fed", G_LOG_LEVEL_INFO, "reading",
+		      "\"on\":%s,\"chosen\":%s,\"rank\":%u,"
+		      "\"heard_ms_ago\":%lld",
+		      role->reading ? "true" : "false",
+		      role->chosen ? "true" : "false", rank,
+		      (long long)((now_us - role->last_rx_us) / FS_US_PER_MS));
 }
 
 void fed_check_ready(struct fed *fed)
@@ -146,7 +130,7 @@
 		break;
 	case MSG_CONFIG_HINT:
 		/* This domain's reader already has that version or gets it soon. */
-		if (now_us - fed->local_rx_us > FED_READER_TIMEOUT_US)
+		if (now_us - fed->role.local_rx_us > FED_READER_TIMEOUT_US)
 			fed_request_config(fed, m->config_hint.node,
 					   m->config_hint.version, now_us);
 		break;
@@ -188,9 +172,10 @@
 		",\"targets\":%u,\"reading\":%s,\"chosen\":%s,\"away\":%s,"
 		"\"heard_ms_ago\":%lld,\"calls\":%" G_GUINT64_FORMAT "}",
 		fed->cfg ? fed->cfg->version : 0, dir_count(fed->dir),
-		fed->reading ? "true" : "false", fed->chosen ? "true" : "false",
+		fed->role.reading ? "true" : "false",
+		fed->role.chosen ? "true" : "false",
 		fed->store_lost ? "true" : "false",
-		(long long)((now_us - fed->last_rx_us) / FS_US_PER_MS),
+		(long long)((now_us - fed->role.last_rx_us) / FS_US_PER_MS),
 		fed->platform.kvs.ops->calls(fed->platform.kvs.store));
 }
 
@@ -204,10 +189,7 @@
 	fed->platform = *platform;
 	fed->dir = dir;
 	fed->random = node->self ^ node->incarnation;
-	fed->started_us = now_us;
-	/* Reads at once: no heartbeat has been received yet. */
-	fed->last_rx_us = fed->local_rx_us = fed->listed_us =
-		now_us - 2 * FED_READER_TIMEOUT_US;
+	fed_role_init(&fed->role, node->set.first_start, now_us);
 	fed_read_init(fed);
 	dir_on_removed(dir, fed_queue_removal, fed);
 	bus_attach(node->bus, MSG_TASK_CONFIG, &ops, fed);
--- a/src/fed_impl.h
+++ b/src/fed_impl.h
@@ -6,25 +6,10 @@
 #define FED_IMPL_H
 
 #include "fed.h"
+#include "fed_role.h"
 
-/* A node that has just started knows few members: it reads for itself but is
- * not chosen as reader yet. */
-#define FED_SETTLE_US (1200 * FS_US_PER_MS)
-/* A node without a fresh reader for this long reads for itself. Leaves half of
- * the 2 s within which a change has to be in force for the node's own calls. */
-#define FED_READER_TIMEOUT_US (1200 * FS_US_PER_MS)
-/* A reader that is no longer chosen continues while its successor, which may
- * just have started, settles and lists. */
-#define FED_HANDOVER_US (2500 * FS_US_PER_MS)
-/* A node whose own complete list is younger than this does not start to read:
- * after a start, heartbeats of readers arrive within this time. */
-#define FED_LIST_FRESH_US (2500 * FS_US_PER_MS)
 /* A reader is fresh if the service answered it within this time. */
 #define FED_FRESH_US (1100 * FS_US_PER_MS)
-/* Hysteresis: a node stops reading only after readers have been present for
- * this long, so that it does not flap. */
-#define FED_READ_HYSTERESIS_US (1 * FS_US_PER_S)
-
 /* Servers report about every 1.5 s, so a watch on them returns at once. The
  * pause limits a reader to about two calls per second. */
 #define FED_TARGET_PAUSE_US (450 * FS_US_PER_MS)
@@ -33,6 +18,7 @@
 #define FED_CONFIG_LONG_POLL_US (2000 * FS_US_PER_MS)
 #define FED_RETRY_MIN_US (150 * FS_US_PER_MS) /* after a failed call */
 #define FED_RETRY_MAX_US (1000 * FS_US_PER_MS)
+#define FED_RETRY_FOLLOWER_MAX_US (2500 * FS_US_PER_MS)
 
 /* Servers renew an expired entry within 2 s of the service's return. */
 #define FED_REMOVAL_GRACE_US (2200 * FS_US_PER_MS)
@@ -76,14 +62,9 @@
 	struct mem_view *view;
 	struct fed_watcher targets;
 	struct fed_watcher config;
+	struct fed_role role;
 	uint64_t random;
-	int64_t chosen_us; /* last time chosen; broadcasts until the handover ends */
-	int64_t started_us;
-	int64_t last_rx_us;   /* last heartbeat of a fresh reader */
-	int64_t no_reader_us; /* last time without a fresh reader */
-	int64_t local_rx_us;  /* same, in this domain */
-	int64_t listed_us;    /* last complete list of its own */
-	int64_t changed_us;   /* last change of the directory */
+	int64_t changed_us; /* last change of the directory */
 	int64_t queried_us;
 	int64_t config_queried_us;
 	struct msg *changes; /* MSG_FEED_ENTRIES to broadcast, or NULL */
@@ -92,8 +73,6 @@
 	int64_t lease_next_us;
 	int64_t nodes_next_us;
 	/* States */
-	bool chosen;	      /* this node is a reader by its weight */
-	bool reading;	      /* it polls the service, chosen or not */
 	bool store_lost;      /* calls of this node fail */
 	bool directory_known; /* listed, or received from a peer */
 	bool merging;	      /* changes being applied are a peer's */
--- a/src/fed_node.c
+++ b/src/fed_node.c
@@ -90,7 +90,7 @@
 
 	if (fed->node->stopping)
 		return;
-	if (fed->chosen && !fed->lease_running &&
+	if (fed->role.chosen && !fed->lease_running &&
 	    now_us >= fed->lease_next_us) {
 		fed->lease_running = true;
 		if (fed->lease)
@@ -101,7 +101,7 @@
 					on_lease_granted, fed);
 	}
 	if (!fed->nodes_running && now_us >= fed->nodes_next_us &&
-	    now_us - fed->started_us > FED_BOOTSTRAP_DELAY_US &&
+	    now_us - fed->role.started_us > FED_BOOTSTRAP_DELAY_US &&
 	    !peers_alive(fed)) {
 		fed->nodes_running = true;
 		fed->nodes_next_us = now_us + FED_LIST_NODES_INTERVAL_US;
--- a/src/fed_read.c
+++ b/src/fed_read.c
@@ -12,11 +12,15 @@
 		      "\"reason\":\"%s\"", fs_err_name(err));
 }
 
+/* Readers and nodes that can't serve yet try soon: the others hear of the
+ * store's return from them. */
 static int64_t retry_us(struct fed *fed, uint32_t failures)
 {
-	int64_t delay_us = FED_RETRY_MIN_US << MIN(failures, 4U);
+	bool soon = fed->role.chosen || !fed_is_ready(fed);
+	int64_t delay_us = FED_RETRY_MIN_US << MIN(failures, 6U);
 
-	delay_us = MIN(delay_us, FED_RETRY_MAX_US);
+	delay_us = MIN(delay_us,
+		       soon ? FED_RETRY_MAX_US : FED_RETRY_FOLLOWER_MAX_US);
 	return delay_us / 2 + fed_random(fed, delay_us / 2);
 }
 
@@ -44,7 +48,7 @@
 {
 	struct fed *fed = watcher->fed;
 
-	int64_t known_us = MAX(fed->last_rx_us, watcher->answered_us);
+	int64_t known_us = MAX(fed->role.last_rx_us, watcher->answered_us);
 
 	/* An outage of the store in the meantime is possible, in which entries
 	 * may have expired. */
@@ -129,6 +133,12 @@
 			on_listed, watcher);
 }
 
+static void set_listed(struct fed *fed, int64_t now_us)
+{
+	fed->role.listed = true;
+	fed->role.listed_us = now_us;
+}
+
 static void on_listed(void *arg, int err, const struct kvs_page *page)
 {
 	struct fed_watcher *watcher = arg;
@@ -145,6 +155,12 @@
 	for (uint32_t i = 0; i < page->count; i++)
 		apply_item(watcher, &page->items[i], now_us);
 	watcher->next_us = now_us;
+	/* One page serves until the others arrive: when all nodes of a large
+	 * fleet list at once, the store takes a second for them. */
+	if (!watcher->is_config && page->count) {
+		watcher->fed->directory_known = true;
+		fed_check_ready(watcher->fed);
+	}
 	if (page->more && page->count) {
 		const char *last = page->items[page->count - 1].key;
 
@@ -161,15 +177,16 @@
 		watcher->fed->directory_known = true;
 	}
 	watcher->listed = true;
-	if (watcher->fed->targets.listed && watcher->fed->config.listed)
-		watcher->fed->listed_us = now_us;
+	if (fed_is_ready(watcher->fed) && watcher->fed->targets.listed &&
+	    watcher->fed->config.listed)
+		set_listed(watcher->fed, now_us);
 	watcher->from_rev = watcher->list_rev;
 	fed_check_ready(watcher->fed);
 }
 
 static void watcher_tick(struct fed_watcher *watcher, int64_t now_us)
 {
-	if (watcher->fed->reading && !watcher->running &&
+	if (watcher->fed->role.reading && !watcher->running &&
 	    now_us >= watcher->next_us)
 		begin_call(watcher);
 }
@@ -190,7 +207,7 @@
 void fed_read_tick(struct fed *fed, int64_t now_us)
 {
 	dir_tick(fed->dir, now_us);
-	if (!fed->reading) {
+	if (!fed->role.reading) {
 		stop_reading(&fed->targets);
 		stop_reading(&fed->config);
 		return;
--- a/src/fed_tell.c
+++ b/src/fed_tell.c
@@ -21,7 +21,7 @@
 		      entry->leaving ? "true" : "false", entry->rev,
 		      fed->merging ? "peer" : "store");
 	fed->changed_us = fs_now_us();
-	if (fed->chosen && !fed->merging)
+	if (fed->role.chosen && !fed->merging)
 		g_array_append_val(pending_changes(fed)->feed_entries.entries,
 				   *entry);
 }
@@ -38,7 +38,7 @@
 		target->entry.id, target->entry.service, rev,
 		fed->merging ? "peer" : "store");
 	fed->changed_us = fs_now_us();
-	if (!fed->chosen || fed->merging)
+	if (!fed->role.chosen || fed->merging)
 		return;
 	g_strlcpy(removed.id, target->entry.id, sizeof(removed.id));
 	g_array_append_val(pending_changes(fed)->feed_entries.removed, removed);
@@ -88,10 +88,10 @@
 
 void fed_broadcast_tick(struct fed *fed, int64_t now_us)
 {
-	if (fed->chosen && fed->changes)
+	if (fed->role.chosen && fed->changes)
 		broadcast_to_domain(fed);
 	g_clear_pointer(&fed->changes, msg_free);
-	if (fed->chosen)
+	if (fed->role.chosen)
 		send_heartbeat(fed, now_us);
 }
 
@@ -115,16 +115,16 @@
 
 	if (!heartbeat->fresh)
 		return;
-	fed->last_rx_us = now_us;
+	fed->role.last_rx_us = now_us;
 	if (heartbeat->local)
-		fed->local_rx_us = now_us;
+		fed->role.local_rx_us = now_us;
 	if (!heartbeat->local &&
-	    now_us - fed->local_rx_us < FED_READER_TIMEOUT_US)
+	    now_us - fed->role.local_rx_us < FED_READER_TIMEOUT_US)
 		return;
 	fed_request_config(fed, heartbeat->reader, heartbeat->config_version,
 			   now_us);
-	/* A node that reads has its own list. */
-	if (!fed->reading || !fed->targets.listed)
+	/* A node that reads has its own list, or gets it soon. */
+	if (!fed->role.reading || fed->targets.failures)
 		request_entries(fed, heartbeat, now_us);
 }
 
--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -21,8 +21,9 @@
 /* For requests without a limit of the route or of the caller. */
 #define GWY_DEADLINE_DEFAULT_US (30 * FS_US_PER_S)
 /* Until this long after its start a node defers requests while it has no
- * configuration; loading it takes a tenth of this. */
-#define GWY_DEFER_MAX_US (800 * FS_US_PER_MS)
+ * configuration or directory. When all nodes of a large fleet start at once,
+ * loading them takes a second. */
+#define GWY_DEFER_MAX_US (1200 * FS_US_PER_MS)
 /* No attempt starts with less time left: no target can answer in it. */
 #define GWY_TIME_LEFT_MIN_US (20 * FS_US_PER_MS)
 
--- a/src/lod.c
+++ b/src/lod.c
@@ -198,14 +198,18 @@
 /* Notifies the feed task of another node's feed state. */
 static void notify_feed(struct lod *lod, const struct lod_packet *packet)
 {
-	struct msg *m =
-		msg_new(MSG_FEED_HEARTBEAT, lod->node->self, MSG_TASK_CONFIG);
+	node_id reader = packet->feed.reader ? packet->feed.reader :
+					       packet->sender;
+	struct msg *m;
 
+	if (reader == lod->node->self)
+		return;
+	m = msg_new(MSG_FEED_HEARTBEAT, lod->node->self, MSG_TASK_CONFIG);
 	m->feed_heartbeat.digest = packet->feed.digest;
 	m->feed_heartbeat.config_version = packet->feed.config_version;
 	m->feed_heartbeat.fresh = packet->feed.fresh;
 	m->feed_heartbeat.local = packet->domain == lod->domain;
-	m->feed_heartbeat.reader = packet->sender;
+	m->feed_heartbeat.reader = reader;
 	bus_send(lod->node->bus, m);
 }
 
@@ -216,8 +220,7 @@
 
 	if (is_outdated_digest(domain, packet))
 		return;
-	if (packet->sender != lod->node->self)
-		notify_feed(lod, packet);
+	notify_feed(lod, packet);
 	domain->hub = packet->sender;
 	domain->incarnation = packet->incarnation;
 	domain->serial = packet->serial;
@@ -318,6 +321,8 @@
 	add_own_counts(lod, &packet, now_us);
 	lod_queue_dequeue(&lod->evidence, packet.evidence, LOD_EVIDENCE_MAX);
 	add_service_counts(lod, &packet);
+	if (now_us - lod->feeds.own_us < LOD_FEED_MAX_AGE_US)
+		packet.feed = lod->feeds.own;
 	if (lod->hubs[0] == lod->node->self || lod->hubs[1] == lod->node->self)
 		lod_hub_receive_report(lod, &packet, now_us);
 	if (!lod_wire_encode(&packet, lod->node->set.fleet_key, data)) {
@@ -383,16 +388,30 @@
 	lod_hub_tick(lod, now_us);
 }
 
+/* The hub learns at once that this node became a reader. */
+static void set_own_feed(struct lod *lod, const struct msg_feed_heartbeat *m,
+			 int64_t now_us)
+{
+	bool was = lod->feeds.own.fresh &&
+		   now_us - lod->feeds.own_us < LOD_FEED_MAX_AGE_US;
+
+	lod->feeds.own.digest = m->digest;
+	lod->feeds.own.config_version = m->config_version;
+	lod->feeds.own.fresh = m->fresh;
+	lod->feeds.own_us = now_us;
+	if (!m->fresh || !lod->view || lod->hubs[0] == lod->node->self)
+		return;
+	lod->changed = true;
+	if (!was)
+		send_report(lod, now_us);
+}
+
 static void receive(void *task, struct msg *m, int64_t now_us)
 {
 	struct lod *lod = task;
 
-	if (m->type == MSG_FEED_HEARTBEAT) {
-		lod->feed.digest = m->feed_heartbeat.digest;
-		lod->feed.config_version = m->feed_heartbeat.config_version;
-		lod->feed.fresh = m->feed_heartbeat.fresh;
-		lod->feed_us = now_us;
-	}
+	if (m->type == MSG_FEED_HEARTBEAT)
+		set_own_feed(lod, &m->feed_heartbeat, now_us);
 	if (m->type != MSG_VIEW)
 		return;
 	mem_view_unref(lod->view);
--- a/src/lod_hub.c
+++ b/src/lod_hub.c
@@ -79,6 +79,9 @@
 	peer->incarnation = packet->incarnation;
 	peer->serial = packet->serial;
 	peer->last_rx_us = now_us;
+	if (packet->sender != lod->node->self)
+		lod_feed_report(&lod->feeds, &packet->feed, packet->sender,
+				now_us);
 	g_hash_table_remove_all(peer->counts);
 	for (guint i = 0; i < packet->counts->len; i++) {
 		const struct lod_target_count *c = &g_array_index(
@@ -253,8 +256,7 @@
 	struct lod_packet packet;
 
 	lod_start_packet(lod, &packet, LOD_DIGEST);
-	if (now_us - lod->feed_us < LOD_FEED_MAX_AGE_US)
-		packet.feed = lod->feed;
+	packet.feed = lod_feed_select(&lod->feeds, now_us);
 	add_due_counts(lod, &packet, now_us);
 	lod_queue_dequeue(&lod->hub_evidence, packet.evidence,
 			  LOD_EVIDENCE_MAX);
--- a/src/lod_impl.h
+++ b/src/lod_impl.h
@@ -7,6 +7,7 @@
 
 #include "lod.h"
 #include "lod_counts.h"
+#include "lod_feed.h"
 #include "lod_queue.h"
 #include "lod_wire.h"
 
@@ -29,8 +30,6 @@
  * 0.8 s at LOD_DIGEST_INTERVAL_US, so that its data is hardly older than
  * LOD_HUB_TIMEOUT_US. */
 #define LOD_STANDBY_DIGEST_RATIO 4u
-/* An older state of the feed task is not sent with digests. */
-#define LOD_FEED_MAX_AGE_US (300 * FS_US_PER_MS)
 /* The standby becomes active after this time without a digest of the hub. */
 #define LOD_HUB_TIMEOUT_US (700 * FS_US_PER_MS)
 
@@ -109,8 +108,7 @@
 	int64_t use_logged_us;
 	uint32_t digests_sent;
 	int64_t hub_last_rx_us; /* last digest of this domain's hub */
-	struct lod_feed feed;	/* of this node's feed task */
-	int64_t feed_us;	/* when it was received */
+	struct lod_feed_sources feeds;
 	handle sent, received, refused;
 	handle counts_left; /* counts that did not fit in a datagram */
 };
--- a/src/lod_wire.h
+++ b/src/lod_wire.h
@@ -42,11 +42,12 @@
 	uint32_t unserved;
 };
 
-/** State of the sender's feed task; see fed.h. */
+/** State of a feed task; see fed.h and lod_feed.h. */
 struct lod_feed {
 	uint64_t digest;
 	uint64_t config_version;
 	bool fresh;
+	node_id reader; /* 0: the sender of the packet */
 };
 
 /** One datagram. */
@@ -55,8 +56,8 @@
 	node_id sender;
 	uint64_t incarnation;
 	uint32_t serial;
-	uint32_t domain;	/* hash of the sender's failure domain */
-	struct lod_feed feed;	/* of digests */
+	uint32_t domain; /* hash of the sender's failure domain */
+	struct lod_feed feed;
 	GArray *counts;		/* struct lod_target_count */
 	GArray *evidence;	/* struct lod_evidence */
 	GArray *service_counts; /* struct lod_service_counts */
--- a/src/mem.h
+++ b/src/mem.h
@@ -63,6 +63,11 @@
 uint32_t mem_view_hubs(const struct mem_view *view, const char *domain,
 		       node_id hubs[2]);
 
+/** Returns how many alive members of a failure domain have a higher weight than
+ *  @p id: 0 for its hub, 1 for the standby. */
+uint32_t mem_view_rank(const struct mem_view *view, const char *domain,
+		       node_id id);
+
 /** Returns the member @p id, or NULL. */
 const struct mem_member *mem_view_find(const struct mem_view *view, node_id id);
 
--- a/src/mem_view.c
+++ b/src/mem_view.c
@@ -46,6 +46,23 @@
 	return alive;
 }
 
+uint32_t mem_view_rank(const struct mem_view *view, const char *domain,
+		       node_id id)
+{
+	uint64_t key = fs_node_id(domain);
+	uint64_t own = shd_weight(key, id);
+	uint32_t rank = 0;
+
+	for (uint32_t i = 0; i < view->count; i++) {
+		const struct mem_member *m = &view->members[i];
+
+		if (m->id != id && m->state == MEM_ALIVE &&
+		    !strcmp(m->domain, domain))
+			rank += shd_weight(key, m->id) > own;
+	}
+	return rank;
+}
+
 const struct mem_member *mem_view_find(const struct mem_view *view, node_id id)
 {
 	uint32_t low = 0;
--- a/src/set.c
+++ b/src/set.c
@@ -40,6 +40,7 @@
 	char *retry_ratio;
 	char *retry_slack;
 	char *retry_window_s;
+	char *first_start;
 };
 
 #define STRING_FIELD(key)                                                      \
@@ -73,6 +74,7 @@
 	STRING_FIELD(retry_ratio),
 	STRING_FIELD(retry_slack),
 	STRING_FIELD(retry_window_s),
+	STRING_FIELD(first_start),
 	CYAML_FIELD_END,
 };
 
@@ -191,6 +193,7 @@
 			&out->retry_ratio);
 	cfg_read_number(r, "retry_slack", raw->retry_slack, 0, SLACK_MAX,
 			&out->retry_slack);
+	cfg_read_bool(r, "first_start", raw->first_start, &out->first_start);
 }
 
 static char *join_problems(const char *path, const GPtrArray *problems)
--- a/src/set.h
+++ b/src/set.h
@@ -39,6 +39,7 @@
 	double retry_ratio;	 /* retries of the fleet per request */
 	double retry_slack;	 /* additional retries per window */
 	int64_t retry_window_us; /* window in which retries count */
+	bool first_start;	 /* the whole fleet starts with this node */
 };
 
 /**
--- a/tests/unit_fed.c
+++ b/tests/unit_fed.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "fed.h"
+#include "fed_role.h"
 #include "fleet_kvs.h"
 #include "fs_log.h"
 
@@ -67,9 +68,10 @@
 	}
 }
 
-static void begin_with_config(const char *config)
+static void begin_task(void)
 {
 	struct fed_platform platform = {
+		.kvs = shelf_kvs(&d.shelf),
 		.config_key = "c/config",
 		.config_prefix = "c/",
 		.target_prefix = "t/",
@@ -78,6 +80,11 @@
 		.decode_target = decode_target,
 	};
 
+	d.fed = fed_new(&d.node, &platform, d.dir);
+}
+
+static void begin_with_config(const char *config)
+{
 	memset(&d, 0, sizeof(d));
 	g_strlcpy(d.node.set.name, "a", FS_NAME_MAX);
 	g_strlcpy(d.node.set.domain, "z", FS_DOMAIN_MAX);
@@ -86,7 +93,6 @@
 	bus_attach_remote(d.node.bus, send_remote, &d);
 	shelf_begin(&d.shelf);
 	d.dir = dir_new(NULL);
-	platform.kvs = shelf_kvs(&d.shelf);
 	if (config)
 		shelf_put(&d.shelf, "c/config", config);
 	for (int i = 0; i < 5; i++) {
@@ -94,15 +100,18 @@
 
 		shelf_put(&d.shelf, key, "ready");
 	}
-	d.fed = fed_new(&d.node, &platform, d.dir);
+	begin_task();
 	/* A change, and the initial state, is in force within 2 s. */
 	for (int i = 0; i < 40 && !(config ? d.node.ready : i == 4); i++)
 		run(50 * FS_US_PER_MS);
 }
 
+/* A node without a reader reads on after its start; unit_fed_role covers the
+ * start. */
 static void begin(void)
 {
 	begin_with_config("5");
+	run(FED_LIST_FRESH_US);
 }
 
 static void end(void)
@@ -281,6 +290,41 @@
 	return false;
 }
 
+/* Many nodes list at once and the store takes long for each page: guards
+ * against a node that refuses callers although it knows half of the targets. */
+static void test_first_page_serves(void)
+{
+	begin_with_config(NULL);
+	fed_free(d.fed);
+	dir_free(d.dir);
+	d.dir = dir_new(NULL);
+	shelf_put(&d.shelf, "c/config", "5");
+	d.shelf.page = 1;
+	begin_task();
+	for (int i = 0; i < 100 && !d.node.ready; i++)
+		run(10 * FS_US_PER_MS);
+	g_assert_true(d.node.ready);
+	g_assert_cmpuint(dir_count(d.dir), <, 5);
+	run(FS_US_PER_S / 2);
+	g_assert_cmpuint(dir_count(d.dir), ==, 5);
+	end();
+}
+
+/* The store is down for long: guards against a stream of calls from each node
+ * that waits for the readers. */
+static void test_followers_back_off(void)
+{
+	uint64_t calls;
+
+	begin();
+	d.shelf.refuse = FS_E_UNAVAILABLE;
+	run(2 * FS_US_PER_S);
+	calls = d.shelf.count;
+	run(5 * FS_US_PER_S);
+	g_assert_cmpuint(d.shelf.count - calls, <=, 12);
+	end();
+}
+
 /* A node that the store refuses is updated by its peers. */
 static void test_peers_replace_lost_store(void)
 {
@@ -342,6 +386,8 @@
 			test_node_without_reader_keeps_reading);
 	g_test_add_func("/fed/fresh_reader_spares_calls",
 			test_no_calls_with_fresh_reader);
+	g_test_add_func("/fed/first_page_serves", test_first_page_serves);
+	g_test_add_func("/fed/followers_back_off", test_followers_back_off);
 	g_test_add_func("/fed/peers_tell_what_the_store_does_not",
 			test_peers_replace_lost_store);
 	g_test_add_func("/fed/whole_answer_removes_what_it_lacks",
--- a/tests/unit_lod.c
+++ b/tests/unit_lod.c
@@ -4,6 +4,7 @@
 
 #include "fs_err.h"
 #include "lod_counts.h"
+#include "lod_feed.h"
 #include "lod_queue.h"
 #include "lod_wire.h"
 
@@ -29,6 +30,7 @@
 	packet->feed.digest = UINT64_MAX - 1;
 	packet->feed.config_version = 12;
 	packet->feed.fresh = true;
+	packet->feed.reader = 99;
 	g_array_append_val(packet->counts, count);
 	g_array_append_val(packet->evidence, evidence);
 	g_array_append_val(packet->service_counts, service_counts);
@@ -51,6 +53,7 @@
 	g_assert_cmpuint(out.serial, ==, UINT32_MAX);
 	g_assert_cmpuint(out.feed.digest, ==, UINT64_MAX - 1);
 	g_assert_true(out.feed.fresh);
+	g_assert_cmpuint(out.feed.reader, ==, 99);
 	g_assert_cmpmem(out.counts->data, sizeof(struct lod_target_count),
 			in.counts->data, sizeof(struct lod_target_count));
 	e = &g_array_index(out.evidence, struct lod_evidence, 0);
@@ -265,10 +268,32 @@
 		g_assert_cmpint(broadcast_us[i], >, 0);
 }
 
+/* The store refuses the hub: guards against nodes that hear of no reader
+ * although a standby reads, and against a reader that is long silent. */
+static void test_hub_passes_on_a_reader(void)
+{
+	const struct lod_feed fresh = {.config_version = 7, .fresh = true};
+	const struct lod_feed stale = {.config_version = 6};
+	struct lod_feed_sources s = {.own = stale, .own_us = FS_US_PER_S};
+	int64_t now_us = FS_US_PER_S;
+
+	lod_feed_report(&s, &stale, 5, now_us);
+	g_assert_cmpuint(lod_feed_select(&s, now_us).config_version, ==, 6);
+	lod_feed_report(&s, &fresh, 5, now_us);
+	g_assert_cmpuint(lod_feed_select(&s, now_us).config_version, ==, 7);
+	g_assert_cmpuint(lod_feed_select(&s, now_us).reader, ==, 5);
+	s.own = fresh;
+	g_assert_cmpuint(lod_feed_select(&s, now_us).reader, ==, 0);
+	now_us += LOD_FEED_REPORTED_MAX_AGE_US;
+	g_assert_false(lod_feed_select(&s, now_us).fresh);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/lod/round_trip", test_round_trip);
+	g_test_add_func("/lod/hub_passes_on_a_reader",
+			test_hub_passes_on_a_reader);
 	g_test_add_func("/lod/foreign_key", test_foreign_key);
 	g_test_add_func("/lod/largest_datagram_fits",
 			test_largest_datagram_fits);
