Let a node borrow from the retry budget that the fleet has left

Cause: 442 nodes may each retry about five times in ten seconds, and one retry more only while the fleet has 442 left; failures come in clusters.

--- a/src/bud.c
+++ b/src/bud.c
@@ -5,6 +5,10 @@
 /* A tenth is reserved: a node may count live nodes as dead. */
 #define BUDGET_SHARE 0.9
 
+/* Until the counts of a node have reached all others: a report and a digest in
+ * a domain of 100 nodes. */
+#define REPORT_DELAY_S 0.75
+
 /* A rate is averaged over this many full buckets and the one being filled. */
 #define RATE_BUCKETS 4u
 
@@ -63,6 +67,11 @@
 	       (RATE_BUCKETS * width_us + (double)(now_us % (int64_t)width_us));
 }
 
+double bud_borrowable(double fleet_left, double rate)
+{
+	return fleet_left - rate * REPORT_DELAY_S;
+}
+
 double bud_retries_left(struct bud *bud, const struct bud_rule *rule,
 			uint32_t nodes, int64_t now_us)
 {
--- a/src/bud.h
+++ b/src/bud.h
@@ -47,4 +47,14 @@
 void bud_count_retry(struct bud *bud, const struct bud_rule *rule,
 		     int64_t now_us);
 
+/**
+ * Returns how many of the retries that the fleet has left any node may use. A
+ * node's own share is a few retries at hundreds of nodes, and failures cluster:
+ * without borrowing most of the budget stays unused. Every request may fail
+ * once before its retry is reported, so that many retries are kept back.
+ * @param fleet_left  by the reported counts
+ * @param rate  requests per second of the fleet
+ */
+double bud_borrowable(double fleet_left, double rate);
+
 #endif
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -177,21 +177,23 @@
 	return "no_target";
 }
 
-/* A node may always use its own share. While the fleet has more left than one
- * retry for each node, a node may use one more: if all do so before they
- * receive each other's counts, which takes less than two buckets of time, the
- * sum still stays within the budget. */
+/* A node may always use its own share. One that knows the counts of the others
+ * may borrow what the fleet has left. */
 static double budget_left(struct gwy_request *req, int64_t now_us)
 {
 	struct gwy *gwy = req->gwy;
+	const char *service = gwy_service_name(req);
 	double own_left = bud_retries_left(budget_of(req), &gwy->budget_rule,
 					   gwy->members_alive, now_us);
-	double fleet_left = lod_retry_budget_left(
-		gwy->lod, gwy_service_name(req), &gwy->budget_rule, now_us);
+	double fleet_left = lod_retry_budget_left(gwy->lod, service,
+						  &gwy->budget_rule, now_us);
 	double recent =
 		bud_recent_retries(budget_of(req), &gwy->budget_rule, now_us);
+	double rate = lod_request_rate(gwy->lod, service, now_us);
 
-	return MAX(own_left, fleet_left / gwy->members_alive - recent);
+	if (!lod_is_current(gwy->lod, now_us))
+		return own_left;
+	return MAX(own_left, bud_borrowable(fleet_left, rate) - recent);
 }
 
 bool gwy_send_retry(struct gwy_request *req, int64_t now_us)
--- a/src/lod.c
+++ b/src/lod.c
@@ -92,6 +92,12 @@
 	return stats;
 }
 
+bool lod_is_current(const struct lod *lod, int64_t now_us)
+{
+	return (lod->view && lod_hub_is_active(lod, now_us)) ||
+	       now_us - lod->hub_last_rx_us < LOD_HUB_TIMEOUT_US;
+}
+
 double lod_retry_budget_left(struct lod *lod, const char *service,
 			     const struct bud_rule *rule, int64_t now_us)
 {
--- a/src/lod.h
+++ b/src/lod.h
@@ -64,6 +64,9 @@
  *  microseconds, 0 if unknown. */
 int64_t lod_mean_latency(const struct lod *lod, const char *service);
 
+/** Returns whether this node receives its domain's digests. */
+bool lod_is_current(const struct lod *lod, int64_t now_us);
+
 /** Returns how many retries the fleet has left for a service, by the counts
  *  that this node received. */
 double lod_retry_budget_left(struct lod *lod, const char *service,
--- a/tests/unit_policy_gateway.c
+++ b/tests/unit_policy_gateway.c
@@ -435,6 +435,81 @@
 }
 
 /* What a node took a moment ago counts against what all may take at once. */
+/* Hundreds of nodes with a few requests each, which learn of each other's
+ * retries REPORT_TICKS later. */
+enum {
+	MANY_NODES = 442,
+	REPORT_TICKS = 7, /* of 100 ms */
+	TICKS = 400,
+};
+
+/** Retries wanted, allowed, and the most in any window. */
+struct borrowed {
+	double wanted, allowed, most;
+};
+
+static struct borrowed borrow(const struct bud_rule *r, int requests_a_tick,
+			      double failing)
+{
+	static struct bud buds[MANY_NODES];
+	static double used[TICKS];
+	struct borrowed out = {0};
+	struct bud fleet = {0};
+	GRand *rand = g_rand_new_with_seed(3);
+
+	memset(buds, 0, sizeof(buds));
+	memset(used, 0, sizeof(used));
+	for (int t = 0; t < TICKS; t++) {
+		int64_t now_us = 100 * SECOND + t * 100 * MS;
+		double in_window = 0;
+
+		for (int i = 0;
+		     t >= REPORT_TICKS && i < (int)used[t - REPORT_TICKS]; i++)
+			bud_count_retry(&fleet, r, now_us);
+		for (int i = 0; i < requests_a_tick; i++) {
+			struct bud *bud =
+				&buds[g_rand_int_range(rand, 0, MANY_NODES)];
+			double left;
+
+			bud_count_request(bud, r, now_us);
+			bud_count_request(&fleet, r, now_us);
+			if (g_rand_double(rand) >= failing)
+				continue;
+			left = bud_borrowable(
+				       bud_retries_left(&fleet, r, 1, now_us),
+				       bud_request_rate(&fleet, r, now_us)) -
+			       bud_recent_retries(bud, r, now_us);
+			out.wanted++;
+			if (MAX(left, bud_retries_left(bud, r, MANY_NODES,
+						       now_us)) < 1.0)
+				continue;
+			bud_count_retry(bud, r, now_us);
+			used[t]++;
+			out.allowed++;
+		}
+		for (int i = MAX(t - 99, 0); i <= t; i++)
+			in_window += used[i];
+		out.most = MAX(out.most, in_window);
+	}
+	g_rand_free(rand);
+	return out;
+}
+
+/* Guards against retries that are refused for lack of budget while most of the
+ * fleet's budget is unused: a node's own share is a few retries, and failures
+ * come in clusters. When everything fails, the budget still holds. */
+static void test_budget_is_borrowed(void)
+{
+	const struct bud_rule r = {
+		.ratio = 0.2, .slack = 630, .window_us = 10 * SECOND};
+	struct borrowed usual = borrow(&r, 79, 0.15);
+	struct borrowed all = borrow(&r, 79, 1.0);
+
+	g_assert_cmpfloat(usual.allowed / usual.wanted, >, 0.98);
+	g_assert_cmpfloat(all.most, <=, r.ratio * 7900 + r.slack);
+	g_assert_cmpfloat(all.allowed, >, 0);
+}
+
 static void test_budget_recent_repeats(void)
 {
 	struct bud bud = {0};
@@ -493,6 +568,7 @@
 	g_test_add_func("/gateway/slowness_fades", test_slowness_fades);
 	g_test_add_func("/gateway/budget_of_all_nodes",
 			test_budget_of_all_nodes);
+	g_test_add_func("/gateway/budget_is_borrowed", test_budget_is_borrowed);
 	g_test_add_func("/gateway/budget_recent_repeats",
 			test_budget_recent_repeats);
 	g_test_add_func("/gateway/budget_returns_after_the_window",
