Do not spend a retry on a trial of a doubtful target

Cause: any request may serve as a trial of a target that has failed, also one whose first attempt failed and that has no other left; and the last attempt weighed a failure as lightly as the first. Ruled out: too few healthy targets (a third of the slots were free).

A retry is no trial, and the last attempt weighs a failure like a request that must not be repeated.

--- a/src/bal.c
+++ b/src/bal.c
@@ -354,7 +354,7 @@
 	best = choose_cheapest(service, query, skip, &random);
 	if (!best.target && best.usable)
 		best = choose_cheapest(service, query, 0.0, &random);
-	due = choose_due(service, query, &random);
+	due = query->no_trial ? NULL : choose_due(service, query, &random);
 	if (due)
 		best = (struct bal_choice){
 			.target = due,
--- a/src/bal.h
+++ b/src/bal.h
@@ -40,6 +40,7 @@
 	const struct dir_target *const *avoid; /* targets tried before */
 	uint32_t avoid_count;
 	bool repeatable;     /* a failure costs a retry, not the request */
+	bool no_trial;	     /* not to be used as a trial of a target */
 	double rate;	     /* requests per second for the service */
 	double domain_share; /* share of them that nodes of this domain get */
 	int64_t now_us;
--- a/src/gwy_choose.c
+++ b/src/gwy_choose.c
@@ -1,10 +1,11 @@
 #include "gwy_impl.h"
 
 /* Cost of a failure, in multiples of the route's objective. A request that is
- * not repeatable is lost, which costs several times its allowed time. Another
- * one costs a retry, for which the budget may be exhausted. */
-#define FAILURE_COST_UNSAFE 12
-#define FAILURE_COST_REPEATABLE 4
+ * not repeatable, or has no attempt left, is lost, which costs several times its
+ * allowed time. Another one costs a retry, for which the budget may be
+ * exhausted. */
+#define FAILURE_COST_FINAL 12
+#define FAILURE_COST_RETRY 4
 /* Another failure domain is used when waits or failures in the local one cost
  * more than this. Traffic between domains is expensive: an answer of 90 kB
  * costs as much as three requests in the more expensive deployment, so such
@@ -56,17 +57,20 @@
 	const char *service = gwy_service_name(req);
 	int64_t objective_us = gwy_choose_objective(req);
 	bool repeatable = gwy_route_of(req)->repeatable;
+	uint32_t tries_max = MAX(gwy_route_of(req)->tries, 1);
+	bool can_retry = repeatable && req->attempts_sent + 1 < tries_max;
 
 	return (struct bal_query){
 		.domain = gwy->node->set.domain,
 		.mean_us = lod_mean_latency(gwy->lod, service),
 		.failure_cost_us =
-			objective_us * (repeatable ? FAILURE_COST_REPEATABLE :
-						     FAILURE_COST_UNSAFE),
+			objective_us *
+			(can_retry ? FAILURE_COST_RETRY : FAILURE_COST_FINAL),
 		.cross_domain_cost_us =
 			CROSS_DOMAIN_US +
 			CROSS_DOMAIN_BYTE_US * gwy_answer_mean_bytes(req),
 		.repeatable = repeatable,
+		.no_trial = req->attempt_count > 0,
 		.avoid = avoid,
 		.avoid_count = attempted_targets(req, avoid),
 		.rate = lod_request_rate(gwy->lod, service, now_us),
--- a/tests/unit_bal.c
+++ b/tests/unit_bal.c
@@ -437,6 +437,50 @@
 	},
 };
 
+/* Guards against a retry that is spent on a trial of a target that has failed,
+ * and fails again: its caller has no attempt left. */
+static void retries_are_no_trials(void)
+{
+	struct dir *dir = dir_new(g_free);
+	int64_t now_us = 20 * SECOND;
+	struct bal_query query = {
+		.domain = "a",
+		.mean_us = 300 * MS,
+		.failure_cost_us = 6 * SECOND,
+		.repeatable = true,
+		.rate = 1.0,
+		.domain_share = 1.0,
+		.now_us = now_us,
+	};
+	int trials = 0;
+
+	for (int i = 0; i < 2; i++) {
+		struct dir_entry e = {.rev = 1, .born = 1, .slots = 4};
+		struct bal_target *state;
+
+		g_snprintf(e.id, sizeof(e.id), "t%d", i);
+		g_strlcpy(e.service, "list", sizeof(e.service));
+		g_strlcpy(e.address, "127.0.0.1:1", sizeof(e.address));
+		g_strlcpy(e.domain, "a", sizeof(e.domain));
+		dir_put(dir, &e, 0);
+		state = bal_target_get(dir_target_find(dir, e.id), 0);
+		state->sent_us = i ? now_us - 4 * SECOND : now_us;
+		gry_record_outcome(&state->gry, i ? GRY_FAILED : GRY_SUCCESS,
+				   1.0, state->sent_us);
+	}
+	for (int i = 0; i < 200; i++) {
+		query.random = (uint64_t)i * 2654435761U;
+		query.no_trial = i % 2;
+		if (bal_choose(dir_find(dir, "list"), &query).target !=
+		    dir_target_find(dir, "t1"))
+			continue;
+		g_assert_false(query.no_trial);
+		trials++;
+	}
+	g_assert_cmpint(trials, >, 0);
+	dir_free(dir);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -448,5 +492,6 @@
 
 		g_test_add_data_func(path, &loads[i], check_load);
 	}
+	g_test_add_func("/bal/retries_are_no_trials", retries_are_no_trials);
 	return g_test_run();
 }
