--- a/tests/unit_fed.c
+++ b/tests/unit_fed.c
@@ -321,7 +321,7 @@
 	run(2 * FS_US_PER_S);
 	calls = d.shelf.count;
 	run(5 * FS_US_PER_S);
-	g_assert_cmpuint(d.shelf.count - calls, <=, 12);
+	g_assert_cmpuint(d.shelf.count - calls, <=, 8);
 	end();
 }
 
