--- a/src/fed_role.h
+++ b/src/fed_role.h
@@ -3,10 +3,11 @@
  * @brief Decides whether a node reads the platform's store. Pure.
  *
  * In each failure domain the live member with the highest weight reads, the
- * chosen reader; the next ones take over in turn when no heartbeat arrives. All other nodes read only while they receive no heartbeat of any
- * fresh reader. A node that starts lists everything once, so that it can serve,
- * and then waits for a heartbeat. If the whole fleet starts for the first time,
- * there is nothing to serve yet: only the readers list.
+ * chosen reader; the next ones take over in turn when no heartbeat arrives. All
+ * other nodes read only while they receive no heartbeat of any fresh reader. A
+ * node that starts lists everything once, so that it can serve, and then waits
+ * for a heartbeat. If the whole fleet starts for the first time, there is nothing
+ * to serve yet: only the readers list.
  */
 #ifndef FED_ROLE_H
 #define FED_ROLE_H
