Set up the store of unit_fed apart from the task

first_page_serves built its fixture twice to change the store before the task begins; a fixture in two steps says what it needs. Checked again on code without the first page: it fails there.

--- a/tests/unit_fed.c
+++ b/tests/unit_fed.c
@@ -83,7 +83,7 @@
 	d.fed = fed_new(&d.node, &platform, d.dir);
 }
 
-static void begin_with_config(const char *config)
+static void begin_store(const char *config)
 {
 	memset(&d, 0, sizeof(d));
 	g_strlcpy(d.node.set.name, "a", FS_NAME_MAX);
@@ -100,6 +100,11 @@
 
 		shelf_put(&d.shelf, key, "ready");
 	}
+}
+
+static void begin_with_config(const char *config)
+{
+	begin_store(config);
 	begin_task();
 	/* A change, and the initial state, is in force within 2 s. */
 	for (int i = 0; i < 40 && !(config ? d.node.ready : i == 4); i++)
@@ -294,11 +299,7 @@
  * against a node that refuses callers although it knows half of the targets. */
 static void test_first_page_serves(void)
 {
-	begin_with_config(NULL);
-	fed_free(d.fed);
-	dir_free(d.dir);
-	d.dir = dir_new(NULL);
-	shelf_put(&d.shelf, "c/config", "5");
+	begin_store("5");
 	d.shelf.page = 1;
 	begin_task();
 	for (int i = 0; i < 100 && !d.node.ready; i++)
