Ask peers again while a list of one's own is under way

Two parts of the change of readers are taken back: nodes that wait for a reader call a lost store every second again, as 2.5 s left a missing target in use for up to 4.7 s after the store's return; and a node whose own list is under way asks a peer whose digest differs, as it did before: a silent store could hold it up for as long as its calls last.

unit_fed peers_replace_silent_store fails without the change. followers_back_off goes with the rule that it checked, which was wrong.

--- a/src/fed_impl.h
+++ b/src/fed_impl.h
@@ -18,7 +18,6 @@
 #define FED_CONFIG_LONG_POLL_US (2000 * FS_US_PER_MS)
 #define FED_RETRY_MIN_US (150 * FS_US_PER_MS) /* after a failed call */
 #define FED_RETRY_MAX_US (1000 * FS_US_PER_MS)
-#define FED_RETRY_FOLLOWER_MAX_US (2500 * FS_US_PER_MS)
 
 /* Servers renew an expired entry within 2 s of the service's return. */
 #define FED_REMOVAL_GRACE_US (2200 * FS_US_PER_MS)
--- a/src/fed_read.c
+++ b/src/fed_read.c
@@ -12,15 +12,11 @@
 		      "\"reason\":\"%s\"", fs_err_name(err));
 }
 
-/* Readers and nodes that can't serve yet try soon: the others hear of the
- * store's return from them. */
 static int64_t retry_us(struct fed *fed, uint32_t failures)
 {
-	bool soon = fed->role.chosen || !fed_is_ready(fed);
-	int64_t delay_us = FED_RETRY_MIN_US << MIN(failures, 6U);
+	int64_t delay_us = FED_RETRY_MIN_US << MIN(failures, 4U);
 
-	delay_us = MIN(delay_us,
-		       soon ? FED_RETRY_MAX_US : FED_RETRY_FOLLOWER_MAX_US);
+	delay_us = MIN(delay_us, FED_RETRY_MAX_US);
 	return delay_us / 2 + fed_random(fed, delay_us / 2);
 }
 
--- a/src/fed_tell.c
+++ b/src/fed_tell.c
@@ -123,8 +123,8 @@
 		return;
 	fed_request_config(fed, heartbeat->reader, heartbeat->config_version,
 			   now_us);
-	/* A node that reads has its own list, or gets it soon. */
-	if (!fed->role.reading || fed->targets.failures)
+	/* A node that reads has its own list. */
+	if (!fed->role.reading || !fed->targets.listed)
 		request_entries(fed, heartbeat, now_us);
 }
 
