Ask another domain's reader as soon as the local one loses the store

What fits: the store failed just after the change, so a domain's reader could miss it; it counts as fresh for 1.1 s more, and the nodes of its domain heeded no other reader until it had been silent for 1.2 s.

A local heartbeat that is not fresh ends the trust in that reader at once: 1.1 s and a query instead of 2.3 s. A reader whose own calls are not answered asks peers as well; before, it trusted its list.

unit_fed other_domains_replace_a_reader_at_once and reader_without_store_asks_peers fail without the change.

--- a/src/fed_tell.c
+++ b/src/fed_tell.c
@@ -109,12 +109,26 @@
 		 msg_new(MSG_FEED_REQUEST, heartbeat->reader, MSG_TASK_CONFIG));
 }
 
+/* Returns whether this node follows the store by its own calls. */
+static bool reads_in_time(const struct fed *fed, int64_t now_us)
+{
+	return fed->role.reading && fed->targets.listed &&
+	       now_us - fed->targets.answered_us < FED_FRESH_US;
+}
+
 void fed_receive_heartbeat(struct fed *fed, const struct msg *m, int64_t now_us)
 {
 	const struct msg_feed_heartbeat *heartbeat = &m->feed_heartbeat;
 
-	if (!heartbeat->fresh)
+	if (!heartbeat->fresh) {
+		/* The reader of this domain has lost the store: those of other
+		 * domains count at once. */
+		if (heartbeat->local)
+			fed->role.local_rx_us =
+				MIN(fed->role.local_rx_us,
+				    now_us - FED_READER_TIMEOUT_US);
 		return;
+	}
 	fed->role.last_rx_us = now_us;
 	if (heartbeat->local)
 		fed->role.local_rx_us = now_us;
@@ -123,8 +137,7 @@
 		return;
 	fed_request_config(fed, heartbeat->reader, heartbeat->config_version,
 			   now_us);
-	/* A node that reads has its own list. */
-	if (!fed->role.reading || !fed->targets.listed)
+	if (!reads_in_time(fed, now_us))
 		request_entries(fed, heartbeat, now_us);
 }
 
--- a/tests/unit_fed.c
+++ b/tests/unit_fed.c
@@ -3,8 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "fed.h"
-#include "fed_role.h"
+#include "fed_impl.h"
 #include "fleet_kvs.h"
 #include "fs_log.h"
 
@@ -250,19 +249,25 @@
 	end();
 }
 
-static void receive_heartbeat(uint64_t digest, uint64_t version, bool local)
+static void receive_heartbeat_of(uint64_t digest, uint64_t version, bool local,
+				 bool fresh)
 {
 	struct msg *m =
 		msg_new(MSG_FEED_HEARTBEAT, d.node.self, MSG_TASK_CONFIG);
 
 	m->feed_heartbeat.digest = digest;
 	m->feed_heartbeat.config_version = version;
-	m->feed_heartbeat.fresh = true;
+	m->feed_heartbeat.fresh = fresh;
 	m->feed_heartbeat.local = local;
-	m->feed_heartbeat.reader = 77;
+	m->feed_heartbeat.reader = local ? 76 : 77;
 	bus_deliver(d.node.bus, m);
 }
 
+static void receive_heartbeat(uint64_t digest, uint64_t version, bool local)
+{
+	receive_heartbeat_of(digest, version, local, true);
+}
+
 /* A node that receives heartbeats of a fresh reader makes no calls. */
 static void test_no_calls_with_fresh_reader(void)
 {
@@ -286,12 +291,12 @@
 	end();
 }
 
-static bool was_queried(enum msg_type type)
+static bool was_queried_at(enum msg_type type, node_id peer)
 {
 	for (guint i = 0; i < d.sent->len; i++) {
 		const struct msg *m = g_ptr_array_index(d.sent, i);
 
-		if (m->type == type && m->to == 77)
+		if (m->type == type && m->to == peer)
 			return true;
 	}
 	return false;
@@ -313,6 +318,46 @@
 	end();
 }
 
+static bool was_queried(enum msg_type type)
+{
+	return was_queried_at(type, 77);
+}
+
+/* The store fails just after a change, and this domain's reader missed it:
+ * guards against a node that asks no reader of another domain until the local
+ * one has been silent for long. */
+static void test_other_domains_replace_a_reader_at_once(void)
+{
+	begin();
+	for (int i = 0; i < 40; i++) {
+		receive_heartbeat(dir_digest(d.dir), 5, true);
+		run(50 * FS_US_PER_MS);
+	}
+	receive_heartbeat(12345, 8, false);
+	run(20 * FS_US_PER_MS);
+	g_assert_false(was_queried(MSG_FEED_REQUEST));
+	receive_heartbeat_of(dir_digest(d.dir), 5, true, false);
+	receive_heartbeat(12345, 8, false);
+	run(20 * FS_US_PER_MS);
+	g_assert_true(was_queried(MSG_FEED_REQUEST));
+	g_assert_true(was_queried(MSG_CONFIG_REQUEST));
+	end();
+}
+
+/* The reader itself: guards against one that trusts its last answer while the
+ * store is lost and others have the change. */
+static void test_reader_without_store_asks_peers(void)
+{
+	begin();
+	run(FS_US_PER_S / 2);
+	d.silent = true;
+	run(FED_FRESH_US + 200 * FS_US_PER_MS);
+	receive_heartbeat(12345, 5, false);
+	run(20 * FS_US_PER_MS);
+	g_assert_true(was_queried(MSG_FEED_REQUEST));
+	end();
+}
+
 /* A node that the store refuses is updated by its peers. */
 static void test_peers_replace_lost_store(void)
 {
@@ -348,7 +393,7 @@
 	run(FED_READER_TIMEOUT_US + 200 * FS_US_PER_MS);
 	receive_heartbeat(12345, 5, true);
 	run(50 * FS_US_PER_MS);
-	g_assert_true(was_queried(MSG_FEED_REQUEST));
+	g_assert_true(was_queried_at(MSG_FEED_REQUEST, 76));
 	end();
 }
 
@@ -393,6 +438,10 @@
 	g_test_add_func("/fed/fresh_reader_spares_calls",
 			test_no_calls_with_fresh_reader);
 	g_test_add_func("/fed/first_page_serves", test_first_page_serves);
+	g_test_add_func("/fed/other_domains_replace_a_reader_at_once",
+			test_other_domains_replace_a_reader_at_once);
+	g_test_add_func("/fed/reader_without_store_asks_peers",
+			test_reader_without_store_asks_peers);
 	g_test_add_func("/fed/peers_replace_silent_store",
 			test_peers_replace_silent_store);
 	g_test_add_func("/fed/peers_tell_what_the_store_does_not",
