--- a/tests/unit_gwy.c
+++ b/tests/unit_gwy.c
@@ -189,23 +189,25 @@
 					   fs_now_us());
 }
 
-/* Saturated service: guards against a refusal of a safe request while a
- * suspected target is free, and against an unsafe one that is sent there. */
-static void test_last_resort_is_for_safe_requests(void)
+/* A healthy target with a long queue, and a free one that is suspected. */
+static void begin_saturated(const char *service)
 {
 	begin();
-	yard_target(&y, "list", serve_ok, NULL);
-	yard_target(&y, "list", serve_ok, NULL);
+	yard_target(&y, service, serve_ok, NULL);
+	yard_target(&y, service, serve_ok, NULL);
 	put_load("s0", LONG_QUEUE);
 	put_load("s1", 0);
+}
+
+/* Saturated service: guards against a refusal of a safe request while a
+ * suspected target is free, and against an unsafe one that is sent there. */
+static void test_last_resort_is_for_safe_requests(void)
+{
+	begin_saturated("list");
 	yard_call(&y, &c, LIST_REQUEST);
 	yard_expect(&y, &c, 200);
 	end();
-	begin();
-	yard_target(&y, "pay", serve_ok, NULL);
-	yard_target(&y, "pay", serve_ok, NULL);
-	put_load("s0", LONG_QUEUE);
-	put_load("s1", 0);
+	begin_saturated("pay");
 	yard_call(&y, &c, PAY_REQUEST);
 	yard_expect(&y, &c, 503);
 	g_assert_cmpuint(yard_arrivals(&y), ==, 0);
