Answer every request before a planned stop ends

Cause: at the end of the grace time cancel_all_requests() queued a final answer for each request left, and gwy_free() stopped the HTTP daemon in the same turn, before a byte of it was written. The log then named an answer (dispatcher_lost, 504) that no caller had received.

Now a stop limits the deadline of each request to 350 ms before the process is killed. So overdue answers are hedged earlier, a server is told the time that is really left, and what does not end by then gets its final answer like at any deadline: 504 "stopped" if it may have run, 503 "stopping", with Retry-After, if it has not. 250 ms remain to send these answers. The end of a stop is no evidence against a target. What is still cut (an answer whose caller does not read) is logged as "cut", status 0.

Ruled out: requests that the count of is_drained() misses.

--- a/src/fs_err.h
+++ b/src/fs_err.h
@@ -36,6 +36,7 @@
 	FS_E_KEY_SPENT = -18,	    /* same Idempotency-Key ran or may have */
 	FS_E_SHED = -19,	    /* given up for a higher priority */
 	FS_E_TARGET_REFUSED = -20,  /* the target's status means not run */
+	FS_E_STOPPING = -21,	    /* this node exits before it could end */
 	/* Failures after a byte may have reached a target */
 	FS_E_DEADLINE = -30,	    /* no answer within the deadline */
 	FS_E_DISPATCHER_LOST = -31, /* the dispatcher no longer answers */
@@ -43,6 +44,7 @@
 	FS_E_TRUNCATED = -33,	    /* the answer ended early */
 	FS_E_ANSWER_INVALID = -34,  /* the answer was not valid HTTP */
 	FS_E_CALLER_GONE = -35,	    /* the caller closed its connection */
+	FS_E_STOPPED = -36,	    /* this node exits before its answer */
 	/* Errors inside the fleet and its tools */
 	FS_E_INVALID = -40,	/* an argument or a setting is wrong */
 	FS_E_NO_MEMORY = -41,	/* a bounded table is full */
--- a/src/gwy.c
+++ b/src/gwy.c
@@ -126,7 +126,7 @@
 }
 
 /* Resumes all connections: MHD must not be stopped while one is suspended. */
-static void cancel_all_requests(struct gwy *gwy)
+static void cut_requests(struct gwy *gwy)
 {
 	g_autoptr(GList) all = g_hash_table_get_keys(gwy->requests);
 	int64_t now_us = fs_now_us();
@@ -136,8 +136,8 @@
 
 		gwy_request_cancel_attempts(req);
 		req->stream_failed = true;
-		if (!req->response && req->headers_received)
-			gwy_answer_refuse(req, FS_E_DISPATCHER_LOST, 0, now_us);
+		if (req->headers_received)
+			gwy_request_log(req, "cut", now_us);
 		gwy_request_resume(req);
 	}
 }
@@ -146,7 +146,7 @@
 {
 	if (!gwy)
 		return;
-	cancel_all_requests(gwy);
+	cut_requests(gwy);
 	gwy_stop_end(gwy);
 	htd_stop(gwy->htd);
 	tgt_pool_free(gwy->pool);
--- a/src/gwy_http.c
+++ b/src/gwy_http.c
@@ -75,6 +75,7 @@
 	if (route_limit_us > 0)
 		allowed_us = MIN(allowed_us, route_limit_us);
 	req->deadline_us = req->started_us + allowed_us;
+	gwy_stop_limit_deadline(req);
 }
 
 /* Route shares hold on average: each request draws a service by weight. */
--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -26,6 +26,8 @@
 #define GWY_DEFER_MAX_US (1200 * FS_US_PER_MS)
 /* No attempt starts with less time left: no target can answer in it. */
 #define GWY_TIME_LEFT_MIN_US (20 * FS_US_PER_MS)
+/* Another node takes the request of a caller that leaves a stopping one. */
+#define GWY_STOPPING_RETRY_AFTER_US (10 * FS_US_PER_MS)
 
 struct gwy_request;
 
@@ -70,6 +72,7 @@
 	int64_t started_us;
 	int64_t deadline_us;
 	int64_t client_timeout_us; /* the caller's time-out; 0: none */
+	bool ends_with_node; /* the deadline is the end of a planned stop */
 	struct cfg *cfg;
 	handle route;
 	handle service;
@@ -115,7 +118,10 @@
 	double domain_share;	/* fraction of them in this failure domain */
 	bool stopping;
 	int64_t started_us;
-	int64_t stop_us; /* when the stop began */
+	int64_t stop_us;	/* when the stop began */
+	int64_t last_answer_us; /* of the stop: all requests end by then */
+	int64_t exit_us;	/* of the stop: answers are sent until then */
+	bool ending; /* a tick of the stop has passed since last_answer_us */
 	ev_timer stop_timer;
 	bool quiesced;
 };
@@ -164,6 +170,12 @@
 /** Returns whether a hedge beside the first attempt is worth its cost. */
 bool gwy_overdue_should_hedge(struct gwy_request *req, int64_t now_us);
 
+/* Deadlines (gwy_deadline.c) */
+/** Returns the error of a request that ends at its deadline. */
+int gwy_deadline_err(const struct gwy_request *req);
+/** Ends a request whose deadline has passed. */
+void gwy_deadline_passed(struct gwy_request *req, int64_t now_us);
+
 /* Attempts (gwy_send.c) */
 /** Retries a request or parks it, if the retry rule allows it. */
 bool gwy_send_retry(struct gwy_request *req, int64_t now_us);
@@ -188,6 +200,8 @@
 /* Planned stop (gwy_stop.c) */
 void gwy_stop_begin(struct gwy *gwy, int64_t now_us);
 void gwy_stop_end(struct gwy *gwy);
+/** Limits the deadline of a request to the end of the stop, if there is one. */
+void gwy_stop_limit_deadline(struct gwy_request *req);
 
 static inline const struct cfg_route *
 gwy_route_of(const struct gwy_request *req)
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -25,11 +25,13 @@
 	};
 }
 
-static int64_t retry_after_us(struct gwy_request *req,
+static int64_t retry_after_us(struct gwy_request *req, int err,
 			      const struct bal_choice *choice, int64_t now_us)
 {
 	struct adm_input n = admission_input(req, choice, now_us);
 
+	if (err == FS_E_STOPPING)
+		return GWY_STOPPING_RETRY_AFTER_US;
 	return adm_retry_after(&n) +
 	       (int64_t)(gwy_random(req->gwy) % RETRY_AFTER_JITTER_US);
 }
@@ -136,14 +138,12 @@
 static int check_send(const struct gwy_request *req,
 		      const struct bal_choice *choice, int64_t now_us)
 {
-	int64_t left_us = req->deadline_us - now_us;
-	struct adm_input n;
+	struct adm_input n = admission_input(req, choice, now_us);
 
-	if (left_us < GWY_TIME_LEFT_MIN_US)
-		return req->may_have_run ? FS_E_DEADLINE : FS_E_DEADLINE_QUEUED;
+	if (n.left_us < GWY_TIME_LEFT_MIN_US)
+		return gwy_deadline_err(req);
 	if (!choice->target)
 		return choice->full ? FS_E_QUEUE_FULL : FS_E_NO_TARGET;
-	n = admission_input(req, choice, now_us);
 	return adm_decide(&n) == ADM_SEND ? 0 : FS_E_WAIT_TOO_LONG;
 }
 
@@ -247,15 +247,18 @@
 	}
 	if (err) {
 		gwy_answer_refuse(req, err,
-				  retry_after_us(req, &choice, now_us), now_us);
+				  retry_after_us(req, err, &choice, now_us),
+				  now_us);
 		return;
 	}
 	start_attempt(req, &choice, now_us);
 	if (req->attempts_in_flight)
 		set_timer(req, now_us);
 	else
-		gwy_answer_refuse(req, FS_E_NO_TARGET,
-				  retry_after_us(req, &choice, now_us), now_us);
+		gwy_answer_refuse(
+			req, FS_E_NO_TARGET,
+			retry_after_us(req, FS_E_NO_TARGET, &choice, now_us),
+			now_us);
 }
 
 void gwy_send_first(struct gwy_request *req, int64_t now_us)
@@ -284,7 +287,7 @@
 {
 	enum gry_outcome outcome = outcome_of(t);
 
-	if (outcome == GRY_OVERDUE && t->overdue)
+	if (outcome == GRY_OVERDUE && (t->overdue || t->req->ends_with_node))
 		return;
 	t->overdue |= outcome == GRY_OVERDUE;
 	/* The wait for a slot is not part of the service time of the target. */
@@ -304,6 +307,8 @@
 /* Returns the error for the caller if no attempt gave an answer to forward. */
 static int final_err(const struct gwy_attempt *t)
 {
+	if (t->err == FS_E_DEADLINE && t->req->ends_with_node)
+		return gwy_deadline_err(t->req);
 	if (!t->req->may_have_run)
 		return t->err && t->err != FS_E_CONNECT ? FS_E_DEADLINE_QUEUED :
 		       t->err				? FS_E_NO_TARGET :
@@ -323,12 +328,13 @@
 		return;
 	}
 	err = final_err(t);
-	gwy_answer_refuse(
-		req, err,
-		req->may_have_run ?
-			0 :
-			retry_after_us(req, &(struct bal_choice){0}, now_us),
-		now_us);
+	gwy_answer_refuse(req, err,
+			  req->may_have_run ?
+				  0 :
+				  retry_after_us(req, err,
+						 &(struct bal_choice){0},
+						 now_us),
+			  now_us);
 }
 
 /* An answer that is no success is forwarded only if no retry is possible. */
@@ -439,29 +445,6 @@
 	.done = on_done,
 };
 
-static void on_deadline(struct gwy_request *req, int64_t now_us)
-{
-	if (req->state == GWY_STREAMING) {
-		gwy_request_cancel_attempts(req);
-		req->stream_failed = true;
-		gwy_request_log(req, fs_err_name(FS_E_DEADLINE), now_us);
-		req->state = GWY_ENDED;
-		gwy_request_resume(req);
-		return;
-	}
-	for (uint32_t i = 0; i < req->attempt_count; i++) {
-		struct gwy_attempt *t = &req->attempts[i];
-
-		if (t->in_flight && !t->overdue)
-			lod_record_outcome(req->gwy->lod, t->target,
-					   GRY_OVERDUE, 0);
-	}
-	gwy_request_cancel_attempts(req);
-	gwy_answer_refuse(
-		req, req->may_have_run ? FS_E_DEADLINE : FS_E_DEADLINE_QUEUED,
-		0, now_us);
-}
-
 /* Retries a parked request, as capacity may be free now. */
 static void retry_parked(struct gwy_request *req, int64_t now_us)
 {
@@ -479,7 +462,7 @@
 	if (req->state == GWY_ENDED)
 		return;
 	if (now_us >= req->deadline_us) {
-		on_deadline(req, now_us);
+		gwy_deadline_passed(req, now_us);
 		return;
 	}
 	if (req->parked) {
--- a/src/gwy_stop.c
+++ b/src/gwy_stop.c
@@ -9,14 +9,21 @@
 /* Idle connections stay open until the process exits; a request that arrives
  * during the close has not been read. */
 #define CLOSE_GRACE_US (300 * FS_US_PER_MS)
-/* Requests in flight are cut only shortly before the process is killed. */
-#define KILL_MARGIN_US (350 * FS_US_PER_MS)
+/* Requests in flight end this much before the process is killed, so that their
+ * answers can still be sent. */
+#define LAST_ANSWER_MARGIN_US (350 * FS_US_PER_MS)
+#define EXIT_MARGIN_US (100 * FS_US_PER_MS)
 
 static bool is_drained(struct gwy *gwy, int64_t now_us)
 {
 	int64_t since_us = now_us - gwy->stop_us;
 
-	if (since_us >= gwy->node->set.stop_grace_us - KILL_MARGIN_US)
+	/* After a pause the last answers may only just have been queued. */
+	if (now_us >= gwy->last_answer_us && !gwy->ending) {
+		gwy->ending = true;
+		return false;
+	}
+	if (now_us >= gwy->exit_us)
 		return true;
 	if (since_us < ACCEPT_US)
 		return false;
@@ -44,12 +51,43 @@
 	bus_send(gwy->node->bus, m);
 }
 
+void gwy_stop_limit_deadline(struct gwy_request *req)
+{
+	const struct gwy *gwy = req->gwy;
+
+	if (!gwy->stopping || req->deadline_us <= gwy->last_answer_us)
+		return;
+	req->deadline_us = gwy->last_answer_us;
+	req->ends_with_node = true;
+}
+
+/* Requests in flight decide anew with the time that is left. */
+static void limit_deadlines(struct gwy *gwy, int64_t now_us)
+{
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_iter_init(&iter, gwy->requests);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct gwy_request *req = key;
+
+		gwy_stop_limit_deadline(req);
+		if (req->ends_with_node &&
+		    (req->state == GWY_WAITING || req->state == GWY_STREAMING))
+			gwy_request_timer(req, now_us, now_us);
+	}
+}
+
 void gwy_stop_begin(struct gwy *gwy, int64_t now_us)
 {
 	if (gwy->stopping)
 		return;
 	gwy->stopping = true;
 	gwy->stop_us = now_us;
+	gwy->last_answer_us =
+		now_us + gwy->node->set.stop_grace_us - LAST_ANSWER_MARGIN_US;
+	gwy->exit_us = now_us + gwy->node->set.stop_grace_us - EXIT_MARGIN_US;
+	limit_deadlines(gwy, now_us);
 	ev_timer_init(&gwy->stop_timer, on_timer, TICK_US / 1e6, TICK_US / 1e6);
 	gwy->stop_timer.data = gwy;
 	ev_timer_start(gwy->node->loop, &gwy->stop_timer);
--- /dev/null
+++ b/tests/unit_gwy_stop.c
@@ -0,0 +1,177 @@
+/* The gateway task during a planned stop: every request that was read ends with
+ * an answer before the process exits. */
+#include <string.h>
+#include <sys/socket.h>
+
+#include "fleet_gwy.h"
+#include "gwy_impl.h"
+
+#define FIELDS "Host: h\r\nX-Id: r1\r\nX-Left: 3000\r\n"
+#define PAY_REQUEST \
+	"POST /pay/1 HTTP/1.1\r\n" FIELDS "Content-Length: 3\r\n\r\na=1"
+#define LIST_REQUEST "GET /list/1?q=1 HTTP/1.1\r\n" FIELDS "\r\n"
+/* Ends before the routes' time-outs do. */
+#define GRACE_US (1200 * FS_US_PER_MS)
+#define WORK_US (200 * FS_US_PER_MS)
+
+static struct yard y;
+static struct yard_caller c;
+static bool gateway_freed;
+
+static void begin(void)
+{
+	yard_begin(&y);
+	y.node.set.stop_grace_us = GRACE_US;
+	gateway_freed = false;
+}
+
+static void begin_stop(void)
+{
+	y.node.stopping = true;
+	bus_send_all(y.node.bus, MSG_STOP, NULL);
+	yard_run(&y, FS_US_PER_MS);
+}
+
+/* Exits as the process does: nothing runs after MSG_STOPPED. */
+static void run_until_exit(void)
+{
+	yard_until(&y, y.stopped);
+	gwy_free(y.gwy);
+	y.gwy = NULL;
+	gateway_freed = true;
+}
+
+static void end(void)
+{
+	yard_hang_up(&c);
+	if (!gateway_freed)
+		yard_run(&y, 5000);
+	yard_end(&y);
+}
+
+/* Never answers. */
+static void serve_nothing(void *arg, struct fake_conn *conn,
+			  const struct fake_request *request)
+{
+	(void)arg;
+	(void)conn;
+	(void)request;
+}
+
+/* Answers after WORK_US. */
+static void serve_slowly(void *arg, struct fake_conn *conn,
+			 const struct fake_request *request)
+{
+	(void)arg;
+	(void)request;
+	fake_send_later(conn,
+			"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: z\r\n"
+			"Content-Length: 5\r\n\r\nhello",
+			WORK_US);
+}
+
+/* The gateway learns the mean service time. */
+static void serve_one(const char *request)
+{
+	yard_call(&y, &c, request);
+	yard_expect(&y, &c, 200);
+	yard_hang_up(&c);
+}
+
+/* Checks for a complete answer with that status. */
+static void expect_whole(int status, const char *error)
+{
+	g_autofree char *line = g_strdup_printf("HTTP/1.1 %d ", status);
+
+	yard_read(&c);
+	g_assert_true(g_str_has_prefix(c.got->str, line));
+	g_assert_nonnull(strstr(c.got->str, "Connection: close"));
+	g_assert_nonnull(strstr(c.got->str, error));
+	g_assert_true(g_str_has_suffix(c.got->str, "}\n"));
+}
+
+/* Guards against a connection that ends without an answer: the target still
+ * works on the request when the process exits. */
+static void test_unfinished_work_is_answered(void)
+{
+	begin();
+	yard_target(&y, "pay", serve_nothing, NULL);
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_until(&y, yard_arrivals(&y) == 1);
+	begin_stop();
+	run_until_exit();
+	expect_whole(504, "\"stopped\"");
+	end();
+}
+
+/* Guards against a request without an answer whose body was still being sent
+ * when the stop began. */
+static void test_slow_body_is_answered(void)
+{
+	begin();
+	yard_target(&y, "pay", serve_nothing, NULL);
+	yard_call(&y, &c,
+		  "POST /pay/1 HTTP/1.1\r\n" FIELDS
+		  "Content-Length: 3\r\n\r\n");
+	yard_run(&y, 20 * FS_US_PER_MS);
+	begin_stop();
+	g_assert_cmpint(send(c.fd, "a=1", 3, MSG_NOSIGNAL), ==, 3);
+	run_until_exit();
+	expect_whole(504, "\"stopped\"");
+	end();
+}
+
+/* A stop with time to spare serves what arrives. */
+static void test_early_request_is_served(void)
+{
+	begin();
+	yard_target(&y, "pay", serve_slowly, NULL);
+	serve_one(PAY_REQUEST);
+	begin_stop();
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_expect(&y, &c, 200);
+	end();
+}
+
+/* Guards against a request that waits unsent until the exit: no target is
+ * there, and its caller is told in time to try another node. */
+static void test_unsent_request_is_refused(void)
+{
+	begin();
+	begin_stop();
+	yard_call(&y, &c, LIST_REQUEST);
+	run_until_exit();
+	expect_whole(503, "\"no_target\"");
+	end();
+}
+
+/* Guards against an exit in the turn that queues the last answers: the process
+ * was paused over the end of its stop. */
+static void test_pause_over_the_end_still_answers(void)
+{
+	begin();
+	yard_target(&y, "pay", serve_nothing, NULL);
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_until(&y, yard_arrivals(&y) == 1);
+	begin_stop();
+	g_usleep(GRACE_US);
+	run_until_exit();
+	expect_whole(504, "\"stopped\"");
+	end();
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/gwy_stop/unfinished_work_is_answered",
+			test_unfinished_work_is_answered);
+	g_test_add_func("/gwy_stop/slow_body_is_answered",
+			test_slow_body_is_answered);
+	g_test_add_func("/gwy_stop/early_request_is_served",
+			test_early_request_is_served);
+	g_test_add_func("/gwy_stop/unsent_request_is_refused",
+			test_unsent_request_is_refused);
+	g_test_add_func("/gwy_stop/pause_over_the_end_still_answers",
+			test_pause_over_the_end_still_answers);
+	return g_test_run();
+}
