Start no work late in a stop that can't end before the exit

Cause: while stopping, a node served requests of kept connections, retried and hedged as if it lived on.

Tests: /gwy_stop/late_request_is_refused_as_not_run failed before ("expected 503, got: HTTP/1.1 200 OK"), as did late_retry_is_not_begun ("assertion failed (yard_arrivals(&y) == 2): (3 == 2)"); /adm/no_attempt_that_outlasts_the_exit states the rule without a network.

--- a/src/adm.c
+++ b/src/adm.c
@@ -14,6 +14,10 @@
  * parked. */
 #define URGENT_MEANS 1.5
 #define RETRY_AFTER_MIN_US (200 * FS_US_PER_MS)
+/* Nine of ten requests take no longer than two mean service times, and six of
+ * ten no longer than one. */
+#define EXIT_MEANS_FIRST 2.0
+#define EXIT_MEANS_RETRY 1.0
 
 static bool is_urgent(const struct adm_input *n)
 {
@@ -52,6 +56,14 @@
 	return parkable ? ADM_PARK : ADM_REFUSE;
 }
 
+bool adm_ends_before_exit(const struct adm_input *n)
+{
+	double means = n->refusable ? EXIT_MEANS_FIRST : EXIT_MEANS_RETRY;
+
+	return (double)n->left_us >
+	       (double)n->wait_us + means * (double)n->mean_us;
+}
+
 int64_t adm_retry_after(const struct adm_input *n)
 {
 	return MAX(n->wait_us - max_queue_wait_us(n), RETRY_AFTER_MIN_US);
--- a/src/adm.h
+++ b/src/adm.h
@@ -33,10 +33,18 @@
 	int64_t wait_us;      /* expected, for a slot at the best target */
 	bool has_capacity;    /* a target has free slots */
 	bool attempted;	      /* it had an attempt, and a retry is allowed */
+	bool refusable;	      /* "not run" would be true */
 };
 
 enum adm_decision adm_decide(const struct adm_input *n);
 
+/**
+ * Returns whether an attempt is likely to end in the time left, on a node that
+ * exits at its deadline. Another node has more time for the request, so one that
+ * can be refused as not run needs better odds than a retry.
+ */
+bool adm_ends_before_exit(const struct adm_input *n);
+
 /** Returns the time until a refused caller should retry, without jitter, in us. */
 int64_t adm_retry_after(const struct adm_input *n);
 
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -22,6 +22,7 @@
 		.wait_us = choice->wait_us,
 		.has_capacity = choice->target != NULL,
 		.attempted = req->attempt_count > 0,
+		.refusable = !req->may_have_run && !req->attempts_in_flight,
 	};
 }
 
@@ -140,7 +141,8 @@
 {
 	struct adm_input n = admission_input(req, choice, now_us);
 
-	if (n.left_us < GWY_TIME_LEFT_MIN_US)
+	if (n.left_us < GWY_TIME_LEFT_MIN_US ||
+	    (req->ends_with_node && !adm_ends_before_exit(&n)))
 		return gwy_deadline_err(req);
 	if (!choice->target)
 		return choice->full ? FS_E_QUEUE_FULL : FS_E_NO_TARGET;
@@ -223,7 +225,10 @@
 		n.usable = 1;
 	if (req->attempt_count == GWY_ATTEMPTS_MAX || !rty_allowed(&n) ||
 	    (err && !park(req, &choice, err, now_us))) {
-		req->no_retry_reason = no_retry_reason_of(&n);
+		req->no_retry_reason = err == FS_E_STOPPING ||
+						       err == FS_E_STOPPED ?
+					       fs_err_name(err) :
+					       no_retry_reason_of(&n);
 		return false;
 	}
 	if (err)
--- a/tests/unit_adm.c
+++ b/tests/unit_adm.c
@@ -94,6 +94,24 @@
 	g_assert_cmpint(adm_decide(&n), ==, ADM_REFUSE);
 }
 
+/* A node that stops: guards against work that begins shortly before the exit and
+ * is cut. Another node has more time for a request that has not run; one that
+ * may have run has only this node. */
+static void test_no_attempt_that_outlasts_the_exit(void)
+{
+	struct adm_input n = new_request(100 * MS);
+
+	n.refusable = true;
+	n.left_us = 800 * MS;
+	g_assert_true(adm_ends_before_exit(&n));
+	n.left_us = 600 * MS;
+	g_assert_false(adm_ends_before_exit(&n));
+	n.refusable = false;
+	g_assert_true(adm_ends_before_exit(&n));
+	n.left_us = 350 * MS;
+	g_assert_false(adm_ends_before_exit(&n));
+}
+
 /* The longer the queue, the later callers retry. */
 static void test_retry_after_follows_the_queue(void)
 {
@@ -119,6 +137,8 @@
 			test_full_targets_refuse_in_time);
 	g_test_add_func("/adm/rejected_request_parks_longer",
 			test_rejected_request_parks_longer);
+	g_test_add_func("/adm/no_attempt_that_outlasts_the_exit",
+			test_no_attempt_that_outlasts_the_exit);
 	g_test_add_func("/adm/retry_after_follows_the_queue",
 			test_retry_after_follows_the_queue);
 	return g_test_run();
--- a/tests/unit_gwy_stop.c
+++ b/tests/unit_gwy_stop.c
@@ -12,7 +12,9 @@
 #define LIST_REQUEST "GET /list/1?q=1 HTTP/1.1\r\n" FIELDS "\r\n"
 /* Ends before the routes' time-outs do. */
 #define GRACE_US (1200 * FS_US_PER_MS)
+#define LAST_ANSWER_US (850 * FS_US_PER_MS) /* from the start of the stop */
 #define WORK_US (200 * FS_US_PER_MS)
+#define ERROR_US (300 * FS_US_PER_MS) /* before the answer is overdue */
 
 static struct yard y;
 static struct yard_caller c;
@@ -70,6 +72,22 @@
 			WORK_US);
 }
 
+/* Answers the first request of all targets together after WORK_US; the others
+ * fail after ERROR_US. */
+static void serve_late_error(void *arg, struct fake_conn *conn,
+			     const struct fake_request *request)
+{
+	int *answered = arg;
+
+	if (!(*answered)++)
+		serve_slowly(NULL, conn, request);
+	else
+		fake_send_later(conn,
+				"HTTP/1.1 500 No\r\nX-Id: r1\r\n"
+				"Content-Length: 1\r\n\r\nx",
+				ERROR_US);
+}
+
 /* The gateway learns the mean service time. */
 static void serve_one(const char *request)
 {
@@ -121,6 +139,27 @@
 	end();
 }
 
+/* Guards against work that begins late in a stop and is cut: a request that
+ * can't end before the exit is refused at once, truly as not run. */
+static void test_late_request_is_refused_as_not_run(void)
+{
+	int64_t sent_us;
+
+	begin();
+	yard_target(&y, "pay", serve_slowly, NULL);
+	serve_one(PAY_REQUEST);
+	begin_stop();
+	yard_run(&y, LAST_ANSWER_US - 2 * WORK_US);
+	sent_us = fs_now_us();
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_expect(&y, &c, 503);
+	g_assert_cmpint(fs_now_us() - sent_us, <, WORK_US / 2);
+	g_assert_nonnull(strstr(c.got->str, "Retry-After: "));
+	expect_whole(503, "\"stopping\"");
+	g_assert_cmpuint(yard_arrivals(&y), ==, 1);
+	end();
+}
+
 /* A stop with time to spare serves what arrives. */
 static void test_early_request_is_served(void)
 {
@@ -133,6 +172,27 @@
 	end();
 }
 
+/* Guards against a retry that begins shortly before the exit and is cut: the
+ * failure of the first attempt is the answer. */
+static void test_late_retry_is_not_begun(void)
+{
+	int answered = 0;
+
+	begin();
+	yard_target(&y, "list", serve_late_error, &answered);
+	yard_target(&y, "list", serve_late_error, &answered);
+	serve_one(LIST_REQUEST);
+	/* A retry would have half the mean service time. */
+	y.node.set.stop_grace_us =
+		GRACE_US - LAST_ANSWER_US + ERROR_US + WORK_US / 2;
+	yard_call(&y, &c, LIST_REQUEST);
+	yard_until(&y, yard_arrivals(&y) == 2);
+	begin_stop();
+	yard_expect(&y, &c, 500);
+	g_assert_cmpuint(yard_arrivals(&y), ==, 2);
+	end();
+}
+
 /* Guards against a request that waits unsent until the exit: no target is
  * there, and its caller is told in time to try another node. */
 static void test_unsent_request_is_refused(void)
@@ -167,8 +227,12 @@
 			test_unfinished_work_is_answered);
 	g_test_add_func("/gwy_stop/slow_body_is_answered",
 			test_slow_body_is_answered);
+	g_test_add_func("/gwy_stop/late_request_is_refused_as_not_run",
+			test_late_request_is_refused_as_not_run);
 	g_test_add_func("/gwy_stop/early_request_is_served",
 			test_early_request_is_served);
+	g_test_add_func("/gwy_stop/late_retry_is_not_begun",
+			test_late_retry_is_not_begun);
 	g_test_add_func("/gwy_stop/unsent_request_is_refused",
 			test_unsent_request_is_refused);
 	g_test_add_func("/gwy_stop/pause_over_the_end_still_answers",
