Give every request its caller's deadline, also without a route

A request that was refused before its route was known had no deadline: its log line gave the time since the machine's start as a negative span. The new test unit_gwy refusal_logs_the_time_given said before:

"outcome":"no_route","status":404,"took_ms":0,"given_ms":-1176480

and the users' logs "given_ms":-. Callers saw nothing of it: the answer and its time were right; a request that waits for the first configuration is bound by GWY_DEFER_MAX_US, not by its deadline.

What the caller allows is known with the header fields, so the deadline is set there, once, and a route may only shorten it. The figure now stands in the lines of all refusals: no route, bad header fields, not ready.

--- a/src/gwy_http.c
+++ b/src/gwy_http.c
@@ -57,12 +57,12 @@
 			++gwy->id_counter);
 }
 
+/* Sets the deadline that the caller allows. A route may shorten it. */
 static void set_deadline(struct gwy_request *req, const GArray *headers)
 {
 	const char *text =
 		msg_headers_get(headers, req->gwy->fields.target.deadline_ms);
 	int64_t allowed_us = GWY_DEADLINE_DEFAULT_US;
-	int64_t route_limit_us = gwy_route_of(req)->deadline_us;
 	guint64 ms;
 
 	if (text &&
@@ -72,12 +72,19 @@
 			MAX(req->client_timeout_us - GWY_DEADLINE_MARGIN_US,
 			    req->client_timeout_us / 2);
 	}
-	if (route_limit_us > 0)
-		allowed_us = MIN(allowed_us, route_limit_us);
 	req->deadline_us = req->started_us + allowed_us;
 	gwy_stop_limit_deadline(req);
 }
 
+static void limit_deadline_to_route(struct gwy_request *req)
+{
+	int64_t limit_us = gwy_route_of(req)->deadline_us;
+
+	if (limit_us > 0)
+		req->deadline_us =
+			MIN(req->deadline_us, req->started_us + limit_us);
+}
+
 /* Route shares hold on average: each request draws a service by weight. */
 static handle draw_service(struct gwy *gwy, const struct cfg_route *route)
 {
@@ -157,7 +164,7 @@
 	err = find_route(req, request->host, req->path, req->body_length);
 	if (err)
 		return err;
-	set_deadline(req, request->headers);
+	limit_deadline_to_route(req);
 	headers = forwarded_headers(req->gwy, request->headers);
 	g_array_unref(request->headers);
 	request->headers = headers;
@@ -185,6 +192,7 @@
 	if (!htd_read_headers(req->connection, request->headers))
 		req->err = FS_E_BAD_REQUEST;
 	set_request_id(req, request->headers);
+	set_deadline(req, request->headers);
 	err = validate(req, version);
 	if (!err && is_ready(req->gwy))
 		err = resolve_route(req);
--- a/tests/unit_gwy.c
+++ b/tests/unit_gwy.c
@@ -1,6 +1,8 @@
 /* The gateway task: forwarded answers, retries, deadlines and cancellation. */
 #include <string.h>
+#include <sys/mman.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "fleet_gwy.h"
 #include "fs_log.h"
@@ -382,6 +384,46 @@
 	end();
 }
 
+/* Sends what goes to standard error into memory. @return what log_end() takes */
+static int log_begin(void)
+{
+	int stderr_fd = dup(STDERR_FILENO);
+	int memory_fd = memfd_create("log", MFD_CLOEXEC);
+
+	g_assert_cmpint(dup2(memory_fd, STDERR_FILENO), >=, 0);
+	close(memory_fd);
+	return stderr_fd;
+}
+
+/* Returns what was logged since log_begin(). */
+static char *log_end(int stderr_fd)
+{
+	off_t size = lseek(STDERR_FILENO, 0, SEEK_CUR);
+	char *text = g_malloc0(size + 1);
+
+	g_assert_cmpint(pread(STDERR_FILENO, text, size, 0), ==, size);
+	g_assert_cmpint(dup2(stderr_fd, STDERR_FILENO), >=, 0);
+	close(stderr_fd);
+	return text;
+}
+
+/* The log line of a request that is refused before its route is known: guards
+ * against a time given that was never set. */
+static void test_refusal_logs_the_time_given(void)
+{
+	g_autofree char *text = NULL;
+	int stderr_fd;
+
+	begin();
+	stderr_fd = log_begin();
+	yard_call(&y, &c, "GET /none/ HTTP/1.1\r\n" FIELDS "\r\n");
+	yard_expect(&y, &c, 404);
+	text = log_end(stderr_fd);
+	if (!strstr(text, "\"given_ms\":2975,"))
+		g_error("logged: %s", text);
+	end();
+}
+
 /* A node without a configuration can't report a missing route. */
 static void test_not_ready_refuses(void)
 {
@@ -559,6 +601,8 @@
 	g_test_add_func("/gwy/no_parking_with_attempt_in_flight",
 			test_no_parking_with_attempt_in_flight);
 	g_test_add_func("/gwy/no_route", test_no_route);
+	g_test_add_func("/gwy/refusal_logs_the_time_given",
+			test_refusal_logs_the_time_given);
 	g_test_add_func("/gwy/not_ready_refuses", test_not_ready_refuses);
 	g_test_add_func("/gwy/pipelined_answers_keep_their_order",
 			test_pipelined_answers_keep_their_order);
