Apply a raised idle limit to open connections at once

A caller's connection got the idle limit of the configuration in force at its last request. When the operator raised the limit, callers went by the longer one at once, but their idle connections were still closed after the shorter one, in the middle of the span in which they may be reused.

Callers saw a connection that closed while they sent the next request on it: it was not read, so it had to be sent anew.

htd now knows its open connections and extends their limit when it is raised; connections that open later start with it too, if it is longer than the default. A limit that is lowered holds from a connection's next request on, as before: its caller may have begun to wait under the longer one.

The time-out is whole seconds, rounded up, plus one: never below the limit.

--- a/src/gwy.c
+++ b/src/gwy.c
@@ -11,11 +11,21 @@
 #define CONNECTIONS_MIN 64
 /* Buffered bodies use at most a quarter of the memory. */
 #define BODY_MEMORY_DIVISOR 4
+/* Connections are closed this much after the configured idle limit. */
+#define IDLE_MARGIN_S 1
+#define US_PER_S_ROUND_UP (FS_US_PER_S - 1)
 
 static void apply_config(struct gwy *gwy, struct cfg *cfg)
 {
+	int64_t idle_us = cfg->limits.idle_us;
+
 	cfg_unref(gwy->cfg);
 	gwy->cfg = cfg_ref(cfg);
+	if (idle_us > 0)
+		htd_set_idle(gwy->htd,
+			     (unsigned int)((idle_us + US_PER_S_ROUND_UP) /
+					    FS_US_PER_S) +
+				     IDLE_MARGIN_S);
 }
 
 static void apply_view(struct gwy *gwy, struct mem_view *view)
--- a/src/gwy_http.c
+++ b/src/gwy_http.c
@@ -8,10 +8,6 @@
  * replaced. */
 #define REQUEST_ID_MAX 128
 
-/* Connections are closed this much after the advertised idle time-out. */
-#define IDLE_MARGIN_S 1
-#define US_PER_S_ROUND_UP (FS_US_PER_S - 1)
-
 static void *on_target(void *arg, const char *target,
 		       struct MHD_Connection *connection)
 {
@@ -122,18 +118,6 @@
 	return 0;
 }
 
-static void set_idle_timeout(struct gwy_request *req)
-{
-	int64_t idle_us = req->cfg->limits.idle_us;
-
-	if (idle_us > 0)
-		MHD_set_connection_option(
-			req->connection, MHD_CONNECTION_OPTION_TIMEOUT,
-			(unsigned int)((idle_us + US_PER_S_ROUND_UP) /
-				       FS_US_PER_S) +
-				IDLE_MARGIN_S);
-}
-
 /* Does the checks that need no configuration. */
 static int validate(struct gwy_request *req, const char *version)
 {
@@ -160,7 +144,7 @@
 	int err;
 
 	req->cfg = cfg_ref(req->gwy->cfg);
-	set_idle_timeout(req);
+	htd_renew_idle(req->gwy->htd, req->connection);
 	err = find_route(req, request->host, req->path, req->body_length);
 	if (err)
 		return err;
--- a/src/htd.c
+++ b/src/htd.c
@@ -14,6 +14,8 @@
 	struct MHD_Daemon *daemon;
 	int listen_fd;
 	bool listening;
+	unsigned int idle_s;	 /* in force; open connections may have more */
+	GHashTable *connections; /* struct MHD_Connection, open */
 	ev_io io;
 	ev_timer timer;
 };
@@ -46,6 +48,49 @@
 	run(timer->data);
 }
 
+static void set_idle(struct MHD_Connection *connection, unsigned int idle_s)
+{
+	MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
+				  idle_s);
+}
+
+static unsigned int idle_of(struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		connection, MHD_CONNECTION_INFO_CONNECTION_TIMEOUT);
+
+	return info ? info->connection_timeout : 0;
+}
+
+static void extend_idle(struct MHD_Connection *connection, unsigned int idle_s)
+{
+	if (idle_of(connection) < idle_s)
+		set_idle(connection, idle_s);
+}
+
+/* The library tells of a closed connection before MHD_run() returns, so that
+ * all in the set may be changed outside of it. */
+static void on_connection(void *arg, struct MHD_Connection *connection,
+			  void **context,
+			  enum MHD_ConnectionNotificationCode code)
+{
+	struct htd *htd = arg;
+
+	(void)context;
+	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+		g_hash_table_remove(htd->connections, connection);
+		return;
+	}
+	g_hash_table_add(htd->connections, connection);
+	extend_idle(connection, htd->idle_s);
+}
+
+static void free_htd(struct htd *htd)
+{
+	g_hash_table_unref(htd->connections);
+	g_free(htd);
+}
+
 struct htd *htd_start(struct ev_loop *loop, const struct sockaddr_in *bind,
 		      const struct htd_limits *limits,
 		      const struct htd_ops *ops, void *arg,
@@ -55,15 +100,18 @@
 	const union MHD_DaemonInfo *info;
 
 	htd->loop = loop;
+	htd->idle_s = limits->idle_s;
+	htd->connections = g_hash_table_new(NULL, NULL);
 	htd->listen_fd = net_listen(bind, bound);
 	if (htd->listen_fd < 0) {
-		g_free(htd);
+		free_htd(htd);
 		return NULL;
 	}
 	htd->daemon = MHD_start_daemon(
 		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
 		ops->access, arg, MHD_OPTION_LISTEN_SOCKET, htd->listen_fd,
 		MHD_OPTION_NOTIFY_COMPLETED, ops->completed, arg,
+		MHD_OPTION_NOTIFY_CONNECTION, on_connection, htd,
 		MHD_OPTION_URI_LOG_CALLBACK, ops->target, arg,
 		MHD_OPTION_CONNECTION_LIMIT, limits->connections,
 		MHD_OPTION_CONNECTION_TIMEOUT, limits->idle_s,
@@ -71,7 +119,7 @@
 		MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
 	if (!htd->daemon) {
 		close(htd->listen_fd);
-		g_free(htd);
+		free_htd(htd);
 		return NULL;
 	}
 	htd->listening = true;
@@ -115,6 +163,24 @@
 	return fields.whole;
 }
 
+void htd_set_idle(struct htd *htd, unsigned int idle_s)
+{
+	GHashTableIter iter;
+	void *connection;
+
+	htd->idle_s = idle_s;
+	g_hash_table_iter_init(&iter, htd->connections);
+	while (g_hash_table_iter_next(&iter, &connection, NULL))
+		extend_idle(connection, idle_s);
+	htd_kick(htd);
+}
+
+void htd_renew_idle(struct htd *htd, struct MHD_Connection *connection)
+{
+	if (idle_of(connection) != htd->idle_s)
+		set_idle(connection, htd->idle_s);
+}
+
 void htd_quiesce(struct htd *htd)
 {
 	if (!htd->listening)
@@ -131,7 +197,7 @@
 	ev_io_stop(htd->loop, &htd->io);
 	ev_timer_stop(htd->loop, &htd->timer);
 	MHD_stop_daemon(htd->daemon);
-	g_free(htd);
+	free_htd(htd);
 }
 
 void htd_kick(struct htd *htd)
--- a/src/htd.h
+++ b/src/htd.h
@@ -49,6 +49,16 @@
  */
 bool htd_read_headers(struct MHD_Connection *connection, GArray *headers);
 
+/**
+ * Sets the idle limit of connections. One with a longer limit keeps it until
+ * htd_renew_idle(), as its caller may still go by that one.
+ * @param idle_s  in seconds
+ */
+void htd_set_idle(struct htd *htd, unsigned int idle_s);
+
+/** Gives a connection, at its next request, the limit that is in force. */
+void htd_renew_idle(struct htd *htd, struct MHD_Connection *connection);
+
 /** Accepts no more connections; those that are open go on. */
 void htd_quiesce(struct htd *htd);
 
--- a/tests/fleet_gwy.c
+++ b/tests/fleet_gwy.c
@@ -49,7 +49,8 @@
 	ev_timer_stop(y->loop, &timer);
 }
 
-static void add_route(struct cfg_draft *draft, const char *name, bool safe)
+static void add_route(struct cfg_draft *draft, const struct yard_config *config,
+		      const char *name, bool safe)
 {
 	g_autofree char *path = g_strdup_printf("/%s/", name);
 	struct cfg_service service = {.name = (char *)name};
@@ -59,7 +60,7 @@
 		.path = path,
 		.methods = CFG_GET | CFG_POST,
 		.service = cfg_draft_service(draft, &service),
-		.deadline_us = YARD_TIMEOUT_MS * FS_US_PER_MS,
+		.deadline_us = config->timeout_us,
 		.objective_us = FS_US_PER_S,
 		.repeatable = safe,
 		.tries = 2,
@@ -68,21 +69,31 @@
 	g_assert_cmpint(cfg_draft_route(draft, &route), ==, 0);
 }
 
-static void put_in_force(struct yard *y)
+void yard_configure(struct yard *y, const struct yard_config *config)
 {
-	struct cfg_draft *draft = cfg_draft_new("", 1);
-	struct cfg_limits limits = {.body_bytes = 1 << 20, .idle_us = 5000000};
+	struct cfg_draft *draft = cfg_draft_new("", config->version);
+	struct cfg_limits limits = {
+		.body_bytes = 1 << 20,
+		.idle_us = config->idle_us,
+	};
 	struct cfg *cfg CFG_AUTO = NULL;
 
-	add_route(draft, "pay", false);
-	add_route(draft, "list", true);
+	if (!config->without_pay)
+		add_route(draft, config, "pay", false);
+	add_route(draft, config, "list", true);
 	cfg_draft_limits(draft, &limits);
 	cfg = cfg_draft_end(draft);
 	bus_send_all(y->node.bus, MSG_CONFIG, cfg);
+	yard_run(y, 5000);
 }
 
 void yard_begin(struct yard *y)
 {
+	const struct yard_config config = {
+		.version = 1,
+		.idle_us = 5 * FS_US_PER_S,
+		.timeout_us = YARD_TIMEOUT_MS * FS_US_PER_MS,
+	};
 	struct node *node = &y->node;
 
 	memset(y, 0, sizeof(*y));
@@ -104,8 +115,7 @@
 	bus_attach(node->bus, MSG_TASK_NODE, &ops, y);
 	y->gwy = gwy_new(node, &fields, y->dir);
 	g_assert_nonnull(y->gwy);
-	put_in_force(y);
-	yard_run(y, 5000);
+	yard_configure(y, &config);
 }
 
 void yard_end(struct yard *y)
@@ -144,6 +154,12 @@
 				sizeof(y->node.caller)),
 			==, 0);
 	fcntl(c->fd, F_SETFL, O_NONBLOCK);
+	yard_send(c, bytes);
+}
+
+void yard_send(struct yard_caller *c, const char *bytes)
+{
+	g_string_truncate(c->got, 0);
 	g_assert_cmpint(send(c->fd, bytes, strlen(bytes), MSG_NOSIGNAL), ==,
 			(ssize_t)strlen(bytes));
 }
--- a/tests/fleet_gwy.h
+++ b/tests/fleet_gwy.h
@@ -25,6 +25,14 @@
 	bool stopped; /* MSG_STOPPED was seen */
 };
 
+/** What differs between the configurations of a test. */
+struct yard_config {
+	uint64_t version;
+	int64_t idle_us;    /* limit of idle callers' connections */
+	int64_t timeout_us; /* of both routes */
+	bool without_pay;   /* has no route to "pay" */
+};
+
 /** One caller's connection. */
 struct yard_caller {
 	int fd;
@@ -36,12 +44,17 @@
 void yard_end(struct yard *y);
 void yard_run(struct yard *y, int64_t us);
 
+/** Puts a configuration in force. yard_begin() puts version 1. */
+void yard_configure(struct yard *y, const struct yard_config *config);
+
 /** Starts a target of a service; its id is "s" and its number. */
 struct fake *yard_target(struct yard *y, const char *service,
 			 fake_serve_fn serve, void *arg);
 
 /** Connects and sends bytes. */
 void yard_call(struct yard *y, struct yard_caller *c, const char *bytes);
+/** Sends bytes on the open connection, and forgets what was received. */
+void yard_send(struct yard_caller *c, const char *bytes);
 void yard_read(struct yard_caller *c);
 void yard_hang_up(struct yard_caller *c);
 
