Let a caller pause in a head for as long as the head may take

libmicrohttpd has one time-out for a connection. It followed the idle limit alone, so a caller that paused in a head for longer than that was cut off, though it was within the limit of heads. The new test, with an idle limit of 0.5 s, a limit of heads of 5 s and a pause of 3.5 s, said before:

expected 200, got: (closed)

The caller saw its connection close in the middle of its request, without an answer. The longer of the two limits is now used. Ruled out: the time-out counts from the last byte, not from the first (slow_body_outlasts_idle_limit).

Not done: a head that takes longer than its limit, without such a pause, is not refused; no limit of the whole head is enforced, as before.

yard_expect() now fails as soon as the connection ends, and says so; before it ran into its time limit. What it accepts is the same.

--- a/src/gwy.c
+++ b/src/gwy.c
@@ -11,23 +11,29 @@
 #define CONNECTIONS_MIN 64
 /* Buffered bodies use at most a quarter of the memory. */
 #define BODY_MEMORY_DIVISOR 4
-/* Connections are closed this much after the configured idle limit. */
+/* Connections are closed this much after the configured limit. */
 #define IDLE_MARGIN_S 1
 #define US_PER_S_ROUND_UP (FS_US_PER_S - 1)
 
-static void apply_config(struct gwy *gwy, struct cfg *cfg)
+/* One time-out bounds idle callers and pauses in a head. */
+static void set_idle_limit(struct gwy *gwy, const struct cfg_limits *limits)
 {
-	int64_t idle_us = cfg->limits.idle_us;
+	int64_t idle_us = MAX(limits->idle_us, limits->header_us);
 
-	cfg_unref(gwy->cfg);
-	gwy->cfg = cfg_ref(cfg);
-	if (idle_us > 0)
+	if (limits->idle_us > 0)
 		htd_set_idle(gwy->htd,
 			     (unsigned int)((idle_us + US_PER_S_ROUND_UP) /
 					    FS_US_PER_S) +
 				     IDLE_MARGIN_S);
 }
 
+static void apply_config(struct gwy *gwy, struct cfg *cfg)
+{
+	cfg_unref(gwy->cfg);
+	gwy->cfg = cfg_ref(cfg);
+	set_idle_limit(gwy, &cfg->limits);
+}
+
 static void apply_view(struct gwy *gwy, struct mem_view *view)
 {
 	uint32_t local = 0;
--- a/tests/fleet_gwy.c
+++ b/tests/fleet_gwy.c
@@ -74,6 +74,7 @@
 	struct cfg_draft *draft = cfg_draft_new("", config->version);
 	struct cfg_limits limits = {
 		.body_bytes = 1 << 20,
+		.header_us = config->header_us,
 		.idle_us = config->idle_us,
 	};
 	struct cfg *cfg CFG_AUTO = NULL;
@@ -184,9 +185,11 @@
 {
 	g_autofree char *line = g_strdup_printf("HTTP/1.1 %d ", status);
 
-	yard_until(y, (yard_read(c), strstr(c->got->str, "\r\n\r\n")));
+	yard_until(y, (yard_read(c),
+		       c->closed || strstr(c->got->str, "\r\n\r\n")));
 	if (!g_str_has_prefix(c->got->str, line))
-		g_error("expected %d, got: %s", status, c->got->str);
+		g_error("expected %d, got: %s%s", status, c->got->str,
+			c->closed ? " (closed)" : "");
 }
 
 char *yard_field(const struct fake_request *request, const char *name)
--- a/tests/fleet_gwy.h
+++ b/tests/fleet_gwy.h
@@ -29,6 +29,7 @@
 struct yard_config {
 	uint64_t version;
 	int64_t idle_us;    /* limit of idle callers' connections */
+	int64_t header_us;  /* limit of a head; 0: none */
 	int64_t timeout_us; /* of both routes */
 	bool without_pay;   /* has no route to "pay" */
 };
--- a/tests/unit_gwy_reload.c
+++ b/tests/unit_gwy_reload.c
@@ -153,6 +153,29 @@
 	end();
 }
 
+/* A pause in a head, within the limit of heads: guards against the idle limit
+ * of the connection that is shorter. */
+static void test_pause_in_head_outlasts_idle_limit(void)
+{
+	const struct yard_config config = {
+		.version = 2,
+		.idle_us = FS_US_PER_S / 2,
+		.header_us = 5 * FS_US_PER_S,
+		.timeout_us = 8 * FS_US_PER_S,
+	};
+
+	begin();
+	yard_configure(&y, &config);
+	yard_target(&y, "list", serve_ok, NULL);
+	yard_call(&y, &c, LIST_REQUEST);
+	yard_expect(&y, &c, 200);
+	yard_send(&c, "GET /list/2 HTTP/1.1\r\nHost: h\r\n");
+	yard_run(&y, 3500 * FS_US_PER_MS);
+	yard_send(&c, "X-Id: r1\r\n\r\n");
+	yard_expect(&y, &c, 200);
+	end();
+}
+
 /* The route is dropped while the body is read: the request goes on under the
  * configuration that it began with. */
 static void test_route_dropped_while_reading(void)
@@ -241,6 +264,7 @@
 	ADD(idle_connections_are_closed);
 	ADD(wait_outlasts_idle_limit);
 	ADD(slow_body_outlasts_idle_limit);
+	ADD(pause_in_head_outlasts_idle_limit);
 	ADD(route_dropped_while_reading);
 	ADD(route_dropped_while_waiting);
 	ADD(route_dropped_while_parked);
