Take in the connections that wait when the listener closes

2.2 s into a stop the gateway closes its listener. Connections that the kernel had accepted and the gateway not yet were reset by that, with the requests that their callers had sent. The new test unit_gwy_leave stop_serves_the_backlog said before:

expected 200, got: (closed)

Callers saw a reset connection and no answer; the request was not read, so it could be sent anew, on another connection. htd_quiesce() now accepts what waits before it closes the listener. A connection that arrives between the last accept and the close is still reset: two system calls, instead of a turn of the loop.

Ruled out, each with a test in the same file, all passing before: a stop that does not count a request whose head or body is being read, an answer that is passed on, or one that is complete here and not yet in the caller's socket (on_completed() comes when the socket has taken the last byte); a second SIGTERM; a SIGTERM during the start, with a deferred request; a removal from the directory that cuts the request on which the target works, or its answer; a target that resets a kept connection with a request on it; a refusal that is lost to a reset, as the rest of a body was not read (Linux keeps what has arrived).

--- a/src/htd.c
+++ b/src/htd.c
@@ -1,11 +1,13 @@
 #include "htd.h"
 
+#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <glib.h>
 
+#include "fs_log.h"
 #include "msg.h"
 #include "net.h"
 
@@ -181,11 +183,34 @@
 		set_idle(connection, htd->idle_s);
 }
 
+/* Closing the listener would reset the connections that wait at it, with the
+ * requests that their callers have sent. */
+static void accept_waiting(struct htd *htd)
+{
+	struct sockaddr_in peer;
+	socklen_t size = sizeof(peer);
+	int fd;
+
+	while ((fd = accept4(htd->listen_fd, (struct sockaddr *)&peer, &size,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		/* Closes the socket on failure. */
+		if (MHD_add_connection(htd->daemon, fd,
+				       (struct sockaddr *)&peer,
+				       size) != MHD_YES)
+			fs_log_eventf("htd", G_LOG_LEVEL_WARNING,
+				      "connection_not_taken",
+				      "\"reason\":\"%s\"", g_strerror(errno));
+		size = sizeof(peer);
+	}
+	htd_kick(htd);
+}
+
 void htd_quiesce(struct htd *htd)
 {
 	if (!htd->listening)
 		return;
 	MHD_quiesce_daemon(htd->daemon);
+	accept_waiting(htd);
 	close(htd->listen_fd);
 	htd->listening = false;
 }
--- a/src/htd.h
+++ b/src/htd.h
@@ -59,7 +59,8 @@
 /** Gives a connection, at its next request, the limit that is in force. */
 void htd_renew_idle(struct htd *htd, struct MHD_Connection *connection);
 
-/** Accepts no more connections; those that are open go on. */
+/** Accepts no more connections; those that are open, or wait to be accepted, go
+ *  on. */
 void htd_quiesce(struct htd *htd);
 
 /** Stops at once. */
