--- a/src/gwy_deadline.c
+++ b/src/gwy_deadline.c
@@ -2,7 +2,7 @@
 
 int gwy_deadline_err(const struct gwy_request *req)
 {
-	if (req->ends_with_node)
+	if (gwy_ends_with_node(req))
 		return req->may_have_run ? FS_E_STOPPED : FS_E_STOPPING;
 	return req->may_have_run ? FS_E_DEADLINE : FS_E_DEADLINE_QUEUED;
 }
@@ -11,10 +11,10 @@
 {
 	gwy_request_cancel_attempts(req);
 	req->stream_failed = true;
-	gwy_request_log(
-		req,
-		fs_err_name(req->ends_with_node ? FS_E_STOPPED : FS_E_DEADLINE),
-		now_us);
+	gwy_request_log(req,
+			fs_err_name(gwy_ends_with_node(req) ? FS_E_STOPPED :
+							      FS_E_DEADLINE),
+			now_us);
 	req->state = GWY_ENDED;
 	gwy_request_resume(req);
 }
@@ -39,7 +39,7 @@
 		cut_stream(req, now_us);
 		return;
 	}
-	if (!req->ends_with_node)
+	if (!gwy_ends_with_node(req))
 		report_overdue(req);
 	gwy_request_cancel_attempts(req);
 	err = gwy_deadline_err(req);
--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -72,7 +72,6 @@
 	int64_t started_us;
 	int64_t deadline_us;
 	int64_t client_timeout_us; /* the caller's time-out; 0: none */
-	bool ends_with_node; /* the deadline is the end of a planned stop */
 	struct cfg *cfg;
 	handle route;
 	handle service;
@@ -203,6 +202,13 @@
 /** Limits the deadline of a request to the end of the stop, if there is one. */
 void gwy_stop_limit_deadline(struct gwy_request *req);
 
+/* Returns whether the deadline of a request is the end of a planned stop. */
+static inline bool gwy_ends_with_node(const struct gwy_request *req)
+{
+	return req->gwy->stopping &&
+	       req->deadline_us >= req->gwy->last_answer_us;
+}
+
 static inline const struct cfg_route *
 gwy_route_of(const struct gwy_request *req)
 {
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -142,7 +142,7 @@
 	struct adm_input n = admission_input(req, choice, now_us);
 
 	if (n.left_us < GWY_TIME_LEFT_MIN_US ||
-	    (req->ends_with_node && !adm_ends_before_exit(&n)))
+	    (gwy_ends_with_node(req) && !adm_ends_before_exit(&n)))
 		return gwy_deadline_err(req);
 	if (!choice->target)
 		return choice->full ? FS_E_QUEUE_FULL : FS_E_NO_TARGET;
@@ -292,7 +292,8 @@
 {
 	enum gry_outcome outcome = outcome_of(t);
 
-	if (outcome == GRY_OVERDUE && (t->overdue || t->req->ends_with_node))
+	if (outcome == GRY_OVERDUE &&
+	    (t->overdue || gwy_ends_with_node(t->req)))
 		return;
 	t->overdue |= outcome == GRY_OVERDUE;
 	/* The wait for a slot is not part of the service time of the target. */
@@ -312,7 +313,7 @@
 /* Returns the error for the caller if no attempt gave an answer to forward. */
 static int final_err(const struct gwy_attempt *t)
 {
-	if (t->err == FS_E_DEADLINE && t->req->ends_with_node)
+	if (t->err == FS_E_DEADLINE && gwy_ends_with_node(t->req))
 		return gwy_deadline_err(t->req);
 	if (!t->req->may_have_run)
 		return t->err && t->err != FS_E_CONNECT ? FS_E_DEADLINE_QUEUED :
--- a/src/gwy_stop.c
+++ b/src/gwy_stop.c
@@ -55,10 +55,8 @@
 {
 	const struct gwy *gwy = req->gwy;
 
-	if (!gwy->stopping || req->deadline_us <= gwy->last_answer_us)
-		return;
-	req->deadline_us = gwy->last_answer_us;
-	req->ends_with_node = true;
+	if (gwy->stopping)
+		req->deadline_us = MIN(req->deadline_us, gwy->last_answer_us);
 }
 
 /* Requests in flight decide anew with the time that is left. */
@@ -72,7 +70,7 @@
 		struct gwy_request *req = key;
 
 		gwy_stop_limit_deadline(req);
-		if (req->ends_with_node &&
+		if (gwy_ends_with_node(req) &&
 		    (req->state == GWY_WAITING || req->state == GWY_STREAMING))
 			gwy_request_timer(req, now_us, now_us);
 	}
--- a/tests/unit_gwy_stop.c
+++ b/tests/unit_gwy_stop.c
@@ -205,6 +205,22 @@
 	end();
 }
 
+/* Guards against a route's time-out that is reported as the end of a stop, because
+ * the caller allows more time than the stop leaves. */
+static void test_time_out_is_not_the_stop(void)
+{
+	begin();
+	y.node.set.stop_grace_us = 6 * FS_US_PER_S;
+	yard_target(&y, "pay", serve_nothing, NULL);
+	begin_stop();
+	yard_call(&y, &c,
+		  "POST /pay/1 HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n"
+		  "X-Left: 9000\r\nContent-Length: 3\r\n\r\na=1");
+	yard_expect(&y, &c, 504);
+	expect_whole(504, "\"deadline\"");
+	end();
+}
+
 /* Guards against an exit in the turn that queues the last answers: the process
  * was paused over the end of its stop. */
 static void test_pause_over_the_end_still_answers(void)
@@ -235,6 +251,8 @@
 			test_late_retry_is_not_begun);
 	g_test_add_func("/gwy_stop/unsent_request_is_refused",
 			test_unsent_request_is_refused);
+	g_test_add_func("/gwy_stop/time_out_is_not_the_stop",
+			test_time_out_is_not_the_stop);
 	g_test_add_func("/gwy_stop/pause_over_the_end_still_answers",
 			test_pause_over_the_end_still_answers);
 	return g_test_run();
