Pass no request on in the turns between the end of a stop and the exit

The tick that finds the gateway drained posts MSG_STOPPED, which the bus delivers in the next turn of the loop. In its own turn and in the next one callers' connections are still served, as libev runs timers before sockets. A request that arrived on a kept connection was read, passed on over a pooled connection, and cut at once: its server had it, its caller got nothing. As no request was there at the tick, "requests_left" said 0.

From that tick on, requests are now refused (503 "stopping", not run).

Test: /gwy_stop/request_that_crosses_the_exit_is_not_passed_on failed before ("assertion failed (yard_arrivals(&y) == 1): (2 == 1)", three of three runs). The tests of this file now leave the loop at MSG_STOPPED like the process does; before, they ran it up to 2 ms longer. The others pass with that too.

--- a/src/gwy_stop.c
+++ b/src/gwy_stop.c
@@ -38,12 +38,16 @@
 static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct gwy *gwy = timer->data;
+	int64_t now_us = fs_now_us();
 	struct msg *m;
 
 	(void)events;
-	if (!is_drained(gwy, fs_now_us()))
+	if (!is_drained(gwy, now_us))
 		return;
 	ev_timer_stop(loop, timer);
+	/* Requests are still read until the loop ends, in the next turn, which
+	 * is too late to pass one on. */
+	gwy->last_answer_us = MIN(gwy->last_answer_us, now_us);
 	fs_log_eventf("gwy", G_LOG_LEVEL_MESSAGE, "gateway_stopped",
 		      "\"requests_left\":%u", g_hash_table_size(gwy->requests));
 	m = msg_new(MSG_STOPPED, gwy->node->self, MSG_TASK_NODE);
--- a/tests/unit_gwy_stop.c
+++ b/tests/unit_gwy_stop.c
@@ -13,6 +13,8 @@
 /* Ends before the routes' time-outs do. */
 #define GRACE_US (1200 * FS_US_PER_MS)
 #define LAST_ANSWER_US (850 * FS_US_PER_MS) /* from the start of the stop */
+/* No connection is accepted and none is waited for any more. */
+#define DRAINED_US (2500 * FS_US_PER_MS)
 #define WORK_US (200 * FS_US_PER_MS)
 #define ERROR_US (300 * FS_US_PER_MS) /* before the answer is overdue */
 
@@ -20,9 +22,27 @@
 static struct yard_caller c;
 static bool gateway_freed;
 
+/* The process leaves its loop at once. */
+static void receive(void *task, struct msg *m, int64_t now_us)
+{
+	struct yard *yard = task;
+
+	(void)now_us;
+	if (m->type != MSG_STOPPED)
+		return;
+	yard->stopped = true;
+	ev_break(yard->loop, EVBREAK_ALL);
+}
+
+static const struct bus_task_ops node_ops = {
+	.name = "test",
+	.receive = receive,
+};
+
 static void begin(void)
 {
 	yard_begin(&y);
+	bus_attach(y.node.bus, MSG_TASK_NODE, &node_ops, &y);
 	y.node.set.stop_grace_us = GRACE_US;
 	gateway_freed = false;
 }
@@ -60,6 +80,13 @@
 	(void)request;
 }
 
+static void serve_at_once(void *arg, struct fake_conn *conn,
+			  const struct fake_request *request)
+{
+	(void)arg;
+	yard_ok(conn, request, "x");
+}
+
 /* Answers after WORK_US. */
 static void serve_slowly(void *arg, struct fake_conn *conn,
 			 const struct fake_request *request)
@@ -236,6 +263,29 @@
 	end();
 }
 
+/* Guards against a request that is read after the decision to exit, passed on,
+ * and cut: in the turn of that decision and in the next one, in which the
+ * process leaves its loop, connections are still served. */
+static void test_request_that_crosses_the_exit_is_not_passed_on(void)
+{
+	begin();
+	y.node.set.stop_grace_us = 6 * FS_US_PER_S;
+	yard_target(&y, "list", serve_at_once, NULL);
+	yard_call(&y, &c, LIST_REQUEST);
+	yard_expect(&y, &c, 200);
+	begin_stop();
+	yard_run(&y, DRAINED_US - 20 * FS_US_PER_MS);
+	g_assert_false(y.stopped);
+	g_assert_cmpint(
+		send(c.fd, LIST_REQUEST, strlen(LIST_REQUEST), MSG_NOSIGNAL), >,
+		0);
+	g_usleep(60 * FS_US_PER_MS);
+	run_until_exit();
+	yard_run(&y, 20 * FS_US_PER_MS);
+	g_assert_cmpuint(yard_arrivals(&y), ==, 1);
+	end();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -255,5 +305,8 @@
 			test_time_out_is_not_the_stop);
 	g_test_add_func("/gwy_stop/pause_over_the_end_still_answers",
 			test_pause_over_the_end_still_answers);
+	g_test_add_func(
+		"/gwy_stop/request_that_crosses_the_exit_is_not_passed_on",
+		test_request_that_crosses_the_exit_is_not_passed_on);
 	return g_test_run();
 }
