Begin no request late in a stop that its exit may break off

A request of a kept connection that came late began whenever two mean service times were left. One of ten such requests takes longer; it was broken off at its server and answered 504 "stopped", its outcome unknown, though any other node could have served it.

A request that comes when the addresses that callers cache have expired (2.2 s after the SIGTERM, when no connection is accepted any more), and whose deadline lies beyond the end of the stop, is now refused: 503 "stopping", not run. One that reaches its own deadline before the end of the stop is served as before.

What it costs: such requests are refused even where they would have been short, and take one more round trip to another node.

Test: /gwy_stop/late_request_that_takes_long_is_not_begun failed before ("expected 503, got: HTTP/1.1 504 Gateway Timeout", error "stopped").

--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -201,6 +201,9 @@
 void gwy_stop_end(struct gwy *gwy);
 /** Limits the deadline of a request to the end of the stop, if there is one. */
 void gwy_stop_limit_deadline(struct gwy_request *req);
+/** Returns whether a request came after callers were to use other nodes: none
+ *  that the exit might break off is begun then. */
+bool gwy_stop_is_late(const struct gwy_request *req);
 
 /* Returns whether the deadline of a request is the end of a planned stop. */
 static inline bool gwy_ends_with_node(const struct gwy_request *req)
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -135,14 +135,24 @@
 	}
 }
 
+/* Returns whether an attempt would likely be broken off by the exit of this
+ * node. */
+static bool is_too_late_in_stop(const struct gwy_request *req,
+				const struct adm_input *n)
+{
+	if (!gwy_ends_with_node(req))
+		return false;
+	return !adm_ends_before_exit(n) ||
+	       (n->refusable && gwy_stop_is_late(req));
+}
+
 /* Returns 0 if a request can be sent now, or the reason for a refusal. */
 static int check_send(const struct gwy_request *req,
 		      const struct bal_choice *choice, int64_t now_us)
 {
 	struct adm_input n = admission_input(req, choice, now_us);
 
-	if (n.left_us < GWY_TIME_LEFT_MIN_US ||
-	    (gwy_ends_with_node(req) && !adm_ends_before_exit(&n)))
+	if (n.left_us < GWY_TIME_LEFT_MIN_US || is_too_late_in_stop(req, &n))
 		return gwy_deadline_err(req);
 	if (!choice->target)
 		return choice->full ? FS_E_QUEUE_FULL : FS_E_NO_TARGET;
--- a/src/gwy_stop.c
+++ b/src/gwy_stop.c
@@ -13,7 +13,6 @@
  * answers can still be sent. */
 #define LAST_ANSWER_MARGIN_US (350 * FS_US_PER_MS)
 #define EXIT_MARGIN_US (100 * FS_US_PER_MS)
-
 static bool is_drained(struct gwy *gwy, int64_t now_us)
 {
 	int64_t since_us = now_us - gwy->stop_us;
@@ -63,6 +62,13 @@
 		req->deadline_us = MIN(req->deadline_us, gwy->last_answer_us);
 }
 
+bool gwy_stop_is_late(const struct gwy_request *req)
+{
+	const struct gwy *gwy = req->gwy;
+
+	return gwy->stopping && req->started_us - gwy->stop_us > ACCEPT_US;
+}
+
 /* Requests in flight decide anew with the time that is left. */
 static void limit_deadlines(struct gwy *gwy, int64_t now_us)
 {
--- a/tests/unit_gwy_stop.c
+++ b/tests/unit_gwy_stop.c
@@ -115,6 +115,14 @@
 				ERROR_US);
 }
 
+/* Sends another request on the connection. */
+static void send_again(const char *request)
+{
+	g_string_truncate(c.got, 0);
+	g_assert_cmpint(send(c.fd, request, strlen(request), MSG_NOSIGNAL), ==,
+			(ssize_t)strlen(request));
+}
+
 /* The gateway learns the mean service time. */
 static void serve_one(const char *request)
 {
@@ -187,6 +195,44 @@
 	end();
 }
 
+/* Answers only the first request of all, after WORK_US. */
+static void serve_first_only(void *arg, struct fake_conn *conn,
+			     const struct fake_request *request)
+{
+	int *served = arg;
+
+	if (!(*served)++)
+		serve_slowly(NULL, conn, request);
+}
+
+/* Guards against a request that arrives late in a stop and is broken off at its
+ * target, which counts as lost: the mean service time allows it to begin, but
+ * this one takes longer. */
+static void test_late_request_that_takes_long_is_not_begun(void)
+{
+	struct yard_caller slow;
+	int served = 0;
+
+	begin();
+	y.node.set.stop_grace_us = 6 * FS_US_PER_S;
+	yard_target(&y, "pay", serve_first_only, &served);
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_expect(&y, &c, 200);
+	begin_stop();
+	/* A body that does not end keeps the gateway running. */
+	yard_call(&y, &slow,
+		  "POST /pay/1 HTTP/1.1\r\n" FIELDS
+		  "Content-Length: 3\r\n\r\n");
+	yard_run(&y, 4800 * FS_US_PER_MS);
+	send_again(PAY_REQUEST);
+	yard_expect(&y, &c, 503);
+	run_until_exit();
+	expect_whole(503, "\"stopping\"");
+	g_assert_cmpuint(yard_arrivals(&y), ==, 1);
+	yard_hang_up(&slow);
+	end();
+}
+
 /* A stop with time to spare serves what arrives. */
 static void test_early_request_is_served(void)
 {
@@ -308,5 +354,7 @@
 	g_test_add_func(
 		"/gwy_stop/request_that_crosses_the_exit_is_not_passed_on",
 		test_request_that_crosses_the_exit_is_not_passed_on);
+	g_test_add_func("/gwy_stop/late_request_that_takes_long_is_not_begun",
+			test_late_request_that_takes_long_is_not_begun);
 	return g_test_run();
 }
