Forward a stream until the exit, not until the last answer

Its margin of 350 ms leaves time to send an answer of the gateway's own. A stream can't get one in its place, yet it was cut at that time too: a download that would have ended in the 250 ms before the exit arrived incomplete. (Not a new fault: before, the exit was at that time.)

Attempts that begin during the stop still end at that time, as their server was told so.

Test: /gwy_stop/stream_is_forwarded_until_the_exit failed before ("'g_str_has_suffix(c.got->str, "the end")' should be TRUE").

--- a/src/gwy_deadline.c
+++ b/src/gwy_deadline.c
@@ -11,10 +11,7 @@
 {
 	gwy_request_cancel_attempts(req);
 	req->stream_failed = true;
-	gwy_request_log(req,
-			fs_err_name(gwy_ends_with_node(req) ? FS_E_STOPPED :
-							      FS_E_DEADLINE),
-			now_us);
+	gwy_request_log(req, fs_err_name(FS_E_DEADLINE), now_us);
 	req->state = GWY_ENDED;
 	gwy_request_resume(req);
 }
@@ -36,7 +33,9 @@
 	int err;
 
 	if (req->state == GWY_STREAMING) {
-		cut_stream(req, now_us);
+		/* No answer is due in its place: it goes on until the exit. */
+		if (!gwy_ends_with_node(req))
+			cut_stream(req, now_us);
 		return;
 	}
 	if (!gwy_ends_with_node(req))
--- a/tests/unit_gwy_stop.c
+++ b/tests/unit_gwy_stop.c
@@ -16,6 +16,7 @@
 /* No connection is accepted and none is waited for any more. */
 #define DRAINED_US (2500 * FS_US_PER_MS)
 #define WORK_US (200 * FS_US_PER_MS)
+#define STREAM_BYTES (200 * 1024)     /* too many to be buffered */
 #define ERROR_US (300 * FS_US_PER_MS) /* before the answer is overdue */
 
 static struct yard y;
@@ -99,6 +100,23 @@
 			WORK_US);
 }
 
+/* Streams; the end comes between the last answer and the exit. */
+static void serve_stream(void *arg, struct fake_conn *conn,
+			 const struct fake_request *request)
+{
+	g_autofree char *part = g_strnfill(STREAM_BYTES, 'x');
+	g_autofree char *head =
+		g_strdup_printf("HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: z\r\n"
+				"Content-Length: %d\r\n\r\n",
+				STREAM_BYTES + 7);
+
+	(void)arg;
+	(void)request;
+	fake_send_text(conn, head);
+	fake_send_text(conn, part);
+	fake_send_later(conn, "the end", LAST_ANSWER_US + 100 * FS_US_PER_MS);
+}
+
 /* Answers the first request of all targets together after WORK_US; the others
  * fail after ERROR_US. */
 static void serve_late_error(void *arg, struct fake_conn *conn,
@@ -332,6 +350,25 @@
 	end();
 }
 
+/* Guards against a stream that is cut though it ends before the exit: unlike an
+ * answer of the gateway's own, it needs no time to be sent after its end. */
+static void test_stream_is_forwarded_until_the_exit(void)
+{
+	begin();
+	yard_target(&y, "list", serve_stream, NULL);
+	yard_call(&y, &c, LIST_REQUEST);
+	yard_until(&y, yard_arrivals(&y) == 1);
+	begin_stop();
+	while (!y.stopped) {
+		yard_run(&y, 2000);
+		yard_read(&c);
+	}
+	run_until_exit();
+	yard_read(&c);
+	g_assert_true(g_str_has_suffix(c.got->str, "the end"));
+	end();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -356,5 +393,7 @@
 		test_request_that_crosses_the_exit_is_not_passed_on);
 	g_test_add_func("/gwy_stop/late_request_that_takes_long_is_not_begun",
 			test_late_request_that_takes_long_is_not_begun);
+	g_test_add_func("/gwy_stop/stream_is_forwarded_until_the_exit",
+			test_stream_is_forwarded_until_the_exit);
 	return g_test_run();
 }
