Take no request at an entry that has stopped

The entry stops first; the daemon exits when the dispatch task has been idle for 500 ms more. In that time requests of kept connections were still handed to dispatchers. One handed to a peer does not keep this node's dispatch task busy: ent_free() queued "dispatcher_lost" for it and stopped the HTTP daemon at once.

A stopped entry now refuses: 503, not run.

Test: /ent/request_after_the_stop_is_refused failed before ("gate_expect: 'g_str_has_prefix(c->got->str, line)' should be TRUE", as the request went to a dispatcher).

--- a/src/ent_http.c
+++ b/src/ent_http.c
@@ -68,7 +68,8 @@
 	}
 	if (ent_own_answer_path(req))
 		return;
-	if (!ent->cfg || !ent->view) {
+	/* A stopped entry waits only for the dispatch task before the exit. */
+	if (!ent->cfg || !ent->view || ent->stopped) {
 		refuse_not_ready(req);
 		return;
 	}
--- a/tests/unit_ent.c
+++ b/tests/unit_ent.c
@@ -2,6 +2,7 @@
  * requests, and correct outcomes. */
 #include <fcntl.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "fleet_ent.h"
 #include "fs_log.h"
@@ -330,6 +331,28 @@
 	end();
 }
 
+/* Guards against a request that is begun between the end of the entry's stop and
+ * the exit, which waits for the dispatch task: a peer has it, and its caller
+ * gets nothing. */
+static void test_request_after_the_stop_is_refused(void)
+{
+	const struct msg *m;
+
+	begin();
+	g.node.set.answer_ttl_us = -ENT_LEAVE_PROPAGATION_US;
+	m = call(LIST);
+	gate_answer(&g, m, "whole", 5, true);
+	gate_expect(&g, &c, 200, "answered");
+	bus_send(g.node.bus, msg_new(MSG_STOP, g.node.self, MSG_TASK_ENTRY));
+	gate_until(&g, g.stopped);
+	g_string_truncate(c.got, 0);
+	g_assert_cmpint(send(c.fd, LIST, strlen(LIST), MSG_NOSIGNAL), ==,
+			(ssize_t)strlen(LIST));
+	gate_expect(&g, &c, 503, "not-run");
+	g_assert_null(gate_sent(&g, MSG_REQUEST, 1));
+	end();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -355,5 +378,7 @@
 			test_lost_stream_is_aborted);
 	g_test_add_func("/ent/answers_out_of_order", test_answers_out_of_order);
 	g_test_add_func("/ent/planned_stop", test_planned_stop);
+	g_test_add_func("/ent/request_after_the_stop_is_refused",
+			test_request_after_the_stop_is_refused);
 	return g_test_run();
 }
