Answer a deferred request before a short stop ends

A request that waits for the node's first configuration has no deadline yet, so the stop did not limit it; with a grace time shorter than the 1.2 s of the wait it was cut without an answer. With the grace times of the deployments (6 s and more) that can't happen.

Test: /gwy_stop/deferred_request_is_answered failed before ("expect_whole: 'g_str_has_prefix(c.got->str, line)' should be TRUE").

--- a/src/gwy_http.c
+++ b/src/gwy_http.c
@@ -203,6 +203,8 @@
 {
 	int64_t until_us = req->gwy->started_us + GWY_DEFER_MAX_US;
 
+	if (req->gwy->stopping)
+		until_us = MIN(until_us, req->gwy->last_answer_us);
 	if (now_us >= until_us) {
 		gwy_answer_refuse(req, FS_E_NOT_READY, GWY_DEFER_MAX_US,
 				  now_us);
--- a/tests/unit_gwy_stop.c
+++ b/tests/unit_gwy_stop.c
@@ -369,6 +369,21 @@
 	end();
 }
 
+/* Guards against a deferred request that outlasts a short stop: the node has no
+ * configuration yet. */
+static void test_deferred_request_is_answered(void)
+{
+	begin();
+	y.node.ready = false;
+	y.node.set.stop_grace_us = 800 * FS_US_PER_MS;
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_run(&y, 20 * FS_US_PER_MS);
+	begin_stop();
+	run_until_exit();
+	expect_whole(503, "\"not_ready\"");
+	end();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -395,5 +410,7 @@
 			test_late_request_that_takes_long_is_not_begun);
 	g_test_add_func("/gwy_stop/stream_is_forwarded_until_the_exit",
 			test_stream_is_forwarded_until_the_exit);
+	g_test_add_func("/gwy_stop/deferred_request_is_answered",
+			test_deferred_request_is_answered);
 	return g_test_run();
 }
