Tests of requests that become whole late in a stop

A request of a kept connection and one whose body ends, both between the last answer and the exit, are refused as not run; one whose body comes in chunks is answered.

--- a/tests/unit_gwy_stop.c
+++ b/tests/unit_gwy_stop.c
@@ -7,8 +7,8 @@
 #include "gwy_impl.h"
 
 #define FIELDS "Host: h\r\nX-Id: r1\r\nX-Left: 3000\r\n"
-#define PAY_REQUEST \
-	"POST /pay/1 HTTP/1.1\r\n" FIELDS "Content-Length: 3\r\n\r\na=1"
+#define PAY_HEAD "POST /pay/1 HTTP/1.1\r\n" FIELDS "Content-Length: 3\r\n\r\n"
+#define PAY_REQUEST PAY_HEAD "a=1"
 #define LIST_REQUEST "GET /list/1?q=1 HTTP/1.1\r\n" FIELDS "\r\n"
 /* Ends before the routes' time-outs do. */
 #define GRACE_US (1200 * FS_US_PER_MS)
@@ -181,9 +181,7 @@
 {
 	begin();
 	yard_target(&y, "pay", serve_nothing, NULL);
-	yard_call(&y, &c,
-		  "POST /pay/1 HTTP/1.1\r\n" FIELDS
-		  "Content-Length: 3\r\n\r\n");
+	yard_call(&y, &c, PAY_HEAD);
 	yard_run(&y, 20 * FS_US_PER_MS);
 	begin_stop();
 	g_assert_cmpint(send(c.fd, "a=1", 3, MSG_NOSIGNAL), ==, 3);
@@ -238,9 +236,7 @@
 	yard_expect(&y, &c, 200);
 	begin_stop();
 	/* A body that does not end keeps the gateway running. */
-	yard_call(&y, &slow,
-		  "POST /pay/1 HTTP/1.1\r\n" FIELDS
-		  "Content-Length: 3\r\n\r\n");
+	yard_call(&y, &slow, PAY_HEAD);
 	yard_run(&y, 4800 * FS_US_PER_MS);
 	send_again(PAY_REQUEST);
 	yard_expect(&y, &c, 503);
@@ -384,6 +380,47 @@
 	end();
 }
 
+/* Guards against requests that become whole after the last answer: they are not
+ * passed on, and told so. */
+static void test_request_after_the_last_answer_is_refused(void)
+{
+	struct yard_caller slow;
+
+	begin();
+	yard_target(&y, "pay", serve_at_once, NULL);
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_expect(&y, &c, 200);
+	begin_stop();
+	yard_call(&y, &slow, PAY_HEAD);
+	yard_run(&y, LAST_ANSWER_US + 100 * FS_US_PER_MS);
+	send_again(PAY_REQUEST);
+	g_assert_cmpint(send(slow.fd, "a=1", 3, MSG_NOSIGNAL), ==, 3);
+	run_until_exit();
+	expect_whole(503, "\"stopping\"");
+	yard_hang_up(&c);
+	c = slow;
+	expect_whole(503, "\"stopping\"");
+	g_assert_cmpuint(yard_arrivals(&y), ==, 1);
+	end();
+}
+
+/* A body in chunks that ends during the stop. */
+static void test_chunked_body_is_answered(void)
+{
+	begin();
+	yard_target(&y, "pay", serve_nothing, NULL);
+	yard_call(&y, &c,
+		  "POST /pay/1 HTTP/1.1\r\n" FIELDS
+		  "Transfer-Encoding: chunked\r\n\r\n3\r\na=1\r\n");
+	yard_run(&y, 20 * FS_US_PER_MS);
+	begin_stop();
+	yard_run(&y, 20 * FS_US_PER_MS);
+	g_assert_cmpint(send(c.fd, "0\r\n\r\n", 5, MSG_NOSIGNAL), ==, 5);
+	run_until_exit();
+	expect_whole(504, "\"stopped\"");
+	end();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -412,5 +449,9 @@
 			test_stream_is_forwarded_until_the_exit);
 	g_test_add_func("/gwy_stop/deferred_request_is_answered",
 			test_deferred_request_is_answered);
+	g_test_add_func("/gwy_stop/request_after_the_last_answer_is_refused",
+			test_request_after_the_last_answer_is_refused);
+	g_test_add_func("/gwy_stop/chunked_body_is_answered",
+			test_chunked_body_is_answered);
 	return g_test_run();
 }
