Answer a request whose answer has a head too long to pass on

libmicrohttpd builds an answer's head in the memory of the connection, 40 KiB, which also holds the head of the request. If it does not fit, the library closes the connection: the request had been passed on to a target that answered, the log said "answered", and the caller got no byte. An exchange took heads of up to 64 KiB. The new test unit_gwy long_heads_are_answered said before:

expected 502, got: (closed)

An exchange now has a limit of its own for the head of its answer, which the gateway sets to what the caller's connection has left; a longer one is treated like one above the limit of all: it is tried again if it may be, or 502. More memory for each connection was not tried: peak memory has a price.

--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -98,6 +98,8 @@
 		.new_connection = req->attempt_count > 1,
 		.deadline_us = req->deadline_us,
 		.headers_deadline_us = req->deadline_us,
+		.header_bytes_max =
+			htd_answer_head_max(gwy->htd, req->connection),
 		.dialect = &gwy->fields.target,
 	};
 
--- a/src/htd.c
+++ b/src/htd.c
@@ -11,11 +11,17 @@
 #include "msg.h"
 #include "net.h"
 
+/* What the library takes from a connection's memory, in bytes: for a record of
+ * each field of a request, and for its own part of an answer's head. */
+#define FIELD_MEMORY 96
+#define OWN_HEAD_MEMORY 1024
+
 struct htd {
 	struct ev_loop *loop;
 	struct MHD_Daemon *daemon;
 	int listen_fd;
 	bool listening;
+	size_t connection_memory;
 	unsigned int idle_s;	 /* in force; open connections may have more */
 	GHashTable *connections; /* struct MHD_Connection, open */
 	ev_io io;
@@ -56,6 +62,34 @@
 				  idle_s);
 }
 
+static enum MHD_Result count_field(void *arg, enum MHD_ValueKind kind,
+				   const char *name, const char *value)
+{
+	(void)kind;
+	(void)name;
+	(void)value;
+	++*(size_t *)arg;
+	return MHD_YES;
+}
+
+size_t htd_answer_head_max(const struct htd *htd,
+			   struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+	size_t fields = 0;
+	size_t used;
+
+	if (!info)
+		return 0;
+	MHD_get_connection_values(connection,
+				  MHD_HEADER_KIND | MHD_GET_ARGUMENT_KIND,
+				  count_field, &fields);
+	used = info->header_size + fields * FIELD_MEMORY + OWN_HEAD_MEMORY;
+	/* At least one byte, which no answer fits in: 0 says "not known". */
+	return MAX(htd->connection_memory, used + 1) - used;
+}
+
 static unsigned int idle_of(struct MHD_Connection *connection)
 {
 	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
@@ -103,6 +137,7 @@
 
 	htd->loop = loop;
 	htd->idle_s = limits->idle_s;
+	htd->connection_memory = limits->connection_memory;
 	htd->connections = g_hash_table_new(NULL, NULL);
 	htd->listen_fd = net_listen(bind, bound);
 	if (htd->listen_fd < 0) {
--- a/src/htd.h
+++ b/src/htd.h
@@ -56,6 +56,14 @@
  */
 void htd_set_idle(struct htd *htd, unsigned int idle_s);
 
+/**
+ * Returns how many bytes of an answer's header fields fit in the memory of a
+ * connection, beside those of its request; 0 before these are read. The library
+ * closes the connection without an answer if an answer's head does not fit.
+ */
+size_t htd_answer_head_max(const struct htd *htd,
+			   struct MHD_Connection *connection);
+
 /** Gives a connection, at its next request, the limit that is in force. */
 void htd_renew_idle(struct htd *htd, struct MHD_Connection *connection);
 
--- a/src/tgt.c
+++ b/src/tgt.c
@@ -244,6 +244,10 @@
 	tgt->deadline_us = request->deadline_us;
 	tgt->headers_deadline_us = request->headers_deadline_us;
 	tgt->length = -1;
+	tgt->header_bytes_max = TGT_HEADER_BYTES_MAX;
+	if (request->header_bytes_max)
+		tgt->header_bytes_max =
+			MIN(request->header_bytes_max, TGT_HEADER_BYTES_MAX);
 	tgt->headers = msg_headers_new();
 	tgt->buffer = g_byte_array_new();
 	ev_init(&tgt->timer, on_timer);
--- a/src/tgt.h
+++ b/src/tgt.h
@@ -89,6 +89,9 @@
 	bool new_connection; /* open a new connection even if repeatable */
 	int64_t deadline_us; /* when the complete answer must be here */
 	int64_t headers_deadline_us; /* when its header fields must be here */
+	/** Bytes of the answer's header fields; more make it invalid. At most
+	 *  TGT_HEADER_BYTES_MAX, which 0 stands for. */
+	size_t header_bytes_max;
 	const struct tgt_dialect *dialect; /* NULL: the fleet's own fields */
 };
 
--- a/src/tgt_answer.c
+++ b/src/tgt_answer.c
@@ -93,7 +93,7 @@
 	char *colon;
 
 	tgt->header_bytes += bytes;
-	if (tgt->header_bytes > TGT_HEADER_BYTES_MAX || strlen(line) != bytes)
+	if (tgt->header_bytes > tgt->header_bytes_max || strlen(line) != bytes)
 		tgt->invalid = true;
 	g_strchomp(line);
 	if (tgt->headers_complete) /* trailer fields are dropped */
--- a/src/tgt_impl.h
+++ b/src/tgt_impl.h
@@ -43,6 +43,7 @@
 	int64_t length; /* -1: unknown */
 	int64_t headers_at_us;
 	size_t header_bytes;
+	size_t header_bytes_max;
 	GArray *headers;
 	GByteArray *buffer;   /* body not read yet */
 	int64_t received;     /* bytes of the body */
--- a/tests/unit_gwy.c
+++ b/tests/unit_gwy.c
@@ -12,6 +12,7 @@
 #define PAY_REQUEST \
 	"POST /pay/1 HTTP/1.1\r\n" FIELDS "Content-Length: 3\r\n\r\na=1"
 #define LONG_BODY (300 * 1024) /* bytes; streamed, not buffered */
+#define MEMORY (36 * 1024)     /* bytes; of both heads of a request, about */
 #define LONG_QUEUE 30	       /* requests: a wait of over two seconds */
 #define LIST_REQUEST "GET /list/1?q=1 HTTP/1.1\r\n" FIELDS "\r\n"
 
@@ -376,6 +377,44 @@
 	end();
 }
 
+/* Answers with a head of about the size that the argument points to. */
+static void serve_long_head(void *arg, struct fake_conn *conn,
+			    const struct fake_request *request)
+{
+	g_autofree char *value = g_strnfill(*(size_t *)arg, 'v');
+	g_autofree char *answer =
+		g_strdup_printf("HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: z\r\n"
+				"Content-Length: 1\r\nX-Long: %s\r\n\r\nx",
+				value);
+
+	(void)request;
+	fake_send_text(conn, answer);
+}
+
+static void call_with_long_heads(size_t request_bytes, size_t answer_bytes)
+{
+	g_autofree char *value = g_strnfill(request_bytes, 'v');
+	g_autofree char *request =
+		g_strdup_printf("POST /pay/1 HTTP/1.1\r\n" FIELDS
+				"X-Long: %s\r\nContent-Length: 1\r\n\r\na",
+				value);
+
+	begin();
+	yard_target(&y, "pay", serve_long_head, &answer_bytes);
+	yard_call(&y, &c, request);
+	yard_expect(&y, &c, request_bytes + answer_bytes < MEMORY ? 200 : 502);
+	end();
+}
+
+/* Guards against a connection that closes without an answer, as the head of its
+ * answer does not fit in its memory. */
+static void test_long_heads_are_answered(void)
+{
+	for (size_t i = 1 << 10; i < 16 << 10; i += 8 << 10)
+		for (size_t j = 8 << 10; j < 64 << 10; j += 8 << 10)
+			call_with_long_heads(i, j);
+}
+
 static void test_no_route(void)
 {
 	begin();
@@ -600,6 +639,8 @@
 			test_success_without_seal_is_rejected);
 	g_test_add_func("/gwy/no_parking_with_attempt_in_flight",
 			test_no_parking_with_attempt_in_flight);
+	g_test_add_func("/gwy/long_heads_are_answered",
+			test_long_heads_are_answered);
 	g_test_add_func("/gwy/no_route", test_no_route);
 	g_test_add_func("/gwy/refusal_logs_the_time_given",
 			test_refusal_logs_the_time_given);
