--- a/tests/fleet_gwy.c
+++ b/tests/fleet_gwy.c
@@ -3,10 +3,17 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <string.h>
+#include <sys/mman.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "cfg_draft.h"
+#include "gwy_impl.h"
+
+/* Bytes of a socket. A receive buffer below a segment of the loopback device would
+ * be refilled by window probes only, which take seconds. */
+#define SMALL_SEND_BUFFER 4096
+#define SMALL_RECEIVE_BUFFER (32 * 1024)
 
 static const struct gwy_fields fields = {
 	.target =
@@ -223,3 +230,37 @@
 		n += fake_requests(y->targets[i])->len;
 	return n;
 }
+
+void yard_shrink_sockets(struct yard_caller *c, const struct gwy_request *req)
+{
+	const int send_size = SMALL_SEND_BUFFER;
+	const int receive_size = SMALL_RECEIVE_BUFFER;
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		req->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	setsockopt(c->fd, SOL_SOCKET, SO_RCVBUF, &receive_size,
+		   sizeof(receive_size));
+	setsockopt(info->connect_fd, SOL_SOCKET, SO_SNDBUF, &send_size,
+		   sizeof(send_size));
+}
+
+int yard_log_begin(void)
+{
+	int stderr_fd = dup(STDERR_FILENO);
+	int memory_fd = memfd_create("log", MFD_CLOEXEC);
+
+	g_assert_cmpint(dup2(memory_fd, STDERR_FILENO), >=, 0);
+	close(memory_fd);
+	return stderr_fd;
+}
+
+char *yard_log_end(int stderr_fd)
+{
+	off_t size = lseek(STDERR_FILENO, 0, SEEK_CUR);
+	char *text = g_malloc0(size + 1);
+
+	g_assert_cmpint(pread(STDERR_FILENO, text, size, 0), ==, size);
+	g_assert_cmpint(dup2(stderr_fd, STDERR_FILENO), >=, 0);
+	close(stderr_fd);
+	return text;
+}
--- a/tests/fleet_gwy.h
+++ b/tests/fleet_gwy.h
@@ -79,6 +79,16 @@
 /** Returns a header field's value of a request, to be freed, or NULL. */
 char *yard_field(const struct fake_request *request, const char *name);
 
+/** Lets the sockets between a caller and a request's connection hold little. */
+struct gwy_request;
+void yard_shrink_sockets(struct yard_caller *c, const struct gwy_request *req);
+
+/** Collects what is logged to standard error. @return what yard_log_end() takes */
+int yard_log_begin(void);
+
+/** Returns what was logged since yard_log_begin(), to be freed. */
+char *yard_log_end(int stderr_fd);
+
 /** Returns how many requests all targets have read. */
 guint yard_arrivals(const struct yard *y);
 
--- a/tests/unit_gwy.c
+++ b/tests/unit_gwy.c
@@ -423,29 +423,6 @@
 	end();
 }
 
-/* Sends what goes to standard error into memory. @return what log_end() takes */
-static int log_begin(void)
-{
-	int stderr_fd = dup(STDERR_FILENO);
-	int memory_fd = memfd_create("log", MFD_CLOEXEC);
-
-	g_assert_cmpint(dup2(memory_fd, STDERR_FILENO), >=, 0);
-	close(memory_fd);
-	return stderr_fd;
-}
-
-/* Returns what was logged since log_begin(). */
-static char *log_end(int stderr_fd)
-{
-	off_t size = lseek(STDERR_FILENO, 0, SEEK_CUR);
-	char *text = g_malloc0(size + 1);
-
-	g_assert_cmpint(pread(STDERR_FILENO, text, size, 0), ==, size);
-	g_assert_cmpint(dup2(stderr_fd, STDERR_FILENO), >=, 0);
-	close(stderr_fd);
-	return text;
-}
-
 /* The log line of a request that is refused before its route is known: guards
  * against a time given that was never set. */
 static void test_refusal_logs_the_time_given(void)
@@ -454,10 +431,10 @@
 	int stderr_fd;
 
 	begin();
-	stderr_fd = log_begin();
+	stderr_fd = yard_log_begin();
 	yard_call(&y, &c, "GET /none/ HTTP/1.1\r\n" FIELDS "\r\n");
 	yard_expect(&y, &c, 404);
-	text = log_end(stderr_fd);
+	text = yard_log_end(stderr_fd);
 	if (!strstr(text, "\"given_ms\":2975,"))
 		g_error("logged: %s", text);
 	end();
--- a/tests/unit_gwy_leave.c
+++ b/tests/unit_gwy_leave.c
@@ -13,7 +13,6 @@
 #define PAY_REQUEST PAY_HEAD "Content-Length: 3\r\n\r\na=1"
 #define LIST_REQUEST "GET /list/1?q=1 HTTP/1.1\r\n" FIELDS "\r\n"
 #define BUFFERED_BODY (126 * 1024)
-#define SMALL_BUFFER 4096	    /* bytes of a caller's socket */
 #define LONG_BODY (8 * 1024 * 1024) /* bytes; more than the sockets hold */
 
 static struct yard y;
@@ -176,18 +175,6 @@
 	return req;
 }
 
-/* Lets the sockets between the gateway and the caller hold little. */
-static void shrink_sockets(void)
-{
-	const int size = SMALL_BUFFER;
-	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-		only_request()->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-
-	setsockopt(c.fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
-	setsockopt(info->connect_fd, SOL_SOCKET, SO_SNDBUF, &size,
-		   sizeof(size));
-}
-
 /* The same with an answer that is complete here, but not in the socket. */
 static void test_stop_with_unsent_answer(void)
 {
@@ -198,7 +185,7 @@
 	yard_target(&y, "list", hold, NULL);
 	yard_call(&y, &c, LIST_REQUEST);
 	yard_until(&y, held);
-	shrink_sockets();
+	yard_shrink_sockets(&c, only_request());
 	yard_ok(held, held_request, body);
 	yard_run(&y, 300000);
 	stop();
