Log an answer that its caller did not get whole

The line of a request says "answered" when its answer is queued.

An event "answer_cut" with the request's id and the reason follows such a line, and gwy_answers_cut counts them.

/gwy_stop/unsent_answer_is_logged failed before ('strstr(log, "\"event\":\"answer_cut\"")' should not be NULL).

--- a/src/gwy_http.c
+++ b/src/gwy_http.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "ent_check.h"
+#include "fs_log.h"
 #include "gwy_impl.h"
 #include "rte.h"
 
@@ -274,6 +275,36 @@
 	return MHD_YES;
 }
 
+static const char *termination_name(enum MHD_RequestTerminationCode code)
+{
+	switch (code) {
+	case MHD_REQUEST_TERMINATED_TIMEOUT_REACHED:
+		return "timeout";
+	case MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN:
+		return "stopped";
+	case MHD_REQUEST_TERMINATED_CLIENT_ABORT:
+	case MHD_REQUEST_TERMINATED_READ_ERROR:
+		return "caller_gone";
+	default:
+		return "error";
+	}
+}
+
+/* Logs a request whose caller did not get the whole answer. */
+static void log_cut(struct gwy_request *req,
+		    enum MHD_RequestTerminationCode code)
+{
+	if (!req->logged) {
+		gwy_request_log(req, fs_err_name(FS_E_CALLER_GONE),
+				fs_now_us());
+		return;
+	}
+	ctr_count(req->gwy->node->ctr, "gwy_answers_cut", 1);
+	fs_log_eventf("gwy", G_LOG_LEVEL_INFO, "answer_cut",
+		      "\"request\":\"%s\",\"reason\":\"%s\"", req->id,
+		      termination_name(code));
+}
+
 static void on_completed(void *arg, struct MHD_Connection *connection,
 			 void **context, enum MHD_RequestTerminationCode code)
 {
@@ -286,8 +317,7 @@
 	*context = NULL;
 	if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK &&
 	    req->headers_received)
-		gwy_request_log(req, fs_err_name(FS_E_CALLER_GONE),
-				fs_now_us());
+		log_cut(req, code);
 	gwy_request_free(req);
 }
 
--- a/tests/unit_gwy_stop.c
+++ b/tests/unit_gwy_stop.c
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include "fleet_gwy.h"
+#include "fs_log.h"
 #include "gwy_impl.h"
 
 #define FIELDS "Host: h\r\nX-Id: r1\r\nX-Left: 3000\r\n"
@@ -421,9 +422,35 @@
 	end();
 }
 
+/* Guards against a log that claims an answer which was never sent: its caller
+ * reads none of it until the exit. */
+static void test_unsent_answer_is_logged(void)
+{
+	g_autofree char *log = NULL;
+	GHashTableIter iter;
+	void *request;
+	int log_fd;
+
+	begin();
+	yard_target(&y, "list", serve_stream, NULL);
+	yard_call(&y, &c, LIST_REQUEST);
+	yard_until(&y, yard_arrivals(&y) == 1);
+	g_hash_table_iter_init(&iter, y.gwy->requests);
+	g_assert_true(g_hash_table_iter_next(&iter, &request, NULL));
+	yard_shrink_sockets(&c, request);
+	log_fd = yard_log_begin();
+	begin_stop();
+	run_until_exit();
+	log = yard_log_end(log_fd);
+	g_assert_nonnull(strstr(log, "\"event\":\"answer_cut\""));
+	g_assert_nonnull(strstr(log, "\"reason\":\"stopped\""));
+	end();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	fs_log_init("test", 2);
 	g_test_add_func("/gwy_stop/unfinished_work_is_answered",
 			test_unfinished_work_is_answered);
 	g_test_add_func("/gwy_stop/slow_body_is_answered",
@@ -453,5 +480,7 @@
 			test_request_after_the_last_answer_is_refused);
 	g_test_add_func("/gwy_stop/chunked_body_is_answered",
 			test_chunked_body_is_answered);
+	g_test_add_func("/gwy_stop/unsent_answer_is_logged",
+			test_unsent_answer_is_logged);
 	return g_test_run();
 }
