Share the feed task's fixture, and let the store in the tests be restored

The store of the tests learns to return to an earlier revision, and honours a call's cancellation by another call's callback: it answered such calls all the same.

--- /dev/null
+++ b/tests/fleet_fed.c
@@ -0,0 +1,121 @@
+#include "fleet_fed.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct rig rig;
+
+/* A configuration is its version as text; "x" is malformed. */
+static struct cfg *decode_config(const char *text, size_t size)
+{
+	(void)size;
+	return atoi(text) > 0 ? cfg_new(text, (uint64_t)atoi(text)) : NULL;
+}
+
+/* An entry is "ready" or "leaving". */
+static bool decode_target(const struct kvs_item *item, struct dir_entry *out)
+{
+	memset(out, 0, sizeof(*out));
+	g_strlcpy(out->id, item->key + strlen("t/"), sizeof(out->id));
+	g_strlcpy(out->service, "pay", sizeof(out->service));
+	g_strlcpy(out->address, "127.0.0.1:1", sizeof(out->address));
+	out->rev = item->rev;
+	out->slots = 4;
+	out->leaving = !strcmp(item->value, "leaving");
+	return out->leaving || !strcmp(item->value, "ready");
+}
+
+static void send_remote(void *arg, struct msg *m, int64_t now_us)
+{
+	struct rig *r = arg;
+
+	(void)now_us;
+	g_ptr_array_add(r->sent, m);
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)timer;
+	(void)events;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+void rig_run(int64_t us)
+{
+	for (int64_t end_us = fs_now_us() + us; fs_now_us() < end_us;) {
+		ev_timer timer;
+
+		ev_timer_init(&timer, on_timer, 0.005, 0);
+		ev_timer_start(rig.node.loop, &timer);
+		ev_run(rig.node.loop, 0);
+		ev_timer_stop(rig.node.loop, &timer);
+		if (!rig.silent)
+			shelf_answer(&rig.shelf);
+	}
+}
+
+void rig_begin_task(void)
+{
+	struct fed_platform platform = {
+		.kvs = shelf_kvs(&rig.shelf),
+		.config_key = "c/config",
+		.config_prefix = "c/",
+		.target_prefix = "t/",
+		.node_prefix = "n/",
+		.decode_config = decode_config,
+		.decode_target = decode_target,
+	};
+
+	rig.fed = fed_new(&rig.node, &platform, rig.dir);
+}
+
+void rig_begin_store(const char *config)
+{
+	memset(&rig, 0, sizeof(rig));
+	g_strlcpy(rig.node.set.name, "a", FS_NAME_MAX);
+	g_strlcpy(rig.node.set.domain, "z", FS_DOMAIN_MAX);
+	node_open(&rig.node);
+	rig.sent = g_ptr_array_new_with_free_func((GDestroyNotify)msg_free);
+	bus_attach_remote(rig.node.bus, send_remote, &rig);
+	shelf_begin(&rig.shelf);
+	rig.dir = dir_new(NULL);
+	if (config)
+		shelf_put(&rig.shelf, "c/config", config);
+	for (int i = 0; i < 5; i++) {
+		g_autofree char *key = g_strdup_printf("t/s%d", i);
+
+		shelf_put(&rig.shelf, key, "ready");
+	}
+}
+
+void rig_begin_with_config(const char *config)
+{
+	rig_begin_store(config);
+	rig_begin_task();
+	/* A change, and the initial state, is in force within 2 s. */
+	for (int i = 0; i < 40 && !(config ? rig.node.ready : i == 4); i++)
+		rig_run(50 * FS_US_PER_MS);
+}
+
+void rig_begin(void)
+{
+	rig_begin_with_config("5");
+	rig_run(FED_LIST_FRESH_US);
+}
+
+void rig_end(void)
+{
+	fed_free(rig.fed);
+	dir_free(rig.dir);
+	shelf_end(&rig.shelf);
+	g_ptr_array_unref(rig.sent);
+	brn_free(rig.node.brn);
+	aud_free(rig.node.aud);
+	ctr_free(rig.node.ctr);
+	bus_free(rig.node.bus);
+}
+
+bool rig_has(const char *id)
+{
+	return dir_target_find(rig.dir, id) != NULL;
+}
--- /dev/null
+++ b/tests/fleet_fed.h
@@ -0,0 +1,47 @@
+/**
+ * @file fleet_fed.h
+ * @brief A feed task over a store in the test's process (fleet_kvs.h).
+ *
+ * Five targets "s0" to "s4", with the keys "t/s0" and so on; the value of a key
+ * is "ready" or "leaving". The configuration "c/config" is its version as text.
+ */
+#ifndef FLEET_FED_H
+#define FLEET_FED_H
+
+#include "fed_impl.h"
+#include "fleet_kvs.h"
+
+/** A feed task, its store, and the messages it sends. */
+struct rig {
+	struct node node;
+	struct shelf shelf;
+	struct dir *dir;
+	struct fed *fed;
+	GPtrArray *sent; /* struct msg to other nodes */
+	bool silent;	 /* the store answers nothing */
+};
+
+/** The one rig of a test. */
+extern struct rig rig;
+
+/** Starts a store with a configuration, or without one if it is NULL. */
+void rig_begin_store(const char *config);
+
+/** Starts the task over that store. */
+void rig_begin_task(void);
+
+/** Starts both, and waits until the node is ready. */
+void rig_begin_with_config(const char *config);
+
+/** The same with version 5, and waits until the node reads on: it has no
+ * reader. unit_fed_role covers the start. */
+void rig_begin(void);
+void rig_end(void);
+
+/** Runs the loop for @p us and answers pending calls of the store. */
+void rig_run(int64_t us);
+
+/** Returns whether the directory has a target. */
+bool rig_has(const char *id);
+
+#endif
--- a/tests/fleet_kvs.c
+++ b/tests/fleet_kvs.c
@@ -13,6 +13,7 @@
 
 /** A call that waits for its answer. */
 struct shelf_call {
+	uint64_t serial;
 	bool watch;
 	char *prefix; /* or the key of a get */
 	char *after;
@@ -73,6 +74,23 @@
 	shelf->oldest = shelf->rev;
 }
 
+void shelf_restore(struct shelf *shelf, uint64_t rev)
+{
+	g_hash_table_remove_all(shelf->items);
+	for (guint i = 0; i < shelf->history->len;) {
+		struct shelf_item *item = g_ptr_array_index(shelf->history, i);
+
+		if (item->rev > rev) {
+			g_ptr_array_remove_index(shelf->history, i);
+			continue;
+		}
+		g_hash_table_replace(shelf->items, item->key, item);
+		i++;
+	}
+	shelf->rev = rev;
+	shelf->oldest = MIN(shelf->oldest, rev);
+}
+
 static struct shelf_call *wait_for(struct shelf *shelf, const char *prefix,
 				   void *arg)
 {
@@ -80,7 +98,7 @@
 
 	call->prefix = g_strdup(prefix);
 	call->arg = arg;
-	shelf->count++;
+	call->serial = ++shelf->count;
 	g_ptr_array_add(shelf->calls, call);
 	return call;
 }
@@ -227,7 +245,8 @@
 		call->write_done(call->arg, err, err ? 0 : 1);
 		return;
 	}
-	if (!err && call->watch && call->from < shelf->oldest)
+	if (!err && call->watch &&
+	    (call->from < shelf->oldest || call->from > shelf->rev))
 		err = FS_E_STALE;
 	if (!err && call->watch)
 		add_events(shelf, call, items);
@@ -240,9 +259,16 @@
 
 void shelf_answer(struct shelf *shelf)
 {
-	g_autoptr(GPtrArray) waiting = shelf->calls;
+	uint64_t last = shelf->count;
 
-	shelf->calls = g_ptr_array_new_with_free_func(call_free);
-	for (guint i = 0; i < waiting->len; i++)
-		answer(shelf, g_ptr_array_index(waiting, i));
+	/* A callback may cancel calls and begin others. */
+	while (shelf->calls->len) {
+		struct shelf_call *call = g_ptr_array_index(shelf->calls, 0);
+
+		if (call->serial > last)
+			return;
+		g_ptr_array_steal_index(shelf->calls, 0);
+		answer(shelf, call);
+		call_free(call);
+	}
 }
--- a/tests/fleet_kvs.h
+++ b/tests/fleet_kvs.h
@@ -4,7 +4,7 @@
  *
  * Calls are answered when the test says so with shelf_answer(), so that it
  * chooses what happens between a call and its answer. The service pages, drops
- * its history, and refuses.
+ * its history, refuses, and is restored from a copy.
  */
 #ifndef FLEET_KVS_H
 #define FLEET_KVS_H
@@ -36,6 +36,9 @@
 /** Forgets all history so far. */
 void shelf_compact(struct shelf *shelf);
 
+/** Returns to the state at revision @p rev, as if from a copy of then. */
+void shelf_restore(struct shelf *shelf, uint64_t rev);
+
 /** Answers all calls that wait; a watch without news is answered empty. */
 void shelf_answer(struct shelf *shelf);
 
