List anew when the store's answers tell of a restoration

What callers would have seen: in a restored store, requests handled under an older configuration than the acknowledged one, and servers never used, until something else made the reader list again.

Cause: a reader learnt of a restoration by a 410 alone. Revisions are given out again, so a store that has passed the reader's revision before its next watch answers that watch, without the changes that got the revisions in between. A list could begin before a restoration and end after it, and an answer from before it could arrive last.

The adapter reads the era from each answer, errors and writes included; the feed task keeps the highest. An answer of an older era is void and does not count as fresh. A header that is malformed or stated twice counts as not stated: then the known era is assumed, as a made-up number would make all later answers look outdated.

Before the change, with the era passed on but not heeded (unit_fed_restore):

store_that_has_caught_up: (version() == 9): (5 == 9) list_over_a_restoration: 'rig_has("a")' should be TRUE older_answer_is_discarded: (version() == 5): (8 == 5) second_restoration: 'rig_has(id)' should be TRUE refusal_tells_of_a_restoration, era_not_stated: (era == 2): (0 == 2)

and unit_plf era_is_read: (3 == 0). Ruled out: listing anew whenever the revision of an answer goes back; it does not in the first of these tests.

--- a/src/fed.c
+++ b/src/fed.c
@@ -168,10 +168,10 @@
 
 	g_string_append_printf(
 		out,
-		"{\"version\":%" G_GUINT64_FORMAT
+		"{\"version\":%" G_GUINT64_FORMAT ",\"era\":%" G_GUINT64_FORMAT
 		",\"targets\":%u,\"reading\":%s,\"chosen\":%s,\"away\":%s,"
 		"\"heard_ms_ago\":%lld,\"calls\":%" G_GUINT64_FORMAT "}",
-		fed->cfg ? fed->cfg->version : 0, dir_count(fed->dir),
+		fed->cfg ? fed->cfg->version : 0, fed->era, dir_count(fed->dir),
 		fed->role.reading ? "true" : "false",
 		fed->role.chosen ? "true" : "false",
 		fed->store_lost ? "true" : "false",
--- a/src/fed_impl.h
+++ b/src/fed_impl.h
@@ -62,6 +62,7 @@
 	struct fed_watcher targets;
 	struct fed_watcher config;
 	struct fed_role role;
+	uint64_t era; /* highest one stated by the store; 0: none yet */
 	uint64_t random;
 	int64_t changed_us; /* last change of the directory */
 	int64_t queried_us;
@@ -88,8 +89,22 @@
 void fed_apply_config(struct fed *fed, const char *text, size_t size,
 		      const char *source, int64_t now_us);
 
+/* Restorations of the store (fed_era.c) */
+
+/** What an answer tells of the store's era. */
+enum fed_era {
+	FED_ERA_KNOWN, /* the one known, or not stated */
+	FED_ERA_NEWER, /* the store was restored: everything is read anew */
+	FED_ERA_OLDER, /* from before a restoration: the answer is void */
+};
+
+/** Notes the era of an answer; 0 if it does not state one. */
+enum fed_era fed_note_era(struct fed *fed, uint64_t era, int64_t now_us);
+
 /* Reading (fed_read.c) */
 void fed_read_init(struct fed *fed);
+/** Cancels the calls in flight; the lists begin anew with the next tick. */
+void fed_read_restart(struct fed *fed, int64_t now_us);
 void fed_read_tick(struct fed *fed, int64_t now_us);
 
 /* Exchange with peers (fed_tell.c) */
--- a/src/fed_node.c
+++ b/src/fed_node.c
@@ -12,17 +12,18 @@
 			     fed_random(fed, FED_RETRY_MAX_US);
 }
 
-static void on_put(void *arg, int err, uint64_t lease)
+static void on_put(void *arg, int err, const struct kvs_result *result)
 {
 	struct fed *fed = arg;
 
-	(void)lease;
+	(void)result;
 	if (err)
 		fed->lease = 0;
 	schedule_renewal(fed, err);
 }
 
-static void on_lease_granted(void *arg, int err, uint64_t lease)
+static void on_lease_granted(void *arg, int err,
+			     const struct kvs_result *result)
 {
 	struct fed *fed = arg;
 	struct kvs *kvs = &fed->platform.kvs;
@@ -33,18 +34,18 @@
 		schedule_renewal(fed, err);
 		return;
 	}
-	fed->lease = lease;
+	fed->lease = result->lease;
 	set_format_address(&fed->node->peer, address);
 	key = g_strdup_printf("%s%s", fed->platform.node_prefix,
 			      fed->node->set.name);
-	kvs->ops->put(kvs->store, key, address, lease, on_put, fed);
+	kvs->ops->put(kvs->store, key, address, fed->lease, on_put, fed);
 }
 
-static void on_renewed(void *arg, int err, uint64_t lease)
+static void on_renewed(void *arg, int err, const struct kvs_result *result)
 {
 	struct fed *fed = arg;
 
-	(void)lease;
+	(void)result;
 	if (err == FS_E_NOT_FOUND)
 		fed->lease = 0;
 	schedule_renewal(fed, err);
--- a/src/fed_read.c
+++ b/src/fed_read.c
@@ -90,17 +90,35 @@
 		fed_apply_config(fed, item->value, item->size, "store", now_us);
 }
 
-static void on_watched(void *arg, int err, const struct kvs_page *page)
+/* Returns whether the page of an answer is to be applied. In a restored store
+ * only a list can be, from its first page on. */
+static bool accept_answer(struct fed_watcher *watcher, int err,
+			  const struct kvs_page *page, int64_t now_us)
 {
-	struct fed_watcher *watcher = arg;
-	int64_t now_us = fs_now_us();
+	bool first_page = !watcher->listed && !watcher->page_after;
+	enum fed_era era;
 
 	watcher->running = false;
+	era = fed_note_era(watcher->fed, page->era, now_us);
+	if (era == FED_ERA_OLDER)
+		err = FS_E_UNAVAILABLE;
 	if (err) {
 		call_failed(watcher, err, now_us);
-		return;
+		return false;
 	}
+	if (era == FED_ERA_NEWER && !first_page)
+		return false;
 	call_answered(watcher, now_us);
+	return true;
+}
+
+static void on_watched(void *arg, int err, const struct kvs_page *page)
+{
+	struct fed_watcher *watcher = arg;
+	int64_t now_us = fs_now_us();
+
+	if (!accept_answer(watcher, err, page, now_us))
+		return;
 	for (uint32_t i = 0; i < page->count; i++)
 		apply_item(watcher, &page->items[i], now_us);
 	watcher->from_rev = MAX(watcher->from_rev, page->at_rev);
@@ -140,12 +158,8 @@
 	struct fed_watcher *watcher = arg;
 	int64_t now_us = fs_now_us();
 
-	watcher->running = false;
-	if (err) {
-		call_failed(watcher, err, now_us);
+	if (!accept_answer(watcher, err, page, now_us))
 		return;
-	}
-	call_answered(watcher, now_us);
 	if (!watcher->page_after)
 		watcher->list_rev = page->at_rev;
 	for (uint32_t i = 0; i < page->count; i++)
@@ -200,6 +214,14 @@
 	watcher->failures = 0;
 }
 
+void fed_read_restart(struct fed *fed, int64_t now_us)
+{
+	stop_reading(&fed->targets);
+	stop_reading(&fed->config);
+	fed->targets.next_us = now_us;
+	fed->config.next_us = now_us;
+}
+
 void fed_read_tick(struct fed *fed, int64_t now_us)
 {
 	dir_tick(fed->dir, now_us);
--- a/src/kvs.h
+++ b/src/kvs.h
@@ -2,8 +2,11 @@
  * @file kvs.h
  * @brief Interface to the platform's key-value service.
  *
- * Revisions of items come from one counter of the service. An adapter for a
- * particular service provides the table of functions. Every call has its own
+ * Revisions of items come from one counter of the service. A service that is
+ * restored from a copy begins a new era: revisions go back to those of the copy
+ * and are given out again, and what was written since is lost, leases included.
+ *
+ * An adapter for a particular service provides the table of functions. Every call has its own
  * deadline and invokes its callback exactly once, unless it is cancelled.
  *
  * Errors: FS_E_NOT_FOUND, FS_E_STALE (the requested history was compacted),
@@ -26,18 +29,26 @@
 	bool removed; /* removed at that revision; no value */
 };
 
-/** Result of a read or a watch; valid during the callback only. */
+/** Result of a read or a watch; valid during the callback only. After an error
+ * only the era is set, if the answer stated it. */
 struct kvs_page {
 	const struct kvs_item *items;
 	uint32_t count;
 	bool more;	 /* the range continues after its last key */
 	uint64_t at_rev; /* revision of the service */
+	uint64_t era;	 /* of the service at this answer; 0: not stated */
 };
 
 typedef void (*kvs_page_fn)(void *arg, int err, const struct kvs_page *page);
 
-/** Result of a write: the granted lease, or 0. */
-typedef void (*kvs_write_fn)(void *arg, int err, uint64_t lease);
+/** Result of a write. */
+struct kvs_result {
+	uint64_t lease; /* the one granted, or 0 */
+	uint64_t era;	/* as in struct kvs_page */
+};
+
+typedef void (*kvs_write_fn)(void *arg, int err,
+			     const struct kvs_result *result);
 
 struct kvs_ops {
 	void (*get)(void *store, const char *key, kvs_page_fn done, void *arg);
--- a/tests/fleet_kvs.c
+++ b/tests/fleet_kvs.c
@@ -48,6 +48,7 @@
 	shelf->history = g_ptr_array_new_with_free_func(item_free);
 	shelf->calls = g_ptr_array_new_with_free_func(call_free);
 	shelf->rev = 1;
+	shelf->era = 1;
 	shelf->page = 2;
 }
 
@@ -88,6 +89,7 @@
 		i++;
 	}
 	shelf->rev = rev;
+	shelf->era++;
 	shelf->oldest = MIN(shelf->oldest, rev);
 }
 
@@ -238,11 +240,12 @@
 {
 	g_autoptr(GArray)
 		items = g_array_new(FALSE, TRUE, sizeof(struct kvs_item));
-	struct kvs_page page = {.at_rev = shelf->rev};
+	struct kvs_page page = {.at_rev = shelf->rev, .era = shelf->era};
 	int err = shelf->refuse;
+	struct kvs_result result = {.lease = !err, .era = shelf->era};
 
 	if (!call->page_done) {
-		call->write_done(call->arg, err, err ? 0 : 1);
+		call->write_done(call->arg, err, &result);
 		return;
 	}
 	if (!err && call->watch &&
--- a/tests/unit_plf.c
+++ b/tests/unit_plf.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "fleet_fake.h"
+#include "fs_log.h"
 #include "plf_decode.h"
 #include "plf_store.h"
 
@@ -135,6 +136,7 @@
 	bool removed;
 	uint64_t at_rev;
 	uint64_t lease;
+	uint64_t era;
 	char *value;
 };
 
@@ -157,19 +159,21 @@
 	call->count = page->count;
 	call->more = page->more;
 	call->at_rev = page->at_rev;
+	call->era = page->era;
 	if (page->count) {
 		call->removed = page->items[page->count - 1].removed;
 		call->value = g_strdup(page->items[0].value);
 	}
 }
 
-static void on_write(void *arg, int err, uint64_t lease)
+static void on_write(void *arg, int err, const struct kvs_result *result)
 {
 	struct call *call = arg;
 
 	call->done = true;
 	call->err = err;
-	call->lease = lease;
+	call->lease = result->lease;
+	call->era = result->era;
 }
 
 static bool is_done(void *arg)
@@ -177,7 +181,8 @@
 	return ((struct call *)arg)->done;
 }
 
-static void call_begin(struct call *call, unsigned int status, const char *body)
+static void call_begin_with(struct call *call, unsigned int status,
+			    const char *header, const char *body)
 {
 	static char answer[1024];
 
@@ -187,11 +192,16 @@
 	call->store = plf_store_new(call->loop, fake_address(call->fake));
 	call->kvs = plf_store_kvs(call->store);
 	g_snprintf(answer, sizeof(answer),
-		   "HTTP/1.1 %u X\r\nContent-Length: %zu\r\n\r\n%s", status,
-		   strlen(body), body);
+		   "HTTP/1.1 %u X\r\n%sContent-Length: %zu\r\n\r\n%s", status,
+		   header, strlen(body), body);
 	call->answer = status ? answer : NULL;
 }
 
+static void call_begin(struct call *call, unsigned int status, const char *body)
+{
+	call_begin_with(call, status, "", body);
+}
+
 static void call_end(struct call *call)
 {
 	g_assert_true(fake_run(call->loop, is_done, call, 3 * FS_US_PER_S));
@@ -280,9 +290,69 @@
 	g_assert_cmpuint(c.lease, ==, 77);
 }
 
+static uint64_t era_of(unsigned int status, const char *header)
+{
+	struct call c;
+
+	call_begin_with(&c, status, header, "{\"events\":[],\"at_rev\":1}");
+	c.kvs.ops->watch(c.kvs.store, "op/", 411, 0, on_page, &c);
+	call_end(&c);
+	return c.era;
+}
+
+/* The store was restored: guards against an adapter that does not pass that on,
+ * with answers that are errors as well. */
+static void test_era_is_read(void)
+{
+	g_assert_cmpuint(era_of(200, "Store-Era: 3\r\n"), ==, 3);
+	g_assert_cmpuint(era_of(200, "store-era:12 \r\n"), ==, 12);
+	g_assert_cmpuint(era_of(410, "Store-Era: 4\r\n"), ==, 4);
+	g_assert_cmpuint(era_of(503, "Store-Era: 4\r\n"), ==, 4);
+	g_assert_cmpuint(era_of(404, "Store-Era: 4\r\n"), ==, 4);
+	g_assert_cmpuint(era_of(200, ""), ==, 0);
+}
+
+/* Guards against a number that is made up from a malformed header: a node would
+ * take all later answers as older ones. */
+static void test_malformed_era_is_not_stated(void)
+{
+	static const char *const headers[] = {
+		"Store-Era: \r\n",
+		"Store-Era: x\r\n",
+		"Store-Era: 3x\r\n",
+		"Store-Era: -1\r\n",
+		"Store-Era: +3\r\n",
+		"Store-Era: 3.5\r\n",
+		"Store-Era: 0x10\r\n",
+		"Store-Era: 99999999999999999999999\r\n",
+		"Store-Era: 3\r\nStore-Era: 4\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(headers); i++)
+		g_assert_cmpuint(era_of(200, headers[i]), ==, 0);
+}
+
+/* Guards against a node that keeps renewing a lease which is lost. */
+static void test_era_of_a_write(void)
+{
+	struct call c;
+
+	call_begin_with(&c, 200, "Store-Era: 6\r\n", "{}");
+	c.kvs.ops->renew(c.kvs.store, 9, on_write, &c);
+	call_end(&c);
+	g_assert_cmpint(c.err, ==, 0);
+	g_assert_cmpuint(c.era, ==, 6);
+	call_begin_with(&c, 404, "Store-Era: 6\r\n", "{}");
+	c.kvs.ops->renew(c.kvs.store, 9, on_write, &c);
+	call_end(&c);
+	g_assert_cmpint(c.err, ==, FS_E_NOT_FOUND);
+	g_assert_cmpuint(c.era, ==, 6);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	fs_log_init("test", 2);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	g_test_add_func("/plf/config", test_config);
 	g_test_add_func("/plf/malformed_config", test_malformed_config);
@@ -293,5 +363,9 @@
 	g_test_add_func("/plf/refusals", test_refusals);
 	g_test_add_func("/plf/silence", test_silence);
 	g_test_add_func("/plf/lease", test_lease);
+	g_test_add_func("/plf/era_is_read", test_era_is_read);
+	g_test_add_func("/plf/malformed_era_is_not_stated",
+			test_malformed_era_is_not_stated);
+	g_test_add_func("/plf/era_of_a_write", test_era_of_a_write);
 	return g_test_run();
 }
