Order entries of servers by era and revision, also between nodes

What callers would have seen after the store was restored: requests sent on to a server that said it was leaving, or that was gone; no requests at a server that started under an id which had been removed.

Cause: the directory, its tombstones and its lists compared revisions alone. In a restored store they have gone back, so what servers write there looked older than what was held, and a target that the copy lacks outlived each list. Nodes merge each other's entries by the same order, so one that knew better was turned back by one that did not.

A revision is now a pair, ordered by era first (rev.h): in entries, tombstones, lists, and the messages between nodes. A reader that notices a restoration tells its domain with the next tick; a node that learns of it from a peer lists anew as well, and defers removals by peers as it does its own: the list of a reader that has just started lacks the servers that have not written again.

The message MSG_FEED_ENTRIES changes. A node of an earlier version refuses it, and the other way round, so a node that is told by a reader of the other version misses changes of the directory: the two must not run in one failure domain.

Before, with an order by number alone:

/dir/newer_era_is_later: 'put_at(dir, "a", LATER(60), true)' should be TRUE /dir/older_era_is_earlier: 'dir_target_find(dir, "a")' should not be NULL /dir/list_of_a_newer_era_removes: should be NULL /dir/new_instance_in_a_newer_era: 'dir_put(dir, &e, 0)' should be TRUE /fed_restore/server_leaves_after_a_restoration: should be TRUE /fed_restore/servers_that_the_copy_lacks: 'rig_has("dead")' should be FALSE /fed_restore/peer_of_an_older_era: 'is_leaving("s1")' should be TRUE /fed_restore/peer_of_a_newer_era: (dir_count(rig.dir) == 5): (2 == 5)

Two tests of unit_fed deliver messages of a peer by hand; these now state the era that the store of the test states.

--- a/src/dir.c
+++ b/src/dir.c
@@ -5,7 +5,7 @@
 
 /** Tombstone of a removed target. */
 struct tombstone {
-	uint64_t rev;
+	struct rev rev;
 	int64_t at_us;
 };
 
@@ -166,7 +166,7 @@
 		g_hash_table_lookup(dir->tombstones, entry->id);
 	struct dir_target *target;
 
-	if ((tombstone && tombstone->rev >= entry->rev) ||
+	if ((tombstone && rev_compare(tombstone->rev, entry->rev) >= 0) ||
 	    g_hash_table_size(dir->by_id) >= DIR_TARGETS_MAX)
 		return false;
 	g_hash_table_remove(dir->tombstones, entry->id);
@@ -196,7 +196,7 @@
 
 	if (!target)
 		return put_new(dir, entry, now_us);
-	if (entry->rev < target->entry.rev)
+	if (rev_compare(entry->rev, target->entry.rev) < 0)
 		return false;
 	target->listed = true;
 	target->missing_us = 0;
@@ -212,7 +212,7 @@
 	return before != content_hash(entry);
 }
 
-static void add_tombstone(struct dir *dir, const char *id, uint64_t rev,
+static void add_tombstone(struct dir *dir, const char *id, struct rev rev,
 			  int64_t now_us)
 {
 	struct tombstone *tombstone = g_new0(struct tombstone, 1);
@@ -224,7 +224,7 @@
 
 /* Removes a target and calls the callback. */
 static void remove_and_notify(struct dir *dir, struct dir_target *target,
-			      uint64_t rev, int64_t now_us)
+			      struct rev rev, int64_t now_us)
 {
 	add_tombstone(dir, target->entry.id, rev, now_us);
 	detach(dir, target);
@@ -233,7 +233,7 @@
 	dir_target_unref(target);
 }
 
-void dir_remove(struct dir *dir, const char *id, uint64_t rev,
+void dir_remove(struct dir *dir, const char *id, struct rev rev,
 		int64_t grace_until_us, int64_t now_us)
 {
 	struct dir_target *target = dir_target_find(dir, id);
@@ -241,11 +241,11 @@
 
 	if (!target) {
 		tombstone = g_hash_table_lookup(dir->tombstones, id);
-		if (!tombstone || tombstone->rev < rev)
+		if (!tombstone || rev_compare(tombstone->rev, rev) < 0)
 			add_tombstone(dir, id, rev, now_us);
 		return;
 	}
-	if (target->entry.rev > rev)
+	if (rev_compare(target->entry.rev, rev) > 0)
 		return;
 	if (grace_until_us > now_us && !target->entry.leaving) {
 		if (!target->missing_us)
@@ -265,7 +265,7 @@
 		((struct dir_target *)target)->listed = false;
 }
 
-void dir_list_end(struct dir *dir, uint64_t rev, int64_t grace_until_us,
+void dir_list_end(struct dir *dir, struct rev rev, int64_t grace_until_us,
 		  int64_t now_us)
 {
 	g_autoptr(GList) all = g_hash_table_get_values(dir->by_id);
@@ -273,7 +273,7 @@
 	for (GList *l = all; l; l = l->next) {
 		struct dir_target *target = l->data;
 
-		if (!target->listed && target->entry.rev <= rev)
+		if (!target->listed && rev_compare(target->entry.rev, rev) <= 0)
 			dir_remove(dir, target->entry.id, rev, grace_until_us,
 				   now_us);
 	}
@@ -318,7 +318,7 @@
 }
 
 void dir_each_tombstone(const struct dir *dir,
-			void (*fn)(void *arg, const char *id, uint64_t rev),
+			void (*fn)(void *arg, const char *id, struct rev rev),
 			void *arg)
 {
 	GHashTableIter iter;
--- a/src/dir.h
+++ b/src/dir.h
@@ -3,7 +3,7 @@
  * @brief Directory of targets: the servers that exist, by their own reports.
  *
  * The platform's key-value service holds one entry for each live server. A
- * directory merges entries by their revision, whatever their source: a list, a
+ * directory merges entries by era and revision (rev.h), whatever their source: a list, a
  * watch, or a peer that has read them. A removal leaves a tombstone for some
  * time, so that an older entry which arrives late does not bring a server
  * back.
@@ -21,6 +21,7 @@
 
 #include "fs_err.h"
 #include "fs_types.h"
+#include "rev.h"
 
 #define DIR_TARGETS_MAX 20000 /* three times the design size */
 #define DIR_TOMBSTONE_RETENTION_US \
@@ -33,7 +34,7 @@
 	char address[FS_ADDRESS_MAX]; /* "ip:port" */
 	char domain[FS_DOMAIN_MAX];   /* failure domain */
 	uint64_t born;		      /* start of the process, ms since 1970 */
-	uint64_t rev;		      /* of the entry in the store */
+	struct rev rev;		      /* of the entry in the store */
 	uint32_t slots;		      /* concurrent requests */
 	int64_t cold_us;	      /* warm-up time after the start */
 	bool leaving;		      /* accepts no new work */
@@ -62,7 +63,7 @@
 
 /** Called for each target that is removed from the directory. */
 typedef void (*dir_removed_fn)(void *arg, const struct dir_target *target,
-			       uint64_t rev);
+			       struct rev rev);
 
 /**
  * Creates a directory.
@@ -94,7 +95,7 @@
  * Applies a removal.
  * @param grace_until_us  the target stays in use until then
  */
-void dir_remove(struct dir *dir, const char *id, uint64_t rev,
+void dir_remove(struct dir *dir, const char *id, struct rev rev,
 		int64_t grace_until_us, int64_t now_us);
 
 /** Starts a complete list of entries. */
@@ -104,7 +105,7 @@
  * Ends the list: removes targets that were not put since its start and are not
  * newer than it.
  */
-void dir_list_end(struct dir *dir, uint64_t rev, int64_t grace_until_us,
+void dir_list_end(struct dir *dir, struct rev rev, int64_t grace_until_us,
 		  int64_t now_us);
 
 /** Removes targets whose grace time has ended, and expired tombstones. */
@@ -120,7 +121,7 @@
 
 /** Calls @p fn for each tombstone. */
 void dir_each_tombstone(const struct dir *dir,
-			void (*fn)(void *arg, const char *id, uint64_t rev),
+			void (*fn)(void *arg, const char *id, struct rev rev),
 			void *arg);
 
 /** Returns how many targets there are. */
--- a/src/fed_era.c
+++ b/src/fed_era.c
@@ -2,12 +2,16 @@
 
 #include "fs_log.h"
 
-static void defer_removals(struct fed_watcher *watcher, int64_t until_us)
+/* Servers write the entries again that the copy lacks. */
+static void defer_removals(struct fed *fed, int64_t now_us)
 {
-	watcher->grace_until_us = MAX(watcher->grace_until_us, until_us);
+	fed->grace_until_us = now_us + FED_REMOVAL_GRACE_US;
+	fed->targets.grace_until_us =
+		MAX(fed->targets.grace_until_us, fed->grace_until_us);
 }
 
-enum fed_era fed_note_era(struct fed *fed, uint64_t era, int64_t now_us)
+enum fed_era fed_note_era(struct fed *fed, uint64_t era, const char *source,
+			  int64_t now_us)
 {
 	uint64_t known = fed->era;
 
@@ -16,8 +20,9 @@
 	if (era < known) {
 		fs_log_eventf("fed", G_LOG_LEVEL_INFO, "answer_outdated",
 			      "\"era\":%" G_GUINT64_FORMAT
-			      ",\"known\":%" G_GUINT64_FORMAT,
-			      era, known);
+			      ",\"known\":%" G_GUINT64_FORMAT
+			      ",\"source\":\"%s\"",
+			      era, known, source);
 		return FED_ERA_OLDER;
 	}
 	fed->era = era;
@@ -25,10 +30,10 @@
 		return FED_ERA_KNOWN;
 	fs_log_eventf("fed", G_LOG_LEVEL_MESSAGE, "store_restored",
 		      "\"era\":%" G_GUINT64_FORMAT
-		      ",\"known\":%" G_GUINT64_FORMAT,
-		      era, known);
-	/* Servers write the entries again that the copy lacks. */
-	defer_removals(&fed->targets, now_us + FED_REMOVAL_GRACE_US);
+		      ",\"known\":%" G_GUINT64_FORMAT ",\"source\":\"%s\"",
+		      era, known, source);
+	defer_removals(fed, now_us);
 	fed_read_restart(fed, now_us);
+	fed_queue_era(fed);
 	return FED_ERA_NEWER;
 }
--- a/src/fed_impl.h
+++ b/src/fed_impl.h
@@ -41,13 +41,13 @@
 struct fed_watcher {
 	struct fed *fed;
 	const char *prefix;
-	bool is_config;	   /* else the targets */
-	bool running;	   /* a call is in flight */
-	bool listed;	   /* the list is complete: watch */
-	uint64_t from_rev; /* the watch continues after it */
-	uint64_t list_rev; /* of the first page of the list */
-	char *page_after;  /* last key of the previous page, or NULL */
-	uint32_t failures; /* consecutive failed calls */
+	bool is_config;	     /* else the targets */
+	bool running;	     /* a call is in flight */
+	bool listed;	     /* the list is complete: watch */
+	uint64_t from_rev;   /* the watch continues after it */
+	struct rev list_rev; /* of the first page of the list */
+	char *page_after;    /* last key of the previous page, or NULL */
+	uint32_t failures;   /* consecutive failed calls */
 	int64_t next_us;
 	int64_t answered_us;
 	int64_t grace_until_us; /* removals are deferred until then */
@@ -64,7 +64,8 @@
 	struct fed_role role;
 	uint64_t era; /* highest one stated by the store; 0: none yet */
 	uint64_t random;
-	int64_t changed_us; /* last change of the directory */
+	int64_t changed_us;	/* last change of the directory */
+	int64_t grace_until_us; /* removals by peers are deferred until then */
 	int64_t queried_us;
 	int64_t config_queried_us;
 	struct msg *changes; /* MSG_FEED_ENTRIES to broadcast, or NULL */
@@ -98,8 +99,10 @@
 	FED_ERA_OLDER, /* from before a restoration: the answer is void */
 };
 
-/** Notes the era of an answer; 0 if it does not state one. */
-enum fed_era fed_note_era(struct fed *fed, uint64_t era, int64_t now_us);
+/** Notes the era of an answer of the store, or of a peer's message; 0 if it does
+ * not state one. */
+enum fed_era fed_note_era(struct fed *fed, uint64_t era, const char *source,
+			  int64_t now_us);
 
 /* Reading (fed_read.c) */
 void fed_read_init(struct fed *fed);
@@ -112,7 +115,9 @@
 /** Queues a changed or removed target for broadcast with the next tick. */
 void fed_queue_entry(struct fed *fed, const struct dir_entry *entry);
 void fed_queue_removal(void *arg, const struct dir_target *target,
-		       uint64_t rev);
+		       struct rev rev);
+/** Tells the domain of the era known, with the next tick. */
+void fed_queue_era(struct fed *fed);
 void fed_broadcast_tick(struct fed *fed, int64_t now_us);
 /** Handles the heartbeat of another reader. */
 void fed_receive_heartbeat(struct fed *fed, const struct msg *m,
--- a/src/fed_read.c
+++ b/src/fed_read.c
@@ -61,11 +61,11 @@
 {
 	struct fed *fed = watcher->fed;
 	const char *id = item->key + strlen(watcher->prefix);
+	struct rev rev = {.era = fed->era, .number = item->rev};
 	struct dir_entry entry = {0};
 
 	if (item->removed) {
-		dir_remove(fed->dir, id, item->rev, watcher->grace_until_us,
-			   now_us);
+		dir_remove(fed->dir, id, rev, watcher->grace_until_us, now_us);
 		return;
 	}
 	/* Another writer's entry, or a malformed one. */
@@ -73,6 +73,7 @@
 		ctr_count(fed->node->ctr, "fed_entries_malformed", 1);
 		return;
 	}
+	entry.rev.era = fed->era;
 	if (dir_put(fed->dir, &entry, now_us))
 		fed_queue_entry(fed, &entry);
 }
@@ -99,7 +100,7 @@
 	enum fed_era era;
 
 	watcher->running = false;
-	era = fed_note_era(watcher->fed, page->era, now_us);
+	era = fed_note_era(watcher->fed, page->era, "store", now_us);
 	if (era == FED_ERA_OLDER)
 		err = FS_E_UNAVAILABLE;
 	if (err) {
@@ -156,20 +157,21 @@
 static void on_listed(void *arg, int err, const struct kvs_page *page)
 {
 	struct fed_watcher *watcher = arg;
+	struct fed *fed = watcher->fed;
 	int64_t now_us = fs_now_us();
 
 	if (!accept_answer(watcher, err, page, now_us))
 		return;
 	if (!watcher->page_after)
-		watcher->list_rev = page->at_rev;
+		watcher->list_rev = (struct rev){fed->era, page->at_rev};
 	for (uint32_t i = 0; i < page->count; i++)
 		apply_item(watcher, &page->items[i], now_us);
 	watcher->next_us = now_us;
 	/* One page serves until the others arrive: when all nodes of a large
 	 * fleet list at once, the store takes a second for them. */
 	if (!watcher->is_config && page->count) {
-		watcher->fed->directory_known = true;
-		fed_check_ready(watcher->fed);
+		fed->directory_known = true;
+		fed_check_ready(fed);
 	}
 	if (page->more && page->count) {
 		const char *last = page->items[page->count - 1].key;
@@ -182,16 +184,15 @@
 	}
 	g_clear_pointer(&watcher->page_after, g_free);
 	if (!watcher->is_config) {
-		dir_list_end(watcher->fed->dir, watcher->list_rev,
+		dir_list_end(fed->dir, watcher->list_rev,
 			     watcher->grace_until_us, now_us);
-		watcher->fed->directory_known = true;
+		fed->directory_known = true;
 	}
 	watcher->listed = true;
-	if (fed_is_ready(watcher->fed) && watcher->fed->targets.listed &&
-	    watcher->fed->config.listed)
-		set_listed(watcher->fed, now_us);
-	watcher->from_rev = watcher->list_rev;
-	fed_check_ready(watcher->fed);
+	if (fed_is_ready(fed) && fed->targets.listed && fed->config.listed)
+		set_listed(fed, now_us);
+	watcher->from_rev = watcher->list_rev.number;
+	fed_check_ready(fed);
 }
 
 static void watcher_tick(struct fed_watcher *watcher, int64_t now_us)
--- a/src/fed_tell.c
+++ b/src/fed_tell.c
@@ -15,27 +15,28 @@
 {
 	fs_log_eventf("fed", G_LOG_LEVEL_INFO, "target",
 		      "\"target\":\"%s\",\"service\":\"%s\",\"address\":\"%s\","
-		      "\"leaving\":%s,\"rev\":%" G_GUINT64_FORMAT
-		      ",\"source\":\"%s\"",
+		      "\"leaving\":%s,\"era\":%" G_GUINT64_FORMAT
+		      ",\"rev\":%" G_GUINT64_FORMAT ",\"source\":\"%s\"",
 		      entry->id, entry->service, entry->address,
-		      entry->leaving ? "true" : "false", entry->rev,
-		      fed->merging ? "peer" : "store");
+		      entry->leaving ? "true" : "false", entry->rev.era,
+		      entry->rev.number, fed->merging ? "peer" : "store");
 	fed->changed_us = fs_now_us();
 	if (fed->role.chosen && !fed->merging)
 		g_array_append_val(pending_changes(fed)->feed_entries.entries,
 				   *entry);
 }
 
-void fed_queue_removal(void *arg, const struct dir_target *target, uint64_t rev)
+void fed_queue_removal(void *arg, const struct dir_target *target,
+		       struct rev rev)
 {
 	struct fed *fed = arg;
 	struct msg_removed removed = {.rev = rev};
 
 	fs_log_eventf(
 		"fed", G_LOG_LEVEL_INFO, "target_gone",
-		"\"target\":\"%s\",\"service\":\"%s\",\"rev\":%" G_GUINT64_FORMAT
-		",\"source\":\"%s\"",
-		target->entry.id, target->entry.service, rev,
+		"\"target\":\"%s\",\"service\":\"%s\",\"era\":%" G_GUINT64_FORMAT
+		",\"rev\":%" G_GUINT64_FORMAT ",\"source\":\"%s\"",
+		target->entry.id, target->entry.service, rev.era, rev.number,
 		fed->merging ? "peer" : "store");
 	fed->changed_us = fs_now_us();
 	if (!fed->role.chosen || fed->merging)
@@ -44,12 +45,19 @@
 	g_array_append_val(pending_changes(fed)->feed_entries.removed, removed);
 }
 
-static struct msg *copy_entries(const struct msg *from, node_id to)
+void fed_queue_era(struct fed *fed)
+{
+	if (fed->role.chosen)
+		pending_changes(fed);
+}
+
+static struct msg *copy_changes(const struct fed *fed, node_id to)
 {
 	struct msg *m = msg_new(MSG_FEED_ENTRIES, to, MSG_TASK_CONFIG);
-	const GArray *entries = from->feed_entries.entries;
-	const GArray *removed = from->feed_entries.removed;
+	const GArray *entries = fed->changes->feed_entries.entries;
+	const GArray *removed = fed->changes->feed_entries.removed;
 
+	m->feed_entries.snapshot.era = fed->era;
 	g_array_append_vals(m->feed_entries.entries, entries->data,
 			    entries->len);
 	g_array_append_vals(m->feed_entries.removed, removed->data,
@@ -81,8 +89,7 @@
 
 		if (m->id != fed->node->self && m->state != MEM_DEAD &&
 		    !strcmp(m->domain, fed->node->set.domain))
-			bus_send(fed->node->bus,
-				 copy_entries(fed->changes, m->id));
+			bus_send(fed->node->bus, copy_changes(fed, m->id));
 	}
 }
 
@@ -146,8 +153,10 @@
 	const GArray *entries = m->feed_entries.entries;
 	const GArray *removed = m->feed_entries.removed;
 
+	if (m->feed_entries.snapshot.era > fed->era)
+		fed_note_era(fed, m->feed_entries.snapshot.era, "peer", now_us);
 	fed->merging = true;
-	if (m->feed_entries.snapshot_rev)
+	if (m->feed_entries.snapshot.number)
 		dir_list_begin(fed->dir);
 	for (guint i = 0; i < entries->len; i++) {
 		const struct dir_entry *entry =
@@ -160,12 +169,14 @@
 		const struct msg_removed *r =
 			&g_array_index(removed, struct msg_removed, i);
 
-		dir_remove(fed->dir, r->id, r->rev, 0, now_us);
+		dir_remove(fed->dir, r->id, r->rev, fed->grace_until_us,
+			   now_us);
 	}
 	/* A sender that started recently has no removal records of targets
 	 * removed before: drop what its complete list lacks. */
-	if (m->feed_entries.snapshot_rev)
-		dir_list_end(fed->dir, m->feed_entries.snapshot_rev, 0, now_us);
+	if (m->feed_entries.snapshot.number)
+		dir_list_end(fed->dir, m->feed_entries.snapshot,
+			     fed->grace_until_us, now_us);
 	fed->merging = false;
 	if (entries->len)
 		fed->directory_known = true;
@@ -186,7 +197,7 @@
 	g_array_append_val(full->m->feed_entries.entries, entry);
 }
 
-static void add_removed(void *arg, const char *id, uint64_t rev)
+static void add_removed(void *arg, const char *id, struct rev rev)
 {
 	struct full_sync *full = arg;
 	struct msg_removed removed = {.rev = rev};
@@ -203,8 +214,9 @@
 		.now_us = now_us,
 	};
 
+	full.m->feed_entries.snapshot.era = fed->era;
 	if (fed->targets.listed)
-		full.m->feed_entries.snapshot_rev = fed->targets.from_rev;
+		full.m->feed_entries.snapshot.number = fed->targets.from_rev;
 	dir_each(fed->dir, add_target, &full);
 	dir_each_tombstone(fed->dir, add_removed, &full);
 	bus_send(fed->node->bus, full.m);
--- a/src/msg.h
+++ b/src/msg.h
@@ -212,16 +212,17 @@
 /** A target removed from the directory. */
 struct msg_removed {
 	char id[FS_NAME_MAX];
-	uint64_t rev;
+	struct rev rev;
 };
 
 /** MSG_FEED_ENTRIES. */
 struct msg_feed_entries {
-	uint64_t snapshot_rev; /* entries are a full snapshot of this
-				* revision; 0: changes only, or not
-				* known to be complete */
-	GArray *entries; /* struct dir_entry; cold_us: remaining warm-up */
-	GArray *removed; /* struct msg_removed */
+	struct rev snapshot; /* the newest era that the sender knows, and
+			      * the revision of which the entries are a full
+			      * snapshot; number 0: changes only, or not
+			      * known to be complete */
+	GArray *entries;     /* struct dir_entry; cold_us: remaining warm-up */
+	GArray *removed;     /* struct msg_removed */
 };
 
 /** MSG_CONFIG. */
--- a/src/msg_codec_in.c
+++ b/src/msg_codec_in.c
@@ -144,12 +144,21 @@
 		r->malformed = true;
 }
 
+static struct rev get_rev(struct msg_reader *r)
+{
+	struct rev rev;
+
+	rev.era = msg_get_u64(r, UINT64_MAX);
+	rev.number = msg_get_u64(r, UINT64_MAX);
+	return rev;
+}
+
 static void read_feed_entries(struct msg_reader *r, struct msg *m)
 {
 	struct msg_reader inner;
 
-	m->feed_entries.snapshot_rev = msg_get_u64(r, UINT64_MAX);
-	inner = msg_get_array(r, 9);
+	m->feed_entries.snapshot = get_rev(r);
+	inner = msg_get_array(r, 10);
 
 	while (!inner.malformed && inner.left) {
 		struct dir_entry e = {0};
@@ -159,19 +168,19 @@
 		read_fixed_text(&inner, e.address, sizeof(e.address));
 		read_fixed_text(&inner, e.domain, sizeof(e.domain));
 		e.born = msg_get_u64(&inner, UINT64_MAX);
-		e.rev = msg_get_u64(&inner, UINT64_MAX);
+		e.rev = get_rev(&inner);
 		e.slots = msg_get_u32(&inner);
 		e.cold_us = msg_get_i64(&inner);
 		e.leaving = msg_get_bool(&inner);
 		g_array_append_val(m->feed_entries.entries, e);
 	}
 	msg_end_array(r, &inner);
-	inner = msg_get_array(r, 2);
+	inner = msg_get_array(r, 3);
 	while (!inner.malformed && inner.left) {
 		struct msg_removed removed = {0};
 
 		read_fixed_text(&inner, removed.id, sizeof(removed.id));
-		removed.rev = msg_get_u64(&inner, UINT64_MAX);
+		removed.rev = get_rev(&inner);
 		g_array_append_val(m->feed_entries.removed, removed);
 	}
 	msg_end_array(r, &inner);
--- a/src/msg_codec_out.c
+++ b/src/msg_codec_out.c
@@ -120,13 +120,19 @@
 		msg_put_text(w, g_ptr_array_index(servers, i));
 }
 
+static void put_rev(struct msg_writer *w, struct rev rev)
+{
+	msg_put_u64(w, rev.era);
+	msg_put_u64(w, rev.number);
+}
+
 static void write_feed_entries(struct msg_writer *w, const struct msg *m)
 {
 	const GArray *entries = m->feed_entries.entries;
 	const GArray *removed = m->feed_entries.removed;
 
-	msg_put_u64(w, m->feed_entries.snapshot_rev);
-	msgpack_pack_array(&w->packer, (size_t)9 * entries->len);
+	put_rev(w, m->feed_entries.snapshot);
+	msgpack_pack_array(&w->packer, (size_t)10 * entries->len);
 	for (guint i = 0; i < entries->len; i++) {
 		const struct dir_entry *e =
 			&g_array_index(entries, struct dir_entry, i);
@@ -136,18 +142,18 @@
 		msg_put_text(w, e->address);
 		msg_put_text(w, e->domain);
 		msg_put_u64(w, e->born);
-		msg_put_u64(w, e->rev);
+		put_rev(w, e->rev);
 		msg_put_u64(w, e->slots);
 		msg_put_i64(w, e->cold_us);
 		msg_put_bool(w, e->leaving);
 	}
-	msgpack_pack_array(&w->packer, (size_t)2 * removed->len);
+	msgpack_pack_array(&w->packer, (size_t)3 * removed->len);
 	for (guint i = 0; i < removed->len; i++) {
 		const struct msg_removed *r =
 			&g_array_index(removed, struct msg_removed, i);
 
 		msg_put_text(w, r->id);
-		msg_put_u64(w, r->rev);
+		put_rev(w, r->rev);
 	}
 }
 
@@ -176,7 +182,7 @@
 	[MSG_CONFIG_REQUEST] = {1, write_config_request},
 	[MSG_CONFIG_TEXT] = {2, write_config_text},
 	[MSG_TARGETS_LEAVING] = {1, write_targets_leaving},
-	[MSG_FEED_ENTRIES] = {3, write_feed_entries},
+	[MSG_FEED_ENTRIES] = {4, write_feed_entries},
 	[MSG_FEED_REQUEST] = {0, write_feed_request},
 };
 
--- a/tests/fleet_fed.c
+++ b/tests/fleet_fed.c
@@ -12,17 +12,21 @@
 	return atoi(text) > 0 ? cfg_new(text, (uint64_t)atoi(text)) : NULL;
 }
 
-/* An entry is "ready" or "leaving". */
+/* An entry is "ready" or "leaving", and when its server started, if that is
+ * told. */
 static bool decode_target(const struct kvs_item *item, struct dir_entry *out)
 {
+	const char *born = strchr(item->value, ' ');
+
 	memset(out, 0, sizeof(*out));
 	g_strlcpy(out->id, item->key + strlen("t/"), sizeof(out->id));
 	g_strlcpy(out->service, "pay", sizeof(out->service));
 	g_strlcpy(out->address, "127.0.0.1:1", sizeof(out->address));
-	out->rev = item->rev;
+	out->rev.number = item->rev;
 	out->slots = 4;
-	out->leaving = !strcmp(item->value, "leaving");
-	return out->leaving || !strcmp(item->value, "ready");
+	out->born = born ? strtoul(born, NULL, 10) : 0;
+	out->leaving = g_str_has_prefix(item->value, "leaving");
+	return out->leaving || g_str_has_prefix(item->value, "ready");
 }
 
 static void send_remote(void *arg, struct msg *m, int64_t now_us)
--- a/tests/prop_msg.cpp
+++ b/tests/prop_msg.cpp
@@ -52,6 +52,56 @@
 	return out;
 }
 
+struct rev random_rev()
+{
+	return {*rc::gen::arbitrary<uint64_t>(),
+		*rc::gen::arbitrary<uint64_t>()};
+}
+
+void fill_feed_entries(struct msg_feed_entries &out)
+{
+	out.snapshot = random_rev();
+	for (int n = *rc::gen::inRange(0, 4); n > 0; n--) {
+		struct dir_entry e = {};
+
+		g_strlcpy(e.id, random_text(20).c_str(), sizeof(e.id));
+		e.rev = random_rev();
+		e.cold_us = *rc::gen::arbitrary<int64_t>();
+		e.leaving = *rc::gen::arbitrary<bool>();
+		g_array_append_val(out.entries, e);
+	}
+	for (int n = *rc::gen::inRange(0, 4); n > 0; n--) {
+		struct msg_removed removed = {};
+
+		g_strlcpy(removed.id, random_text(20).c_str(),
+			  sizeof(removed.id));
+		removed.rev = random_rev();
+		g_array_append_val(out.removed, removed);
+	}
+}
+
+void expect_equal(const struct rev &a, const struct rev &b)
+{
+	RC_ASSERT(a.era == b.era);
+	RC_ASSERT(a.number == b.number);
+}
+
+// Peers order entries by era and revision: neither may be lost on the way.
+void expect_same_revs(const struct msg_feed_entries &a,
+		      const struct msg_feed_entries &b)
+{
+	expect_equal(a.snapshot, b.snapshot);
+	RC_ASSERT(a.entries->len == b.entries->len);
+	RC_ASSERT(a.removed->len == b.removed->len);
+	for (guint i = 0; i < a.entries->len; i++)
+		expect_equal(g_array_index(a.entries, struct dir_entry, i).rev,
+			     g_array_index(b.entries, struct dir_entry, i).rev);
+	for (guint i = 0; i < a.removed->len; i++)
+		expect_equal(
+			g_array_index(a.removed, struct msg_removed, i).rev,
+			g_array_index(b.removed, struct msg_removed, i).rev);
+}
+
 struct msg *random_message()
 {
 	int type = *rc::gen::inRange(1, (int)MSG_REMOTE_COUNT);
@@ -100,6 +150,9 @@
 		g_ptr_array_add(m->targets_leaving.servers,
 				g_strdup(random_text(9).c_str()));
 		break;
+	case MSG_FEED_ENTRIES:
+		fill_feed_entries(m->feed_entries);
+		break;
 	default: // the other types have only kinds of members covered above
 		break;
 	}
@@ -138,6 +191,8 @@
 		RC_ASSERT(decoded->request.remaining_us ==
 			  m->request.remaining_us);
 	}
+	if (m->type == MSG_FEED_ENTRIES)
+		expect_same_revs(m->feed_entries, decoded->feed_entries);
 	RC_ASSERT(encode(decoded) == bytes);
 	msg_free(m);
 	msg_free(decoded);
--- a/tests/unit_dir.c
+++ b/tests/unit_dir.c
@@ -4,10 +4,13 @@
 #include "dir.h"
 
 #define SECOND FS_US_PER_S
+#define AT(n) ((struct rev){.era = 1, .number = (n)})
+/* In the store after its restoration */
+#define LATER(n) ((struct rev){.era = 2, .number = (n)})
 
 static struct dir_entry entry(const char *id, uint64_t rev)
 {
-	struct dir_entry e = {.rev = rev, .born = 1, .slots = 4};
+	struct dir_entry e = {.rev = AT(rev), .born = 1, .slots = 4};
 
 	g_strlcpy(e.id, id, sizeof(e.id));
 	g_strlcpy(e.service, "pay", sizeof(e.service));
@@ -16,6 +19,16 @@
 	return e;
 }
 
+static bool put_at(struct dir *dir, const char *id, struct rev rev,
+		   bool leaving)
+{
+	struct dir_entry e = entry(id, rev.number);
+
+	e.rev = rev;
+	e.leaving = leaving;
+	return dir_put(dir, &e, 0);
+}
+
 static void put(struct dir *dir, const char *id, uint64_t rev)
 {
 	struct dir_entry e = entry(id, rev);
@@ -37,7 +50,7 @@
 	struct dir *dir = dir_new(NULL);
 
 	put(dir, "a", 5);
-	dir_remove(dir, "a", 9, 0, 0);
+	dir_remove(dir, "a", AT(9), 0, 0);
 	put(dir, "a", 7);
 	g_assert_null(dir_target_find(dir, "a"));
 	put(dir, "a", 10);
@@ -50,7 +63,7 @@
 	struct dir *dir = dir_new(NULL);
 
 	put(dir, "a", 10);
-	dir_remove(dir, "a", 9, 0, 0);
+	dir_remove(dir, "a", AT(9), 0, 0);
 	g_assert_nonnull(dir_target_find(dir, "a"));
 	dir_free(dir);
 }
@@ -110,8 +123,8 @@
 
 	put(dir, "a", 1);
 	put(dir, "b", 2);
-	dir_remove(dir, "a", 5, 2 * SECOND, SECOND);
-	dir_remove(dir, "b", 6, 2 * SECOND, SECOND);
+	dir_remove(dir, "a", AT(5), 2 * SECOND, SECOND);
+	dir_remove(dir, "b", AT(6), 2 * SECOND, SECOND);
 	g_assert_cmpuint(dir_count(dir), ==, 2);
 	put(dir, "a", 7);
 	dir_tick(dir, 2 * SECOND);
@@ -127,7 +140,7 @@
 
 	put(dir, "a", 1);
 	put_leaving(dir, "a", 2);
-	dir_remove(dir, "a", 5, 2 * SECOND, SECOND);
+	dir_remove(dir, "a", AT(5), 2 * SECOND, SECOND);
 	g_assert_null(dir_target_find(dir, "a"));
 	dir_free(dir);
 }
@@ -141,7 +154,7 @@
 	put(dir, "new", 20);
 	dir_list_begin(dir);
 	put(dir, "b", 2);
-	dir_list_end(dir, 10, 0, 0);
+	dir_list_end(dir, AT(10), 0, 0);
 	g_assert_null(dir_target_find(dir, "a"));
 	g_assert_nonnull(dir_target_find(dir, "b"));
 	/* Newer than the list. */
@@ -149,6 +162,74 @@
 	dir_free(dir);
 }
 
+/* The store was restored and its revisions have gone back: guards against a
+ * target that is leaving and stays in use, as its entry looks old. */
+static void test_newer_era_is_later(void)
+{
+	struct dir *dir = dir_new(NULL);
+
+	put(dir, "a", 90);
+	g_assert_true(put_at(dir, "a", LATER(60), true));
+	g_assert_true(dir_target_find(dir, "a")->entry.leaving);
+	dir_remove(dir, "a", LATER(61), 0, 0);
+	g_assert_null(dir_target_find(dir, "a"));
+	dir_free(dir);
+}
+
+/* A peer does not know of the restoration yet: guards against one that turns
+ * back a node which does. */
+static void test_older_era_is_earlier(void)
+{
+	struct dir *dir = dir_new(NULL);
+
+	put_at(dir, "a", LATER(60), false);
+	put_at(dir, "b", LATER(61), true);
+	dir_remove(dir, "a", AT(90), 0, 0);
+	g_assert_nonnull(dir_target_find(dir, "a"));
+	g_assert_false(put_at(dir, "b", AT(91), false));
+	g_assert_true(dir_target_find(dir, "b")->entry.leaving);
+	dir_list_begin(dir);
+	dir_list_end(dir, AT(95), 0, 0);
+	g_assert_cmpuint(dir_count(dir), ==, 2);
+	dir_remove(dir, "b", LATER(70), 0, 0);
+	g_assert_false(put_at(dir, "b", AT(99), false));
+	dir_free(dir);
+}
+
+/* Guards against a target that is lost with the copy and outlives each list of
+ * the restored store, because its revision is higher. */
+static void test_list_of_a_newer_era_removes(void)
+{
+	struct dir *dir = dir_new(NULL);
+
+	put(dir, "a", 90);
+	put(dir, "b", 91);
+	dir_list_begin(dir);
+	put_at(dir, "b", LATER(50), false);
+	dir_list_end(dir, LATER(60), SECOND, 0);
+	g_assert_cmpuint(dir_count(dir), ==, 2);
+	dir_tick(dir, SECOND);
+	g_assert_null(dir_target_find(dir, "a"));
+	g_assert_nonnull(dir_target_find(dir, "b"));
+	dir_free(dir);
+}
+
+/* Guards against a server that starts in the restored store and is not used,
+ * because its id had been removed at a higher revision. */
+static void test_new_instance_in_a_newer_era(void)
+{
+	struct dir *dir = dir_new(NULL);
+	struct dir_entry e = entry("a", 0);
+
+	put(dir, "a", 80);
+	dir_remove(dir, "a", AT(90), 0, 0);
+	e.born = 2;
+	e.rev = LATER(60);
+	g_assert_true(dir_put(dir, &e, 0));
+	g_assert_nonnull(dir_target_find(dir, "a"));
+	dir_free(dir);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -162,5 +243,11 @@
 	g_test_add_func("/dir/grace", test_grace_after_an_outage);
 	g_test_add_func("/dir/no_grace", test_no_grace_for_the_leaving);
 	g_test_add_func("/dir/list", test_list_removes_missing_entries);
+	g_test_add_func("/dir/newer_era_is_later", test_newer_era_is_later);
+	g_test_add_func("/dir/older_era_is_earlier", test_older_era_is_earlier);
+	g_test_add_func("/dir/list_of_a_newer_era_removes",
+			test_list_of_a_newer_era_removes);
+	g_test_add_func("/dir/new_instance_in_a_newer_era",
+			test_new_instance_in_a_newer_era);
 	return g_test_run();
 }
--- a/tests/unit_fed.c
+++ b/tests/unit_fed.c
@@ -230,7 +230,7 @@
 static void test_peers_replace_lost_store(void)
 {
 	struct msg *m;
-	struct msg_removed removed = {.id = "s2", .rev = 100};
+	struct msg_removed removed = {.id = "s2", .rev = {1, 100}};
 
 	rig_begin();
 	rig.shelf.refuse = FS_E_UNAVAILABLE;
@@ -270,7 +270,7 @@
 static void test_complete_list_removes_absent(void)
 {
 	struct msg *m;
-	struct dir_entry e = {.rev = 100, .slots = 4};
+	struct dir_entry e = {.rev = {1, 100}, .slots = 4};
 
 	rig_begin();
 	m = msg_new(MSG_FEED_ENTRIES, rig.node.self, MSG_TASK_CONFIG);
@@ -278,7 +278,7 @@
 	g_strlcpy(e.service, "pay", sizeof(e.service));
 	g_strlcpy(e.address, "127.0.0.1:1", sizeof(e.address));
 	g_array_append_val(m->feed_entries.entries, e);
-	m->feed_entries.snapshot_rev = 100;
+	m->feed_entries.snapshot = (struct rev){1, 100};
 	bus_deliver(rig.node.bus, m);
 	rig_run(20 * FS_US_PER_MS);
 	g_assert_cmpuint(dir_count(rig.dir), ==, 1);
--- a/tests/unit_fed_restore.c
+++ b/tests/unit_fed_restore.c
@@ -128,6 +128,109 @@
 	rig_end();
 }
 
+static bool is_leaving(const char *id)
+{
+	const struct dir_target *target = dir_target_find(rig.dir, id);
+
+	return target && target->entry.leaving;
+}
+
+/* Guards against a server that begins to leave after the restoration and gets
+ * requests on, since its entry looks older than the one known. */
+static void test_server_leaves_after_a_restoration(void)
+{
+	rig_begin();
+	beat("t/s1", 20);
+	rig_run(FS_US_PER_S);
+	shelf_restore(&rig.shelf, 7);
+	shelf_put(&rig.shelf, "t/s1", "leaving");
+	rig_run(FS_US_PER_S);
+	g_assert_true(is_leaving("s1"));
+	rig_end();
+}
+
+/* Servers that the copy lacks: guards against one that is dropped before it
+ * could write its entry again, and against one that is never dropped. */
+static void test_servers_that_the_copy_lacks(void)
+{
+	rig_begin();
+	shelf_put(&rig.shelf, "t/alive", "ready");
+	shelf_put(&rig.shelf, "t/dead", "ready");
+	rig_run(FS_US_PER_S);
+	shelf_restore(&rig.shelf, 7);
+	rig_run(3 * FS_US_PER_S / 2);
+	g_assert_true(rig_has("alive"));
+	g_assert_true(rig_has("dead"));
+	shelf_put(&rig.shelf, "t/alive", "ready");
+	rig_run(3 * FS_US_PER_S / 2);
+	g_assert_true(rig_has("alive"));
+	g_assert_false(rig_has("dead"));
+	rig_end();
+}
+
+static struct msg *entries_of(struct rev snapshot)
+{
+	struct msg *m =
+		msg_new(MSG_FEED_ENTRIES, rig.node.self, MSG_TASK_CONFIG);
+
+	m->feed_entries.snapshot = snapshot;
+	return m;
+}
+
+static void add_entry(struct msg *m, const char *id, struct rev rev)
+{
+	struct dir_entry e = {.rev = rev, .slots = 4};
+
+	g_strlcpy(e.id, id, sizeof(e.id));
+	g_strlcpy(e.service, "pay", sizeof(e.service));
+	g_strlcpy(e.address, "127.0.0.1:1", sizeof(e.address));
+	g_array_append_val(m->feed_entries.entries, e);
+}
+
+/* A peer that has not heard of the restoration sends all that it knows: guards
+ * against a node that is turned back, or loses a server that has just joined. */
+static void test_peer_of_an_older_era(void)
+{
+	struct msg *m;
+
+	rig_begin();
+	shelf_restore(&rig.shelf, 7);
+	shelf_put(&rig.shelf, "t/s1", "leaving");
+	shelf_put(&rig.shelf, "t/new", "ready");
+	rig_run(FS_US_PER_S);
+	m = entries_of((struct rev){1, 1000});
+	add_entry(m, "s1", (struct rev){1, 900});
+	bus_deliver(rig.node.bus, m);
+	rig_run(20 * FS_US_PER_MS);
+	g_assert_true(is_leaving("s1"));
+	g_assert_true(rig_has("new"));
+	rig_end();
+}
+
+/* A peer tells of the restoration first, by a list to which servers have not
+ * written again yet: guards against a node that drops them at once, and one that
+ * goes on with what its own calls of before bring. */
+static void test_peer_of_a_newer_era(void)
+{
+	struct msg *m;
+
+	rig_begin();
+	rig_run(FS_US_PER_S);
+	m = entries_of((struct rev){2, 6});
+	add_entry(m, "s0", (struct rev){2, 5});
+	bus_deliver(rig.node.bus, m);
+	rig_run(20 * FS_US_PER_MS);
+	g_assert_cmpuint(dir_count(rig.dir), ==, 5);
+	g_assert_cmpuint(rig.fed->era, ==, 2);
+	g_assert_false(rig.fed->targets.listed);
+	shelf_put(&rig.shelf, "t/lost", "ready");
+	rig_run(FS_US_PER_S / 2);
+	g_assert_false(rig_has("lost"));
+	rig_run(2 * FS_US_PER_S);
+	g_assert_cmpuint(dir_count(rig.dir), ==, 1);
+	rig_end();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -143,5 +246,13 @@
 	g_test_add_func("/fed_restore/era_not_stated", test_era_not_stated);
 	g_test_add_func("/fed_restore/second_restoration",
 			test_second_restoration);
+	g_test_add_func("/fed_restore/server_leaves_after_a_restoration",
+			test_server_leaves_after_a_restoration);
+	g_test_add_func("/fed_restore/servers_that_the_copy_lacks",
+			test_servers_that_the_copy_lacks);
+	g_test_add_func("/fed_restore/peer_of_an_older_era",
+			test_peer_of_an_older_era);
+	g_test_add_func("/fed_restore/peer_of_a_newer_era",
+			test_peer_of_a_newer_era);
 	return g_test_run();
 }
--- a/tests/unit_plf.c
+++ b/tests/unit_plf.c
@@ -92,7 +92,7 @@
 	g_assert_cmpuint(e.slots, ==, 4);
 	g_assert_cmpuint(e.born, ==, 1700000000123);
 	g_assert_cmpint(e.cold_us, ==, 1500 * FS_US_PER_MS);
-	g_assert_cmpuint(e.rev, ==, 9);
+	g_assert_cmpuint(e.rev.number, ==, 9);
 	g_assert_false(e.leaving);
 	g_assert_true(decode("servers/i-1", leaving, &e));
 	g_assert_true(e.leaving);
