Keep the revision of a removal that takes effect after the grace time

What callers would have seen: requests sent on to a server that is gone. Cause: when the grace time after an outage or a restoration ended, the tombstone got the revision of the target's last entry instead of the removal's, so an entry from between the two that arrived late, from a peer, brought the target back. After a restoration that tombstone was of the older era as well.

/dir/late_entry_after_the_grace: 'dir_target_find(dir, "a")' should be NULL

--- a/src/dir.c
+++ b/src/dir.c
@@ -250,6 +250,7 @@
 	if (grace_until_us > now_us && !target->entry.leaving) {
 		if (!target->missing_us)
 			target->missing_us = grace_until_us;
+		target->missing_rev = rev;
 		return;
 	}
 	remove_and_notify(dir, target, rev, now_us);
@@ -295,7 +296,7 @@
 		struct dir_target *target = l->data;
 
 		if (target->missing_us && target->missing_us <= now_us)
-			remove_and_notify(dir, target, target->entry.rev,
+			remove_and_notify(dir, target, target->missing_rev,
 					  now_us);
 	}
 	g_hash_table_foreach_remove(dir->tombstones, is_expired, &now_us);
--- a/src/dir.h
+++ b/src/dir.h
@@ -47,10 +47,11 @@
 	struct dir_entry entry;
 	int64_t warm_us;    /* end of the warm-up */
 	int64_t missing_us; /* end of the grace time after a removal; 0: none */
-	int64_t joined_us;  /* when this directory added it */
-	bool listed;	    /* seen by the list being read */
-	bool removed_from_dir; /* no longer in the directory */
-	void *user_data;       /* state of its user, freed by free_user_data */
+	struct rev missing_rev; /* of that removal */
+	int64_t joined_us;	/* when this directory added it */
+	bool listed;		/* seen by the list being read */
+	bool removed_from_dir;	/* no longer in the directory */
+	void *user_data;	/* state of its user, freed by free_user_data */
 };
 
 /** All targets of one service. */
--- a/tests/unit_dir.c
+++ b/tests/unit_dir.c
@@ -133,6 +133,22 @@
 	dir_free(dir);
 }
 
+/* Guards against an entry from before a removal that brings the target back,
+ * because the removal took effect after a grace time only. */
+static void test_late_entry_after_the_grace(void)
+{
+	struct dir *dir = dir_new(NULL);
+
+	put(dir, "a", 5);
+	dir_remove(dir, "a", AT(9), SECOND, 0);
+	dir_tick(dir, SECOND);
+	put(dir, "a", 7);
+	g_assert_null(dir_target_find(dir, "a"));
+	put(dir, "a", 10);
+	g_assert_nonnull(dir_target_find(dir, "a"));
+	dir_free(dir);
+}
+
 /* A leaving target gets no grace time. */
 static void test_no_grace_for_the_leaving(void)
 {
@@ -241,6 +257,8 @@
 			test_digest_ignores_revisions);
 	g_test_add_func("/dir/restart", test_restart_is_another_target);
 	g_test_add_func("/dir/grace", test_grace_after_an_outage);
+	g_test_add_func("/dir/late_entry_after_the_grace",
+			test_late_entry_after_the_grace);
 	g_test_add_func("/dir/no_grace", test_no_grace_for_the_leaving);
 	g_test_add_func("/dir/list", test_list_removes_missing_entries);
 	g_test_add_func("/dir/newer_era_is_later", test_newer_era_is_later);
