Do not let a copy's entry undo that a server leaves or has left

What callers would have seen: after a restoration, requests sent to a server that had announced its departure, or was gone, in the seconds before the copy's end; of a server that had started again under its id, its earlier process.

Cause: the copy holds entries as they were when it was made, and all of them are of the new era, so they count as later than what was known. Nothing in an entry tells when it was written; but the servers that live write again within two seconds.

The first entry of a newer era for a known target that is leaving, or for one with a tombstone, does not undo that, unless it is of a later start of the server; one of an earlier start does not replace a later one. Only its era and revision are taken over, so that what the server writes next counts as usual, and a list or removal of the new era can take it away. The same holds for entries from peers: one that has just started knows the copy alone. A target that was removed without ever being known counts as any start. The warm-up never grows by such an entry.

Cost: a server that lives and had been removed comes back with its second write in the restored store, 1.5 s later. Tests of the directory compare the result of dir_put() with its three values now, where they took a bool.

--- a/src/dir.c
+++ b/src/dir.c
@@ -3,8 +3,11 @@
 #include <string.h>
 #include <xxhash.h>
 
+#define BORN_UNKNOWN UINT64_MAX
+
 /** Tombstone of a removed target. */
 struct tombstone {
+	uint64_t born; /* of the target; BORN_UNKNOWN if it was not known */
 	struct rev rev;
 	int64_t at_us;
 };
@@ -159,16 +162,30 @@
 	invalidate(dir, target);
 }
 
-static bool put_new(struct dir *dir, const struct dir_entry *entry,
-		    int64_t now_us)
+/* Returns whether an entry tells of a target that was removed before. */
+static bool is_of_removed(struct tombstone *tombstone,
+			  const struct dir_entry *entry, int64_t now_us)
+{
+	if (entry->rev.era == tombstone->rev.era ||
+	    entry->born > tombstone->born)
+		return false;
+	tombstone->rev = entry->rev;
+	tombstone->at_us = now_us;
+	return true;
+}
+
+static enum dir_effect put_new(struct dir *dir, const struct dir_entry *entry,
+			       int64_t now_us)
 {
-	const struct tombstone *tombstone =
+	struct tombstone *tombstone =
 		g_hash_table_lookup(dir->tombstones, entry->id);
 	struct dir_target *target;
 
 	if ((tombstone && rev_compare(tombstone->rev, entry->rev) >= 0) ||
 	    g_hash_table_size(dir->by_id) >= DIR_TARGETS_MAX)
-		return false;
+		return DIR_UNCHANGED;
+	if (tombstone && is_of_removed(tombstone, entry, now_us))
+		return DIR_LEFTOVER;
 	g_hash_table_remove(dir->tombstones, entry->id);
 	target = g_new0(struct dir_target, 1);
 	target->refs = 1;
@@ -178,7 +195,7 @@
 	target->joined_us = now_us;
 	target->listed = true;
 	add(dir, target);
-	return true;
+	return DIR_CHANGED;
 }
 
 /* A new start, service or address makes it another target. */
@@ -189,35 +206,64 @@
 	       strcmp(a->address, b->address) != 0;
 }
 
-bool dir_put(struct dir *dir, const struct dir_entry *entry, int64_t now_us)
+/* Returns whether an entry of a newer era is older than the one known. */
+static bool is_leftover(const struct dir_entry *entry,
+			const struct dir_entry *known)
+{
+	return entry->born < known->born || (!is_other_instance(entry, known) &&
+					     known->leaving && !entry->leaving);
+}
+
+static enum dir_effect update(struct dir *dir, struct dir_target *target,
+			      const struct dir_entry *entry, int64_t now_us)
+{
+	bool first_sight = entry->rev.era > target->entry.rev.era;
+	uint64_t before = content_hash(&target->entry);
+	int64_t warm_us = now_us + entry->cold_us;
+
+	target->entry = *entry;
+	target->warm_us = first_sight ? MIN(target->warm_us, warm_us) : warm_us;
+	dir->digest ^= before ^ content_hash(entry);
+	return before != content_hash(entry) ? DIR_CHANGED : DIR_UNCHANGED;
+}
+
+enum dir_effect dir_put(struct dir *dir, const struct dir_entry *entry,
+			int64_t now_us)
 {
 	struct dir_target *target = dir_target_find(dir, entry->id);
-	uint64_t before;
+	const struct dir_entry *known;
+	int order;
 
 	if (!target)
 		return put_new(dir, entry, now_us);
-	if (rev_compare(entry->rev, target->entry.rev) < 0)
-		return false;
+	known = &target->entry;
+	order = rev_compare(entry->rev, known->rev);
+	if (order < 0)
+		return DIR_UNCHANGED;
 	target->listed = true;
 	target->missing_us = 0;
+	if (entry->rev.era > known->rev.era && is_leftover(entry, known)) {
+		target->entry.rev = entry->rev;
+		return DIR_LEFTOVER;
+	}
+	/* The leftover again. */
+	if (!order && is_leftover(entry, known))
+		return DIR_UNCHANGED;
 	if (is_other_instance(entry, &target->entry)) {
 		detach(dir, target);
 		dir_target_unref(target);
 		return put_new(dir, entry, now_us);
 	}
-	before = content_hash(&target->entry);
-	target->entry = *entry;
-	dir->digest ^= before ^ content_hash(entry);
-	target->warm_us = now_us + entry->cold_us;
-	return before != content_hash(entry);
+	return update(dir, target, entry, now_us);
 }
 
 static void add_tombstone(struct dir *dir, const char *id, struct rev rev,
-			  int64_t now_us)
+			  uint64_t born, int64_t now_us)
 {
 	struct tombstone *tombstone = g_new0(struct tombstone, 1);
 
 	tombstone->rev = rev;
+	tombstone->born = born;
 	tombstone->at_us = now_us;
 	g_hash_table_replace(dir->tombstones, g_strdup(id), tombstone);
 }
@@ -226,7 +272,7 @@
 static void remove_and_notify(struct dir *dir, struct dir_target *target,
 			      struct rev rev, int64_t now_us)
 {
-	add_tombstone(dir, target->entry.id, rev, now_us);
+	add_tombstone(dir, target->entry.id, rev, target->entry.born, now_us);
 	detach(dir, target);
 	if (dir->on_removed)
 		dir->on_removed(dir->on_removed_arg, target, rev);
@@ -242,7 +288,7 @@
 	if (!target) {
 		tombstone = g_hash_table_lookup(dir->tombstones, id);
 		if (!tombstone || rev_compare(tombstone->rev, rev) < 0)
-			add_tombstone(dir, id, rev, now_us);
+			add_tombstone(dir, id, rev, BORN_UNKNOWN, now_us);
 		return;
 	}
 	if (rev_compare(target->entry.rev, rev) > 0)
--- a/src/dir.h
+++ b/src/dir.h
@@ -8,6 +8,11 @@
  * time, so that an older entry which arrives late does not bring a server
  * back.
  *
+ * In a restored store the first sight of a server may be a leftover: its entry as
+ * it was when the copy was made. It neither ends that the server leaves, nor
+ * brings back one that has left or an earlier start of it. Only its revision is
+ * taken over: whatever the server writes next is later.
+ *
  * Entries whose lease expired during an outage of the service are restored
  * soon after it ends. A removal within the grace time after an outage
  * therefore takes effect only at the end of that time.
@@ -86,11 +91,16 @@
 struct dir_target *dir_target_ref(struct dir_target *target);
 void dir_target_unref(struct dir_target *target);
 
-/**
- * Applies an entry.
- * @return whether the content that peers need has changed
- */
-bool dir_put(struct dir *dir, const struct dir_entry *entry, int64_t now_us);
+/** Effect of an entry. */
+enum dir_effect {
+	DIR_UNCHANGED,
+	DIR_CHANGED,  /* the content that peers need */
+	DIR_LEFTOVER, /* ignored, but for its revision */
+};
+
+/** Applies an entry. */
+enum dir_effect dir_put(struct dir *dir, const struct dir_entry *entry,
+			int64_t now_us);
 
 /**
  * Applies a removal.
--- a/src/fed_impl.h
+++ b/src/fed_impl.h
@@ -112,8 +112,11 @@
 
 /* Exchange with peers (fed_tell.c) */
 
-/** Queues a changed or removed target for broadcast with the next tick. */
-void fed_queue_entry(struct fed *fed, const struct dir_entry *entry);
+/** Applies an entry, and queues a changed target for broadcast with the next
+ * tick. */
+void fed_apply_entry(struct fed *fed, const struct dir_entry *entry,
+		     int64_t now_us);
+/** Queues a removed target likewise. */
 void fed_queue_removal(void *arg, const struct dir_target *target,
 		       struct rev rev);
 /** Tells the domain of the era known, with the next tick. */
--- a/src/fed_read.c
+++ b/src/fed_read.c
@@ -74,8 +74,7 @@
 		return;
 	}
 	entry.rev.era = fed->era;
-	if (dir_put(fed->dir, &entry, now_us))
-		fed_queue_entry(fed, &entry);
+	fed_apply_entry(fed, &entry, now_us);
 }
 
 static void apply_item(struct fed_watcher *watcher, const struct kvs_item *item,
--- a/src/fed_tell.c
+++ b/src/fed_tell.c
@@ -11,7 +11,7 @@
 	return fed->changes;
 }
 
-void fed_queue_entry(struct fed *fed, const struct dir_entry *entry)
+static void queue_entry(struct fed *fed, const struct dir_entry *entry)
 {
 	fs_log_eventf("fed", G_LOG_LEVEL_INFO, "target",
 		      "\"target\":\"%s\",\"service\":\"%s\",\"address\":\"%s\","
@@ -26,6 +26,28 @@
 				   *entry);
 }
 
+/* The entry is older than what is known of the server, see dir.h. */
+static void report_leftover(struct fed *fed, const struct dir_entry *entry)
+{
+	ctr_count(fed->node->ctr, "fed_leftovers", 1);
+	fs_log_eventf("fed", G_LOG_LEVEL_INFO, "target_leftover",
+		      "\"target\":\"%s\",\"era\":%" G_GUINT64_FORMAT
+		      ",\"rev\":%" G_GUINT64_FORMAT ",\"source\":\"%s\"",
+		      entry->id, entry->rev.era, entry->rev.number,
+		      fed->merging ? "peer" : "store");
+}
+
+void fed_apply_entry(struct fed *fed, const struct dir_entry *entry,
+		     int64_t now_us)
+{
+	enum dir_effect effect = dir_put(fed->dir, entry, now_us);
+
+	if (effect == DIR_LEFTOVER)
+		report_leftover(fed, entry);
+	if (effect == DIR_CHANGED)
+		queue_entry(fed, entry);
+}
+
 void fed_queue_removal(void *arg, const struct dir_target *target,
 		       struct rev rev)
 {
@@ -162,8 +184,7 @@
 		const struct dir_entry *entry =
 			&g_array_index(entries, struct dir_entry, i);
 
-		if (dir_put(fed->dir, entry, now_us))
-			fed_queue_entry(fed, entry);
+		fed_apply_entry(fed, entry, now_us);
 	}
 	for (guint i = 0; i < removed->len; i++) {
 		const struct msg_removed *r =
--- a/tests/fleet_gwy.c
+++ b/tests/fleet_gwy.c
@@ -130,7 +130,7 @@
 	g_strlcpy(entry.service, service, sizeof(entry.service));
 	g_strlcpy(entry.address, fake_address(fake), sizeof(entry.address));
 	g_strlcpy(entry.domain, "d", sizeof(entry.domain));
-	g_assert_true(dir_put(y->dir, &entry, fs_now_us()));
+	g_assert_cmpint(dir_put(y->dir, &entry, fs_now_us()), ==, DIR_CHANGED);
 	y->targets[y->target_count++] = fake;
 	return fake;
 }
--- a/tests/unit_dir.c
+++ b/tests/unit_dir.c
@@ -19,8 +19,8 @@
 	return e;
 }
 
-static bool put_at(struct dir *dir, const char *id, struct rev rev,
-		   bool leaving)
+static enum dir_effect put_at(struct dir *dir, const char *id, struct rev rev,
+			      bool leaving)
 {
 	struct dir_entry e = entry(id, rev.number);
 
@@ -41,7 +41,7 @@
 	struct dir_entry e = entry(id, rev);
 
 	e.leaving = true;
-	g_assert_true(dir_put(dir, &e, 0));
+	g_assert_cmpint(dir_put(dir, &e, 0), ==, DIR_CHANGED);
 }
 
 /* An entry that was read before a removal may arrive after it. */
@@ -93,7 +93,7 @@
 
 	put(dir, "a", 1);
 	before = dir_digest(dir);
-	g_assert_false(dir_put(dir, &e, 0));
+	g_assert_cmpint(dir_put(dir, &e, 0), ==, DIR_UNCHANGED);
 	g_assert_cmpuint(dir_digest(dir), ==, before);
 	dir_free(dir);
 }
@@ -108,7 +108,7 @@
 	put(dir, "a", 1);
 	old = dir_target_ref(dir_target_find(dir, "a"));
 	e.born = 2;
-	g_assert_true(dir_put(dir, &e, 0));
+	g_assert_cmpint(dir_put(dir, &e, 0), ==, DIR_CHANGED);
 	g_assert_true(old->removed_from_dir);
 	g_assert_true(dir_target_find(dir, "a") != old);
 	dir_target_unref(old);
@@ -185,7 +185,7 @@
 	struct dir *dir = dir_new(NULL);
 
 	put(dir, "a", 90);
-	g_assert_true(put_at(dir, "a", LATER(60), true));
+	g_assert_cmpint(put_at(dir, "a", LATER(60), true), ==, DIR_CHANGED);
 	g_assert_true(dir_target_find(dir, "a")->entry.leaving);
 	dir_remove(dir, "a", LATER(61), 0, 0);
 	g_assert_null(dir_target_find(dir, "a"));
@@ -202,13 +202,13 @@
 	put_at(dir, "b", LATER(61), true);
 	dir_remove(dir, "a", AT(90), 0, 0);
 	g_assert_nonnull(dir_target_find(dir, "a"));
-	g_assert_false(put_at(dir, "b", AT(91), false));
+	g_assert_cmpint(put_at(dir, "b", AT(91), false), ==, DIR_UNCHANGED);
 	g_assert_true(dir_target_find(dir, "b")->entry.leaving);
 	dir_list_begin(dir);
 	dir_list_end(dir, AT(95), 0, 0);
 	g_assert_cmpuint(dir_count(dir), ==, 2);
 	dir_remove(dir, "b", LATER(70), 0, 0);
-	g_assert_false(put_at(dir, "b", AT(99), false));
+	g_assert_cmpint(put_at(dir, "b", AT(99), false), ==, DIR_UNCHANGED);
 	dir_free(dir);
 }
 
@@ -241,11 +241,80 @@
 	dir_remove(dir, "a", AT(90), 0, 0);
 	e.born = 2;
 	e.rev = LATER(60);
-	g_assert_true(dir_put(dir, &e, 0));
+	g_assert_cmpint(dir_put(dir, &e, 0), ==, DIR_CHANGED);
 	g_assert_nonnull(dir_target_find(dir, "a"));
 	dir_free(dir);
 }
 
+/* The copy of a restored store is from before a server began to leave: guards
+ * against one that gets work again, until it has written its entry again. */
+static void test_leftover_does_not_end_leaving(void)
+{
+	struct dir *dir = dir_new(NULL);
+
+	put_at(dir, "a", AT(90), true);
+	put_at(dir, "a", LATER(60), false);
+	g_assert_true(dir_target_find(dir, "a")->entry.leaving);
+	/* The same from a peer, or by another list. */
+	put_at(dir, "a", LATER(60), false);
+	g_assert_true(dir_target_find(dir, "a")->entry.leaving);
+	put_at(dir, "a", LATER(70), false);
+	g_assert_false(dir_target_find(dir, "a")->entry.leaving);
+	dir_free(dir);
+}
+
+/* The copy is from before a server left: guards against one that is used again.
+ * One that lives writes again, and counts then. */
+static void test_leftover_does_not_revive(void)
+{
+	struct dir *dir = dir_new(NULL);
+
+	put(dir, "a", 80);
+	dir_remove(dir, "a", AT(90), 0, 0);
+	dir_remove(dir, "unseen", AT(91), 0, 0);
+	for (int i = 0; i < 2; i++) {
+		put_at(dir, "a", LATER(60), false);
+		put_at(dir, "unseen", LATER(61), false);
+		g_assert_cmpuint(dir_count(dir), ==, 0);
+	}
+	put_at(dir, "a", LATER(75), false);
+	put_at(dir, "unseen", LATER(76), false);
+	g_assert_cmpuint(dir_count(dir), ==, 2);
+	dir_free(dir);
+}
+
+/* A server started again under its id after the copy was made: guards against a
+ * process that is gone in place of the one that runs. */
+static void test_leftover_of_an_earlier_instance(void)
+{
+	struct dir *dir = dir_new(NULL);
+	struct dir_entry e = entry("a", 90);
+
+	e.born = 2;
+	dir_put(dir, &e, 0);
+	put_at(dir, "a", LATER(60), false);
+	g_assert_cmpuint(dir_target_find(dir, "a")->entry.born, ==, 2);
+	/* Gone from the restored store: the entry has to be removable. */
+	dir_remove(dir, "a", LATER(65), 0, 0);
+	g_assert_null(dir_target_find(dir, "a"));
+	dir_free(dir);
+}
+
+/* The copy tells a longer warm-up than is left: guards against a target that is
+ * taken as slow once more. */
+static void test_leftover_does_not_restart_the_warm_up(void)
+{
+	struct dir *dir = dir_new(NULL);
+	struct dir_entry e = entry("a", 90);
+
+	dir_put(dir, &e, SECOND);
+	e.rev = LATER(60);
+	e.cold_us = 5 * SECOND;
+	dir_put(dir, &e, 2 * SECOND);
+	g_assert_cmpint(dir_target_find(dir, "a")->warm_us, ==, SECOND);
+	dir_free(dir);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -267,5 +336,13 @@
 			test_list_of_a_newer_era_removes);
 	g_test_add_func("/dir/new_instance_in_a_newer_era",
 			test_new_instance_in_a_newer_era);
+	g_test_add_func("/dir/leftover_does_not_end_leaving",
+			test_leftover_does_not_end_leaving);
+	g_test_add_func("/dir/leftover_does_not_revive",
+			test_leftover_does_not_revive);
+	g_test_add_func("/dir/leftover_of_an_earlier_instance",
+			test_leftover_of_an_earlier_instance);
+	g_test_add_func("/dir/leftover_does_not_restart_the_warm_up",
+			test_leftover_does_not_restart_the_warm_up);
 	return g_test_run();
 }
--- a/tests/unit_fed_restore.c
+++ b/tests/unit_fed_restore.c
@@ -231,6 +231,50 @@
 	rig_end();
 }
 
+/* The copy is from before s1 began to leave and s2 left: guards against requests
+ * that are sent to them until they write again, or their entries expire. */
+static void test_copy_from_before_a_departure(void)
+{
+	rig_begin();
+	shelf_put(&rig.shelf, "t/s1", "leaving");
+	shelf_put(&rig.shelf, "t/s2", NULL);
+	rig_run(FS_US_PER_S);
+	g_assert_false(rig_has("s2"));
+	shelf_restore(&rig.shelf, 7);
+	rig_run(FS_US_PER_S);
+	g_assert_true(is_leaving("s1"));
+	g_assert_false(rig_has("s2"));
+	beat("t/s2", 1);
+	rig_run(FS_US_PER_S);
+	g_assert_true(rig_has("s2"));
+	rig_end();
+}
+
+/* A node that has just started knows the restored store alone: guards against
+ * its list ending what the others know of servers that leave. */
+static void test_peer_that_has_just_started(void)
+{
+	struct msg *m;
+
+	rig_begin();
+	shelf_put(&rig.shelf, "t/s1", "leaving");
+	shelf_put(&rig.shelf, "t/s2", NULL);
+	rig_run(FS_US_PER_S);
+	rig.silent = true;
+	m = entries_of((struct rev){2, 7});
+	for (uint64_t i = 0; i < 5; i++) {
+		g_autofree char *id = g_strdup_printf("s%d", (int)i);
+
+		add_entry(m, id, (struct rev){2, 3 + i});
+	}
+	bus_deliver(rig.node.bus, m);
+	rig_run(20 * FS_US_PER_MS);
+	g_assert_true(is_leaving("s1"));
+	g_assert_false(rig_has("s2"));
+	g_assert_true(rig_has("s4"));
+	rig_end();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -254,5 +298,9 @@
 			test_peer_of_an_older_era);
 	g_test_add_func("/fed_restore/peer_of_a_newer_era",
 			test_peer_of_a_newer_era);
+	g_test_add_func("/fed_restore/copy_from_before_a_departure",
+			test_copy_from_before_a_departure);
+	g_test_add_func("/fed_restore/peer_that_has_just_started",
+			test_peer_that_has_just_started);
 	return g_test_run();
 }
