Register a reader's own key anew in a restored store

What would have been seen: a node that starts while all its seeds are unreachable finds no member in the store, and serves alone.

Cause: the key of a reader and its lease are written once and renewed. If the copy has the lease and not the key, each renewal succeeds and the key never comes back; leases are given out again like revisions, so the renewal may even keep another writer's keys alive. A lease that is lost was noticed by the next renewal's 404 only, up to 5 s later.

When the store is restored, the node drops the lease and what is in flight for it, and registers anew within a second, spread at random. Results of writes tell of a restoration as answers to reads do.

--- a/src/fed_era.c
+++ b/src/fed_era.c
@@ -34,6 +34,7 @@
 		      era, known, source);
 	defer_removals(fed, now_us);
 	fed_read_restart(fed, now_us);
+	fed_node_restart(fed, now_us);
 	fed_queue_era(fed);
 	return FED_ERA_NEWER;
 }
--- a/src/fed_impl.h
+++ b/src/fed_impl.h
@@ -133,6 +133,8 @@
 			  int64_t now_us);
 
 /* This node's key (fed_node.c) */
+/** Registers the key anew: its lease may be lost, or another writer's by now. */
+void fed_node_restart(struct fed *fed, int64_t now_us);
 void fed_node_tick(struct fed *fed, int64_t now_us);
 
 /** Returns a random number below @p limit. */
--- a/src/fed_node.c
+++ b/src/fed_node.c
@@ -12,11 +12,35 @@
 			     fed_random(fed, FED_RETRY_MAX_US);
 }
 
+void fed_node_restart(struct fed *fed, int64_t now_us)
+{
+	struct kvs *kvs = &fed->platform.kvs;
+
+	kvs->ops->cancel(kvs->store, fed);
+	fed->lease = 0;
+	fed->lease_running = false;
+	fed->nodes_running = false;
+	fed->lease_next_us = now_us + fed_random(fed, FED_RETRY_MAX_US);
+}
+
+/* Returns whether a result is to be handled: one that tells of a restoration is
+ * not, as the key is registered anew. */
+static bool accept_result(struct fed *fed, const struct kvs_result *result,
+			  int *err)
+{
+	enum fed_era era = fed_note_era(fed, result->era, "store", fs_now_us());
+
+	if (era == FED_ERA_OLDER)
+		*err = FS_E_UNAVAILABLE;
+	return era != FED_ERA_NEWER;
+}
+
 static void on_put(void *arg, int err, const struct kvs_result *result)
 {
 	struct fed *fed = arg;
 
-	(void)result;
+	if (!accept_result(fed, result, &err))
+		return;
 	if (err)
 		fed->lease = 0;
 	schedule_renewal(fed, err);
@@ -30,6 +54,8 @@
 	g_autofree char *key = NULL;
 	char address[FS_ADDRESS_MAX];
 
+	if (!accept_result(fed, result, &err))
+		return;
 	if (err) {
 		schedule_renewal(fed, err);
 		return;
@@ -45,7 +71,8 @@
 {
 	struct fed *fed = arg;
 
-	(void)result;
+	if (!accept_result(fed, result, &err))
+		return;
 	if (err == FS_E_NOT_FOUND)
 		fed->lease = 0;
 	schedule_renewal(fed, err);
@@ -58,7 +85,9 @@
 	struct msg *m;
 
 	fed->nodes_running = false;
-	if (err)
+	if (fed_note_era(fed, page->era, "store", fs_now_us()) ==
+		    FED_ERA_OLDER ||
+	    err)
 		return;
 	m = msg_new(MSG_CONTACTS, fed->node->self, MSG_TASK_MEMBERS);
 	m->contacts.addresses =
--- a/tests/fleet_kvs.c
+++ b/tests/fleet_kvs.c
@@ -70,6 +70,13 @@
 	g_hash_table_replace(shelf->items, item->key, item);
 }
 
+bool shelf_has(const struct shelf *shelf, const char *key)
+{
+	const struct shelf_item *item = g_hash_table_lookup(shelf->items, key);
+
+	return item && item->value;
+}
+
 void shelf_compact(struct shelf *shelf)
 {
 	shelf->oldest = shelf->rev;
--- a/tests/fleet_kvs.h
+++ b/tests/fleet_kvs.h
@@ -34,6 +34,9 @@
 /** Changes a key; NULL removes it. */
 void shelf_put(struct shelf *shelf, const char *key, const char *value);
 
+/** Returns whether a key exists. */
+bool shelf_has(const struct shelf *shelf, const char *key);
+
 /** Forgets all history so far. */
 void shelf_compact(struct shelf *shelf);
 
--- a/tests/unit_fed_restore.c
+++ b/tests/unit_fed_restore.c
@@ -275,6 +275,58 @@
 	rig_end();
 }
 
+/* Makes the node the reader of its domain, of which it is the only member. */
+static void become_reader(void)
+{
+	struct msg *m = msg_new(MSG_VIEW, rig.node.self, MSG_TASK_CONFIG);
+	struct mem_view *view =
+		g_malloc0(sizeof(*view) + sizeof(struct mem_member));
+
+	view->refs = 1;
+	view->self = rig.node.self;
+	view->count = 1;
+	view->members[0].id = rig.node.self;
+	g_strlcpy(view->members[0].domain, rig.node.set.domain, FS_DOMAIN_MAX);
+	m->view.view = view;
+	bus_deliver(rig.node.bus, m);
+	rig_run(FED_SETTLE_US + FS_US_PER_S / 2);
+	g_assert_true(rig.fed->role.chosen);
+}
+
+/* The node's key is lost with the copy and its lease is not, or has become that
+ * of someone else: guards against one that renews the lease for ever, while
+ * nodes that look for others find no key. */
+static void test_own_key_is_written_again(void)
+{
+	rig_begin();
+	become_reader();
+	g_assert_true(shelf_has(&rig.shelf, "n/a"));
+	shelf_restore(&rig.shelf, 7);
+	g_assert_false(shelf_has(&rig.shelf, "n/a"));
+	rig_run(2 * FS_US_PER_S);
+	g_assert_true(shelf_has(&rig.shelf, "n/a"));
+	rig_end();
+}
+
+/* A call for the node's key is in flight at the restoration: guards against one
+ * whose success is taken for the restored store's. */
+static void test_own_key_in_flight(void)
+{
+	rig_begin();
+	rig.silent = true;
+	become_reader();
+	for (int i = 0; i < 20 && !shelf_has(&rig.shelf, "n/a"); i++) {
+		shelf_answer(&rig.shelf);
+		rig_run(20 * FS_US_PER_MS);
+	}
+	g_assert_true(shelf_has(&rig.shelf, "n/a"));
+	shelf_restore(&rig.shelf, 7);
+	rig.silent = false;
+	rig_run(2 * FS_US_PER_S);
+	g_assert_true(shelf_has(&rig.shelf, "n/a"));
+	rig_end();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -302,5 +354,9 @@
 			test_copy_from_before_a_departure);
 	g_test_add_func("/fed_restore/peer_that_has_just_started",
 			test_peer_that_has_just_started);
+	g_test_add_func("/fed_restore/own_key_is_written_again",
+			test_own_key_is_written_again);
+	g_test_add_func("/fed_restore/own_key_in_flight",
+			test_own_key_in_flight);
 	return g_test_run();
 }
