Test that a configuration stays in force over a restoration

No change of the code: a configuration goes by its own version, which held before too (both tests pass on the code of before). What they guard against: a node that goes back to the copy's older configuration, or one that starts in the restored store and stays with it while its peers know the acknowledged one.

--- a/tests/unit_fed_restore.c
+++ b/tests/unit_fed_restore.c
@@ -327,6 +327,62 @@
 	rig_end();
 }
 
+/* An acknowledged configuration is lost with the copy and written again: guards
+ * against a node that goes back to the older one, or stays behind later on. */
+static void test_configuration_is_written_again(void)
+{
+	rig_begin();
+	shelf_put(&rig.shelf, "c/config", "8");
+	rig_run(FS_US_PER_S);
+	shelf_restore(&rig.shelf, 7);
+	for (int i = 0; i < 20; i++) {
+		rig_run(50 * FS_US_PER_MS);
+		g_assert_cmpuint(version(), ==, 8);
+	}
+	shelf_put(&rig.shelf, "c/config", "8");
+	rig_run(FS_US_PER_S);
+	g_assert_cmpuint(version(), ==, 8);
+	shelf_put(&rig.shelf, "c/config", "9");
+	rig_run(FS_US_PER_S);
+	g_assert_cmpuint(version(), ==, 9);
+	rig_end();
+}
+
+static bool requests_config_of(node_id peer)
+{
+	for (guint i = 0; i < rig.sent->len; i++) {
+		const struct msg *m = g_ptr_array_index(rig.sent, i);
+
+		if (m->type == MSG_CONFIG_REQUEST && m->to == peer)
+			return true;
+	}
+	return false;
+}
+
+/* A node starts when the store has an older configuration than its peers: guards
+ * against one that stays with it. */
+static void test_start_in_a_restored_store(void)
+{
+	struct msg *m;
+
+	rig_begin_with_config("5");
+	g_assert_cmpuint(version(), ==, 5);
+	m = msg_new(MSG_FEED_HEARTBEAT, rig.node.self, MSG_TASK_CONFIG);
+	m->feed_heartbeat.config_version = 8;
+	m->feed_heartbeat.fresh = true;
+	m->feed_heartbeat.reader = 77;
+	bus_deliver(rig.node.bus, m);
+	rig_run(20 * FS_US_PER_MS);
+	g_assert_true(requests_config_of(77));
+	m = msg_new(MSG_CONFIG_TEXT, rig.node.self, MSG_TASK_CONFIG);
+	m->config_text.version = 8;
+	m->config_text.text = g_strdup("8");
+	bus_deliver(rig.node.bus, m);
+	rig_run(FS_US_PER_S);
+	g_assert_cmpuint(version(), ==, 8);
+	rig_end();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -358,5 +414,9 @@
 			test_own_key_is_written_again);
 	g_test_add_func("/fed_restore/own_key_in_flight",
 			test_own_key_in_flight);
+	g_test_add_func("/fed_restore/configuration_is_written_again",
+			test_configuration_is_written_again);
+	g_test_add_func("/fed_restore/start_in_a_restored_store",
+			test_start_in_a_restored_store);
 	return g_test_run();
 }
