--- a/src/fed.h
+++ b/src/fed.h
@@ -14,9 +14,13 @@
  * fresh reader, as traffic between domains is expensive.
  *
  * A reader lists the targets once, then watches for changes. Broadcast changes
- * are merged by revision (dir.h); a digest mismatch reveals missed ones
+ * are merged by era and revision (dir.h); a digest mismatch reveals missed ones
  * (anti-entropy).
  *
+ * An answer that states a newer era tells that the store was restored from a copy:
+ * the reader lists everything anew and tells its domain. Answers of an older era
+ * are void. An answer that states none counts as one of the known era.
+ *
  * A configuration is in force once it is decoded. A process never goes back to
  * an older version.
  *
