Take an era of 0 as stated

What callers would have seen: none of the first restoration of a store whose eras begin at 0, as before these changes. Cause: 0 stood for "not stated", so the step from 0 to 1 was taken as the first era seen. Nothing says where a store begins.

--- a/src/fed_era.c
+++ b/src/fed_era.c
@@ -14,8 +14,12 @@
 			  int64_t now_us)
 {
 	uint64_t known = fed->era;
+	bool first = !fed->era_known;
 
-	if (!era || era == known)
+	if (era == KVS_NO_ERA)
+		return FED_ERA_KNOWN;
+	fed->era_known = true;
+	if (era == known)
 		return FED_ERA_KNOWN;
 	if (era < known) {
 		fs_log_eventf("fed", G_LOG_LEVEL_INFO, "answer_outdated",
@@ -26,7 +30,7 @@
 		return FED_ERA_OLDER;
 	}
 	fed->era = era;
-	if (!known)
+	if (first)
 		return FED_ERA_KNOWN;
 	fs_log_eventf("fed", G_LOG_LEVEL_MESSAGE, "store_restored",
 		      "\"era\":%" G_GUINT64_FORMAT
--- a/src/fed_impl.h
+++ b/src/fed_impl.h
@@ -62,7 +62,7 @@
 	struct fed_watcher targets;
 	struct fed_watcher config;
 	struct fed_role role;
-	uint64_t era; /* highest one stated by the store; 0: none yet */
+	uint64_t era; /* highest one stated by the store, or 0 */
 	uint64_t random;
 	int64_t changed_us;	/* last change of the directory */
 	int64_t grace_until_us; /* removals by peers are deferred until then */
@@ -75,6 +75,7 @@
 	int64_t nodes_next_us;
 	/* States */
 	bool store_lost;      /* calls of this node fail */
+	bool era_known;	      /* the store or a peer has stated one */
 	bool directory_known; /* listed, or received from a peer */
 	bool merging;	      /* changes being applied are a peer's */
 	bool lease_running;
@@ -99,8 +100,8 @@
 	FED_ERA_OLDER, /* from before a restoration: the answer is void */
 };
 
-/** Notes the era of an answer of the store, or of a peer's message; 0 if it does
- * not state one. */
+/** Notes the era of an answer of the store, KVS_NO_ERA if it does not state one,
+ * or of a peer's message. */
 enum fed_era fed_note_era(struct fed *fed, uint64_t era, const char *source,
 			  int64_t now_us);
 
--- a/src/kvs.h
+++ b/src/kvs.h
@@ -29,6 +29,8 @@
 	bool removed; /* removed at that revision; no value */
 };
 
+#define KVS_NO_ERA UINT64_MAX /* the answer does not state it */
+
 /** Result of a read or a watch; valid during the callback only. After an error
  * only the era is set, if the answer stated it. */
 struct kvs_page {
@@ -36,7 +38,7 @@
 	uint32_t count;
 	bool more;	 /* the range continues after its last key */
 	uint64_t at_rev; /* revision of the service */
-	uint64_t era;	 /* of the service at this answer; 0: not stated */
+	uint64_t era;	 /* of the service at this answer, or KVS_NO_ERA */
 };
 
 typedef void (*kvs_page_fn)(void *arg, int err, const struct kvs_page *page);
--- a/src/rev.h
+++ b/src/rev.h
@@ -13,7 +13,7 @@
 
 /** A revision of the store. */
 struct rev {
-	uint64_t era; /* 0: the store states none */
+	uint64_t era; /* 0 as well if the store states none */
 	uint64_t number;
 };
 
--- a/tests/unit_fed_restore.c
+++ b/tests/unit_fed_restore.c
@@ -20,9 +20,12 @@
 /* The restored store has passed the revision that the reader waits for, so there
  * is no 410: guards against a change in between that is never seen, such as an
  * acknowledged configuration or an added server. */
-static void test_store_that_has_caught_up(void)
+static void restore_past_the_reader(uint64_t first_era)
 {
-	rig_begin();
+	rig_begin_store("5");
+	rig.shelf.era = first_era;
+	rig_begin_task();
+	rig_run(2 * FED_LIST_FRESH_US);
 	beat("t/s0", 5);
 	rig_run(FS_US_PER_S);
 	shelf_restore(&rig.shelf, 7);
@@ -35,6 +38,17 @@
 	rig_end();
 }
 
+static void test_store_that_has_caught_up(void)
+{
+	restore_past_the_reader(1);
+}
+
+/* The same in a store whose eras begin at 0. */
+static void test_first_era_is_zero(void)
+{
+	restore_past_the_reader(0);
+}
+
 /* A list of several pages goes on in a restored store: guards against a server
  * whose entry lies before the page that is being read. */
 static void test_list_over_a_restoration(void)
@@ -95,7 +109,7 @@
 	rig_begin();
 	shelf_restore(&rig.shelf, 7);
 	rig_run(FS_US_PER_S);
-	rig.shelf.era = 0;
+	rig.shelf.era = KVS_NO_ERA;
 	calls = rig.shelf.count;
 	shelf_put(&rig.shelf, "c/config", "8");
 	rig_run(FS_US_PER_S / 2);
@@ -389,6 +403,8 @@
 	fs_log_init("test", 2);
 	g_test_add_func("/fed_restore/store_that_has_caught_up",
 			test_store_that_has_caught_up);
+	g_test_add_func("/fed_restore/first_era_is_zero",
+			test_first_era_is_zero);
 	g_test_add_func("/fed_restore/list_over_a_restoration",
 			test_list_over_a_restoration);
 	g_test_add_func("/fed_restore/older_answer_is_discarded",
--- a/tests/unit_plf.c
+++ b/tests/unit_plf.c
@@ -309,7 +309,8 @@
 	g_assert_cmpuint(era_of(410, "Store-Era: 4\r\n"), ==, 4);
 	g_assert_cmpuint(era_of(503, "Store-Era: 4\r\n"), ==, 4);
 	g_assert_cmpuint(era_of(404, "Store-Era: 4\r\n"), ==, 4);
-	g_assert_cmpuint(era_of(200, ""), ==, 0);
+	g_assert_cmpuint(era_of(200, "Store-Era: 0\r\n"), ==, 0);
+	g_assert_cmpuint(era_of(200, ""), ==, KVS_NO_ERA);
 }
 
 /* Guards against a number that is made up from a malformed header: a node would
@@ -329,7 +330,7 @@
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(headers); i++)
-		g_assert_cmpuint(era_of(200, headers[i]), ==, 0);
+		g_assert_cmpuint(era_of(200, headers[i]), ==, KVS_NO_ERA);
 }
 
 /* Guards against a node that keeps renewing a lease which is lost. */
