--- a/tests/unit_dir.c
+++ b/tests/unit_dir.c
@@ -29,6 +29,14 @@
 	return dir_put(dir, &e, 0);
 }
 
+static void expect_at(struct dir *dir, const char *id, struct rev rev,
+		      bool leaving, enum dir_effect effect)
+{
+	enum dir_effect got = put_at(dir, id, rev, leaving);
+
+	g_assert_cmpint(got, ==, effect);
+}
+
 static void put(struct dir *dir, const char *id, uint64_t rev)
 {
 	struct dir_entry e = entry(id, rev);
@@ -185,7 +193,7 @@
 	struct dir *dir = dir_new(NULL);
 
 	put(dir, "a", 90);
-	g_assert_cmpint(put_at(dir, "a", LATER(60), true), ==, DIR_CHANGED);
+	expect_at(dir, "a", LATER(60), true, DIR_CHANGED);
 	g_assert_true(dir_target_find(dir, "a")->entry.leaving);
 	dir_remove(dir, "a", LATER(61), 0, 0);
 	g_assert_null(dir_target_find(dir, "a"));
@@ -202,13 +210,13 @@
 	put_at(dir, "b", LATER(61), true);
 	dir_remove(dir, "a", AT(90), 0, 0);
 	g_assert_nonnull(dir_target_find(dir, "a"));
-	g_assert_cmpint(put_at(dir, "b", AT(91), false), ==, DIR_UNCHANGED);
+	expect_at(dir, "b", AT(91), false, DIR_UNCHANGED);
 	g_assert_true(dir_target_find(dir, "b")->entry.leaving);
 	dir_list_begin(dir);
 	dir_list_end(dir, AT(95), 0, 0);
 	g_assert_cmpuint(dir_count(dir), ==, 2);
 	dir_remove(dir, "b", LATER(70), 0, 0);
-	g_assert_cmpint(put_at(dir, "b", AT(99), false), ==, DIR_UNCHANGED);
+	expect_at(dir, "b", AT(99), false, DIR_UNCHANGED);
 	dir_free(dir);
 }
 
