Use a server again whose entry in a restored store lasts

Cause: it waits for the server's next write.

An entry of a server that left goes when its lease ends, after three intervals of silence. One that is still there 6 s after it was first seen is of a server that lives: readers that saw leftovers list once more then, and take it.

/dir/leftover_that_lasts_is_alive: should not be NULL /fed_restore/leftover_that_lasts: 'rig_has("s2")' should be TRUE

--- a/src/dir.c
+++ b/src/dir.c
@@ -10,6 +10,7 @@
 	uint64_t born; /* of the target; BORN_UNKNOWN if it was not known */
 	struct rev rev;
 	int64_t at_us;
+	bool leftover; /* rev is that of a leftover, first seen at at_us */
 };
 
 struct dir {
@@ -166,11 +167,14 @@
 static bool is_of_removed(struct tombstone *tombstone,
 			  const struct dir_entry *entry, int64_t now_us)
 {
+	if (tombstone->leftover && !rev_compare(entry->rev, tombstone->rev))
+		return now_us - tombstone->at_us < DIR_LEFTOVER_US;
 	if (entry->rev.era == tombstone->rev.era ||
 	    entry->born > tombstone->born)
 		return false;
 	tombstone->rev = entry->rev;
 	tombstone->at_us = now_us;
+	tombstone->leftover = true;
 	return true;
 }
 
@@ -179,9 +183,10 @@
 {
 	struct tombstone *tombstone =
 		g_hash_table_lookup(dir->tombstones, entry->id);
+	int order = tombstone ? rev_compare(entry->rev, tombstone->rev) : 1;
 	struct dir_target *target;
 
-	if ((tombstone && rev_compare(tombstone->rev, entry->rev) >= 0) ||
+	if (order < 0 || (!order && !tombstone->leftover) ||
 	    g_hash_table_size(dir->by_id) >= DIR_TARGETS_MAX)
 		return DIR_UNCHANGED;
 	if (tombstone && is_of_removed(tombstone, entry, now_us))
--- a/src/dir.h
+++ b/src/dir.h
@@ -11,7 +11,9 @@
  * In a restored store the first sight of a server may be a leftover: its entry as
  * it was when the copy was made. It neither ends that the server leaves, nor
  * brings back one that has left or an earlier start of it. Only its revision is
- * taken over: whatever the server writes next is later.
+ * taken over: whatever the server writes next is later. An entry that is still
+ * there after DIR_LEFTOVER_US is no leftover: the lease of a server that left has
+ * ended by then.
  *
  * Entries whose lease expired during an outage of the service are restored
  * soon after it ends. A removal within the grace time after an outage
@@ -32,6 +34,9 @@
 #define DIR_TOMBSTONE_RETENTION_US \
 	(60 * FS_US_PER_S) /* longer than any delay of an entry */
 
+/* Entries of servers that are silent are removed after three intervals of 1.5 s. */
+#define DIR_LEFTOVER_US (6 * FS_US_PER_S)
+
 /** One server's entry, decoded. */
 struct dir_entry {
 	char id[FS_NAME_MAX];
--- a/src/fed_read.c
+++ b/src/fed_read.c
@@ -222,6 +222,15 @@
 	fed->config.next_us = now_us;
 }
 
+/* Entries of the copy that are still there after their leases are of servers that
+ * live. */
+static void list_again(struct fed *fed)
+{
+	fed->relist_us = 0;
+	if (fed->targets.listed)
+		stop_reading(&fed->targets);
+}
+
 void fed_read_tick(struct fed *fed, int64_t now_us)
 {
 	dir_tick(fed->dir, now_us);
@@ -230,6 +239,8 @@
 		stop_reading(&fed->config);
 		return;
 	}
+	if (fed->relist_us && now_us >= fed->relist_us)
+		list_again(fed);
 	watcher_tick(&fed->targets, now_us);
 	watcher_tick(&fed->config, now_us);
 }
--- a/tests/unit_dir.c
+++ b/tests/unit_dir.c
@@ -291,6 +291,28 @@
 	dir_free(dir);
 }
 
+/* A server was removed while it did not reach the store, and its entry in the copy
+ * is right, so it does not change: guards against one that is never used again.
+ * Had it left, its lease would have ended by then. */
+static void test_leftover_that_lasts_is_alive(void)
+{
+	struct dir *dir = dir_new(NULL);
+	struct dir_entry e = entry("a", 60);
+
+	put(dir, "a", 80);
+	dir_remove(dir, "a", AT(90), 0, 0);
+	e.rev = LATER(60);
+	dir_put(dir, &e, SECOND);
+	dir_put(dir, &e, DIR_LEFTOVER_US);
+	g_assert_null(dir_target_find(dir, "a"));
+	dir_put(dir, &e, SECOND + DIR_LEFTOVER_US);
+	g_assert_nonnull(dir_target_find(dir, "a"));
+	dir_remove(dir, "a", LATER(61), 0, 0);
+	dir_put(dir, &e, 3 * DIR_LEFTOVER_US);
+	g_assert_null(dir_target_find(dir, "a"));
+	dir_free(dir);
+}
+
 /* A server started again under its id after the copy was made: guards against a
  * process that is gone in place of the one that runs. */
 static void test_leftover_of_an_earlier_instance(void)
@@ -348,6 +370,8 @@
 			test_leftover_does_not_end_leaving);
 	g_test_add_func("/dir/leftover_does_not_revive",
 			test_leftover_does_not_revive);
+	g_test_add_func("/dir/leftover_that_lasts_is_alive",
+			test_leftover_that_lasts_is_alive);
 	g_test_add_func("/dir/leftover_of_an_earlier_instance",
 			test_leftover_of_an_earlier_instance);
 	g_test_add_func("/dir/leftover_does_not_restart_the_warm_up",
--- a/tests/unit_fed_restore.c
+++ b/tests/unit_fed_restore.c
@@ -264,6 +264,21 @@
 	rig_end();
 }
 
+/* The entry of a server that had been removed stays in the restored store and does
+ * not change: guards against a healthy server without work. */
+static void test_leftover_that_lasts(void)
+{
+	rig_begin();
+	shelf_put(&rig.shelf, "t/s2", NULL);
+	rig_run(FS_US_PER_S);
+	shelf_restore(&rig.shelf, 7);
+	rig_run(2 * FS_US_PER_S);
+	g_assert_false(rig_has("s2"));
+	rig_run(DIR_LEFTOVER_US);
+	g_assert_true(rig_has("s2"));
+	rig_end();
+}
+
 /* A node that has just started knows the restored store alone: guards against
  * its list ending what the others know of servers that leave. */
 static void test_peer_that_has_just_started(void)
@@ -424,6 +439,8 @@
 			test_peer_of_a_newer_era);
 	g_test_add_func("/fed_restore/copy_from_before_a_departure",
 			test_copy_from_before_a_departure);
+	g_test_add_func("/fed_restore/leftover_that_lasts",
+			test_leftover_that_lasts);
 	g_test_add_func("/fed_restore/peer_that_has_just_started",
 			test_peer_that_has_just_started);
 	g_test_add_func("/fed_restore/own_key_is_written_again",
