--- a/src/dir.h
+++ b/src/dir.h
@@ -3,11 +3,18 @@
  * @brief Directory of targets: the servers that exist, by their own reports.
  *
  * The platform's key-value service holds one entry for each live server. A
- * directory merges entries by their revision, whatever their source: a list, a
+ * directory merges entries by era and revision (rev.h), whatever their source: a list, a
  * watch, or a peer that has read them. A removal leaves a tombstone for some
  * time, so that an older entry which arrives late does not bring a server
  * back.
  *
+ * In a restored store the first sight of a server may be a leftover: its entry as
+ * it was when the copy was made. It neither ends that the server leaves, nor
+ * brings back one that has left or an earlier start of it. Only its revision is
+ * taken over: whatever the server writes next is later. An entry that is still
+ * there after DIR_LEFTOVER_US is no leftover: the lease of a server that left has
+ * ended by then.
+ *
  * Entries whose lease expired during an outage of the service are restored
  * soon after it ends. A removal within the grace time after an outage
  * therefore takes effect only at the end of that time.
@@ -21,11 +28,15 @@
 
 #include "fs_err.h"
 #include "fs_types.h"
+#include "rev.h"
 
 #define DIR_TARGETS_MAX 20000 /* three times the design size */
 #define DIR_TOMBSTONE_RETENTION_US \
 	(60 * FS_US_PER_S) /* longer than any delay of an entry */
 
+/* Entries of servers that are silent are removed after three intervals of 1.5 s. */
+#define DIR_LEFTOVER_US (6 * FS_US_PER_S)
+
 /** One server's entry, decoded. */
 struct dir_entry {
 	char id[FS_NAME_MAX];
@@ -33,7 +44,7 @@
 	char address[FS_ADDRESS_MAX]; /* "ip:port" */
 	char domain[FS_DOMAIN_MAX];   /* failure domain */
 	uint64_t born;		      /* start of the process, ms since 1970 */
-	uint64_t rev;		      /* of the entry in the store */
+	struct rev rev;		      /* of the entry in the store */
 	uint32_t slots;		      /* concurrent requests */
 	int64_t cold_us;	      /* warm-up time after the start */
 	bool leaving;		      /* accepts no new work */
@@ -46,10 +57,11 @@
 	struct dir_entry entry;
 	int64_t warm_us;    /* end of the warm-up */
 	int64_t missing_us; /* end of the grace time after a removal; 0: none */
-	int64_t joined_us;  /* when this directory added it */
-	bool listed;	    /* seen by the list being read */
-	bool removed_from_dir; /* no longer in the directory */
-	void *user_data;       /* state of its user, freed by free_user_data */
+	struct rev missing_rev; /* of that removal */
+	int64_t joined_us;	/* when this directory added it */
+	bool listed;		/* seen by the list being read */
+	bool removed_from_dir;	/* no longer in the directory */
+	void *user_data;	/* state of its user, freed by free_user_data */
 };
 
 /** All targets of one service. */
@@ -62,7 +74,7 @@
 
 /** Called for each target that is removed from the directory. */
 typedef void (*dir_removed_fn)(void *arg, const struct dir_target *target,
-			       uint64_t rev);
+			       struct rev rev);
 
 /**
  * Creates a directory.
@@ -84,17 +96,22 @@
 struct dir_target *dir_target_ref(struct dir_target *target);
 void dir_target_unref(struct dir_target *target);
 
-/**
- * Applies an entry.
- * @return whether the content that peers need has changed
- */
-bool dir_put(struct dir *dir, const struct dir_entry *entry, int64_t now_us);
+/** Effect of an entry. */
+enum dir_effect {
+	DIR_UNCHANGED,
+	DIR_CHANGED,  /* the content that peers need */
+	DIR_LEFTOVER, /* ignored, but for its revision */
+};
+
+/** Applies an entry. */
+enum dir_effect dir_put(struct dir *dir, const struct dir_entry *entry,
+			int64_t now_us);
 
 /**
  * Applies a removal.
  * @param grace_until_us  the target stays in use until then
  */
-void dir_remove(struct dir *dir, const char *id, uint64_t rev,
+void dir_remove(struct dir *dir, const char *id, struct rev rev,
 		int64_t grace_until_us, int64_t now_us);
 
 /** Starts a complete list of entries. */
@@ -104,7 +121,7 @@
  * Ends the list: removes targets that were not put since its start and are not
  * newer than it.
  */
-void dir_list_end(struct dir *dir, uint64_t rev, int64_t grace_until_us,
+void dir_list_end(struct dir *dir, struct rev rev, int64_t grace_until_us,
 		  int64_t now_us);
 
 /** Removes targets whose grace time has ended, and expired tombstones. */
@@ -120,7 +137,7 @@
 
 /** Calls @p fn for each tombstone. */
 void dir_each_tombstone(const struct dir *dir,
-			void (*fn)(void *arg, const char *id, uint64_t rev),
+			void (*fn)(void *arg, const char *id, struct rev rev),
 			void *arg);
 
 /** Returns how many targets there are. */
--- a/src/fed_impl.h
+++ b/src/fed_impl.h
@@ -41,13 +41,13 @@
 struct fed_watcher {
 	struct fed *fed;
 	const char *prefix;
-	bool is_config;	   /* else the targets */
-	bool running;	   /* a call is in flight */
-	bool listed;	   /* the list is complete: watch */
-	uint64_t from_rev; /* the watch continues after it */
-	uint64_t list_rev; /* of the first page of the list */
-	char *page_after;  /* last key of the previous page, or NULL */
-	uint32_t failures; /* consecutive failed calls */
+	bool is_config;	     /* else the targets */
+	bool running;	     /* a call is in flight */
+	bool listed;	     /* the list is complete: watch */
+	uint64_t from_rev;   /* the watch continues after it */
+	struct rev list_rev; /* of the first page of the list */
+	char *page_after;    /* last key of the previous page, or NULL */
+	uint32_t failures;   /* consecutive failed calls */
 	int64_t next_us;
 	int64_t answered_us;
 	int64_t grace_until_us; /* removals are deferred until then */
@@ -62,8 +62,11 @@
 	struct fed_watcher targets;
 	struct fed_watcher config;
 	struct fed_role role;
+	uint64_t era; /* highest one stated by the store, or 0 */
 	uint64_t random;
-	int64_t changed_us; /* last change of the directory */
+	int64_t changed_us;	/* last change of the directory */
+	int64_t relist_us;	/* look at leftovers again; 0: none */
+	int64_t grace_until_us; /* removals by peers are deferred until then */
 	int64_t queried_us;
 	int64_t config_queried_us;
 	struct msg *changes; /* MSG_FEED_ENTRIES to broadcast, or NULL */
@@ -73,6 +76,7 @@
 	int64_t nodes_next_us;
 	/* States */
 	bool store_lost;      /* calls of this node fail */
+	bool era_known;	      /* the store or a peer has stated one */
 	bool directory_known; /* listed, or received from a peer */
 	bool merging;	      /* changes being applied are a peer's */
 	bool lease_running;
@@ -88,16 +92,37 @@
 void fed_apply_config(struct fed *fed, const char *text, size_t size,
 		      const char *source, int64_t now_us);
 
+/* Restorations of the store (fed_era.c) */
+
+/** What an answer tells of the store's era. */
+enum fed_era {
+	FED_ERA_KNOWN, /* the one known, or not stated */
+	FED_ERA_NEWER, /* the store was restored: everything is read anew */
+	FED_ERA_OLDER, /* from before a restoration: the answer is void */
+};
+
+/** Notes the era of an answer of the store, KVS_NO_ERA if it does not state one,
+ * or of a peer's message. */
+enum fed_era fed_note_era(struct fed *fed, uint64_t era, const char *source,
+			  int64_t now_us);
+
 /* Reading (fed_read.c) */
 void fed_read_init(struct fed *fed);
+/** Cancels the calls in flight; the lists begin anew with the next tick. */
+void fed_read_restart(struct fed *fed, int64_t now_us);
 void fed_read_tick(struct fed *fed, int64_t now_us);
 
 /* Exchange with peers (fed_tell.c) */
 
-/** Queues a changed or removed target for broadcast with the next tick. */
-void fed_queue_entry(struct fed *fed, const struct dir_entry *entry);
+/** Applies an entry, and queues a changed target for broadcast with the next
+ * tick. */
+void fed_apply_entry(struct fed *fed, const struct dir_entry *entry,
+		     int64_t now_us);
+/** Queues a removed target likewise. */
 void fed_queue_removal(void *arg, const struct dir_target *target,
-		       uint64_t rev);
+		       struct rev rev);
+/** Tells the domain of the era known, with the next tick. */
+void fed_queue_era(struct fed *fed);
 void fed_broadcast_tick(struct fed *fed, int64_t now_us);
 /** Handles the heartbeat of another reader. */
 void fed_receive_heartbeat(struct fed *fed, const struct msg *m,
@@ -110,6 +135,8 @@
 			  int64_t now_us);
 
 /* This node's key (fed_node.c) */
+/** Registers the key anew: its lease may be lost, or another writer's by now. */
+void fed_node_restart(struct fed *fed, int64_t now_us);
 void fed_node_tick(struct fed *fed, int64_t now_us);
 
 /** Returns a random number below @p limit. */
--- a/src/fed_read.c
+++ b/src/fed_read.c
@@ -61,11 +61,11 @@
 {
 	struct fed *fed = watcher->fed;
 	const char *id = item->key + strlen(watcher->prefix);
+	struct rev rev = {.era = fed->era, .number = item->rev};
 	struct dir_entry entry = {0};
 
 	if (item->removed) {
-		dir_remove(fed->dir, id, item->rev, watcher->grace_until_us,
-			   now_us);
+		dir_remove(fed->dir, id, rev, watcher->grace_until_us, now_us);
 		return;
 	}
 	/* Another writer's entry, or a malformed one. */
@@ -73,8 +73,8 @@
 		ctr_count(fed->node->ctr, "fed_entries_malformed", 1);
 		return;
 	}
-	if (dir_put(fed->dir, &entry, now_us))
-		fed_queue_entry(fed, &entry);
+	entry.rev.era = fed->era;
+	fed_apply_entry(fed, &entry, now_us);
 }
 
 static void apply_item(struct fed_watcher *watcher, const struct kvs_item *item,
@@ -90,17 +90,35 @@
 		fed_apply_config(fed, item->value, item->size, "store", now_us);
 }
 
-static void on_watched(void *arg, int err, const struct kvs_page *page)
+/* Returns whether the page of an answer is to be applied. In a restored store
+ * only a list can be, from its first page on. */
+static bool accept_answer(struct fed_watcher *watcher, int err,
+			  const struct kvs_page *page, int64_t now_us)
 {
-	struct fed_watcher *watcher = arg;
-	int64_t now_us = fs_now_us();
+	bool first_page = !watcher->listed && !watcher->page_after;
+	enum fed_era era;
 
 	watcher->running = false;
+	era = fed_note_era(watcher->fed, page->era, "store", now_us);
+	if (era == FED_ERA_OLDER)
+		err = FS_E_UNAVAILABLE;
 	if (err) {
 		call_failed(watcher, err, now_us);
-		return;
+		return false;
 	}
+	if (era == FED_ERA_NEWER && !first_page)
+		return false;
 	call_answered(watcher, now_us);
+	return true;
+}
+
+static void on_watched(void *arg, int err, const struct kvs_page *page)
+{
+	struct fed_watcher *watcher = arg;
+	int64_t now_us = fs_now_us();
+
+	if (!accept_answer(watcher, err, page, now_us))
+		return;
 	for (uint32_t i = 0; i < page->count; i++)
 		apply_item(watcher, &page->items[i], now_us);
 	watcher->from_rev = MAX(watcher->from_rev, page->at_rev);
@@ -138,24 +156,21 @@
 static void on_listed(void *arg, int err, const struct kvs_page *page)
 {
 	struct fed_watcher *watcher = arg;
+	struct fed *fed = watcher->fed;
 	int64_t now_us = fs_now_us();
 
-	watcher->running = false;
-	if (err) {
-		call_failed(watcher, err, now_us);
+	if (!accept_answer(watcher, err, page, now_us))
 		return;
-	}
-	call_answered(watcher, now_us);
 	if (!watcher->page_after)
-		watcher->list_rev = page->at_rev;
+		watcher->list_rev = (struct rev){fed->era, page->at_rev};
 	for (uint32_t i = 0; i < page->count; i++)
 		apply_item(watcher, &page->items[i], now_us);
 	watcher->next_us = now_us;
 	/* One page serves until the others arrive: when all nodes of a large
 	 * fleet list at once, the store takes a second for them. */
 	if (!watcher->is_config && page->count) {
-		watcher->fed->directory_known = true;
-		fed_check_ready(watcher->fed);
+		fed->directory_known = true;
+		fed_check_ready(fed);
 	}
 	if (page->more && page->count) {
 		const char *last = page->items[page->count - 1].key;
@@ -168,16 +183,15 @@
 	}
 	g_clear_pointer(&watcher->page_after, g_free);
 	if (!watcher->is_config) {
-		dir_list_end(watcher->fed->dir, watcher->list_rev,
+		dir_list_end(fed->dir, watcher->list_rev,
 			     watcher->grace_until_us, now_us);
-		watcher->fed->directory_known = true;
+		fed->directory_known = true;
 	}
 	watcher->listed = true;
-	if (fed_is_ready(watcher->fed) && watcher->fed->targets.listed &&
-	    watcher->fed->config.listed)
-		set_listed(watcher->fed, now_us);
-	watcher->from_rev = watcher->list_rev;
-	fed_check_ready(watcher->fed);
+	if (fed_is_ready(fed) && fed->targets.listed && fed->config.listed)
+		set_listed(fed, now_us);
+	watcher->from_rev = watcher->list_rev.number;
+	fed_check_ready(fed);
 }
 
 static void watcher_tick(struct fed_watcher *watcher, int64_t now_us)
@@ -200,6 +214,23 @@
 	watcher->failures = 0;
 }
 
+void fed_read_restart(struct fed *fed, int64_t now_us)
+{
+	stop_reading(&fed->targets);
+	stop_reading(&fed->config);
+	fed->targets.next_us = now_us;
+	fed->config.next_us = now_us;
+}
+
+/* Entries of the copy that are still there after their leases are of servers that
+ * live. */
+static void list_again(struct fed *fed)
+{
+	fed->relist_us = 0;
+	if (fed->targets.listed)
+		stop_reading(&fed->targets);
+}
+
 void fed_read_tick(struct fed *fed, int64_t now_us)
 {
 	dir_tick(fed->dir, now_us);
@@ -208,6 +239,8 @@
 		stop_reading(&fed->config);
 		return;
 	}
+	if (fed->relist_us && now_us >= fed->relist_us)
+		list_again(fed);
 	watcher_tick(&fed->targets, now_us);
 	watcher_tick(&fed->config, now_us);
 }
--- a/tests/fleet_gwy.c
+++ b/tests/fleet_gwy.c
@@ -142,13 +142,13 @@
 			 fake_serve_fn serve, void *arg)
 {
 	struct fake *fake = fake_new(y->loop, serve, arg);
-	struct dir_entry entry = {.slots = 4, .rev = 1, .born = 1};
+	struct dir_entry entry = {.slots = 4, .rev.number = 1, .born = 1};
 
 	g_snprintf(entry.id, sizeof(entry.id), "s%u", y->target_count);
 	g_strlcpy(entry.service, service, sizeof(entry.service));
 	g_strlcpy(entry.address, fake_address(fake), sizeof(entry.address));
 	g_strlcpy(entry.domain, "d", sizeof(entry.domain));
-	g_assert_true(dir_put(y->dir, &entry, fs_now_us()));
+	g_assert_cmpint(dir_put(y->dir, &entry, fs_now_us()), ==, DIR_CHANGED);
 	y->targets[y->target_count++] = fake;
 	return fake;
 }
--- a/tests/fleet_kvs.h
+++ b/tests/fleet_kvs.h
@@ -4,7 +4,7 @@
  *
  * Calls are answered when the test says so with shelf_answer(), so that it
  * chooses what happens between a call and its answer. The service pages, drops
- * its history, and refuses.
+ * its history, refuses, and is restored from a copy.
  */
 #ifndef FLEET_KVS_H
 #define FLEET_KVS_H
@@ -18,6 +18,7 @@
 	GPtrArray *history; /* struct shelf_item, one a change */
 	GPtrArray *calls;   /* struct shelf_call, waiting */
 	uint64_t rev;
+	uint64_t era;	 /* rises with each restoration */
 	uint64_t oldest; /* history before it is dropped */
 	uint64_t count;	 /* of calls */
 	uint32_t page;	 /* items in one */
@@ -33,9 +34,15 @@
 /** Changes a key; NULL removes it. */
 void shelf_put(struct shelf *shelf, const char *key, const char *value);
 
+/** Returns whether a key exists. */
+bool shelf_has(const struct shelf *shelf, const char *key);
+
 /** Forgets all history so far. */
 void shelf_compact(struct shelf *shelf);
 
+/** Returns to the state at revision @p rev, as if from a copy of then. */
+void shelf_restore(struct shelf *shelf, uint64_t rev);
+
 /** Answers all calls that wait; a watch without news is answered empty. */
 void shelf_answer(struct shelf *shelf);
 
--- a/tests/unit_dir.c
+++ b/tests/unit_dir.c
@@ -4,10 +4,13 @@
 #include "dir.h"
 
 #define SECOND FS_US_PER_S
+#define AT(n) ((struct rev){.era = 1, .number = (n)})
+/* In the store after its restoration */
+#define LATER(n) ((struct rev){.era = 2, .number = (n)})
 
 static struct dir_entry entry(const char *id, uint64_t rev)
 {
-	struct dir_entry e = {.rev = rev, .born = 1, .slots = 4};
+	struct dir_entry e = {.rev = AT(rev), .born = 1, .slots = 4};
 
 	g_strlcpy(e.id, id, sizeof(e.id));
 	g_strlcpy(e.service, "pay", sizeof(e.service));
@@ -16,6 +19,24 @@
 	return e;
 }
 
+static enum dir_effect put_at(struct dir *dir, const char *id, struct rev rev,
+			      bool leaving)
+{
+	struct dir_entry e = entry(id, rev.number);
+
+	e.rev = rev;
+	e.leaving = leaving;
+	return dir_put(dir, &e, 0);
+}
+
+static void expect_at(struct dir *dir, const char *id, struct rev rev,
+		      bool leaving, enum dir_effect effect)
+{
+	enum dir_effect got = put_at(dir, id, rev, leaving);
+
+	g_assert_cmpint(got, ==, effect);
+}
+
 static void put(struct dir *dir, const char *id, uint64_t rev)
 {
 	struct dir_entry e = entry(id, rev);
@@ -28,7 +49,7 @@
 	struct dir_entry e = entry(id, rev);
 
 	e.leaving = true;
-	g_assert_true(dir_put(dir, &e, 0));
+	g_assert_cmpint(dir_put(dir, &e, 0), ==, DIR_CHANGED);
 }
 
 /* An entry that was read before a removal may arrive after it. */
@@ -37,7 +58,7 @@
 	struct dir *dir = dir_new(NULL);
 
 	put(dir, "a", 5);
-	dir_remove(dir, "a", 9, 0, 0);
+	dir_remove(dir, "a", AT(9), 0, 0);
 	put(dir, "a", 7);
 	g_assert_null(dir_target_find(dir, "a"));
 	put(dir, "a", 10);
@@ -50,7 +71,7 @@
 	struct dir *dir = dir_new(NULL);
 
 	put(dir, "a", 10);
-	dir_remove(dir, "a", 9, 0, 0);
+	dir_remove(dir, "a", AT(9), 0, 0);
 	g_assert_nonnull(dir_target_find(dir, "a"));
 	dir_free(dir);
 }
@@ -80,7 +101,7 @@
 
 	put(dir, "a", 1);
 	before = dir_digest(dir);
-	g_assert_false(dir_put(dir, &e, 0));
+	g_assert_cmpint(dir_put(dir, &e, 0), ==, DIR_UNCHANGED);
 	g_assert_cmpuint(dir_digest(dir), ==, before);
 	dir_free(dir);
 }
@@ -95,7 +116,7 @@
 	put(dir, "a", 1);
 	old = dir_target_ref(dir_target_find(dir, "a"));
 	e.born = 2;
-	g_assert_true(dir_put(dir, &e, 0));
+	g_assert_cmpint(dir_put(dir, &e, 0), ==, DIR_CHANGED);
 	g_assert_true(old->removed_from_dir);
 	g_assert_true(dir_target_find(dir, "a") != old);
 	dir_target_unref(old);
@@ -110,8 +131,8 @@
 
 	put(dir, "a", 1);
 	put(dir, "b", 2);
-	dir_remove(dir, "a", 5, 2 * SECOND, SECOND);
-	dir_remove(dir, "b", 6, 2 * SECOND, SECOND);
+	dir_remove(dir, "a", AT(5), 2 * SECOND, SECOND);
+	dir_remove(dir, "b", AT(6), 2 * SECOND, SECOND);
 	g_assert_cmpuint(dir_count(dir), ==, 2);
 	put(dir, "a", 7);
 	dir_tick(dir, 2 * SECOND);
@@ -120,6 +141,22 @@
 	dir_free(dir);
 }
 
+/* Guards against an entry from before a removal that brings the target back,
+ * because the removal took effect after a grace time only. */
+static void test_late_entry_after_the_grace(void)
+{
+	struct dir *dir = dir_new(NULL);
+
+	put(dir, "a", 5);
+	dir_remove(dir, "a", AT(9), SECOND, 0);
+	dir_tick(dir, SECOND);
+	put(dir, "a", 7);
+	g_assert_null(dir_target_find(dir, "a"));
+	put(dir, "a", 10);
+	g_assert_nonnull(dir_target_find(dir, "a"));
+	dir_free(dir);
+}
+
 /* A leaving target gets no grace time. */
 static void test_no_grace_for_the_leaving(void)
 {
@@ -127,7 +164,7 @@
 
 	put(dir, "a", 1);
 	put_leaving(dir, "a", 2);
-	dir_remove(dir, "a", 5, 2 * SECOND, SECOND);
+	dir_remove(dir, "a", AT(5), 2 * SECOND, SECOND);
 	g_assert_null(dir_target_find(dir, "a"));
 	dir_free(dir);
 }
@@ -141,7 +178,7 @@
 	put(dir, "new", 20);
 	dir_list_begin(dir);
 	put(dir, "b", 2);
-	dir_list_end(dir, 10, 0, 0);
+	dir_list_end(dir, AT(10), 0, 0);
 	g_assert_null(dir_target_find(dir, "a"));
 	g_assert_nonnull(dir_target_find(dir, "b"));
 	/* Newer than the list. */
@@ -149,6 +186,165 @@
 	dir_free(dir);
 }
 
+/* The store was restored and its revisions have gone back: guards against a
+ * target that is leaving and stays in use, as its entry looks old. */
+static void test_newer_era_is_later(void)
+{
+	struct dir *dir = dir_new(NULL);
+
+	put(dir, "a", 90);
+	expect_at(dir, "a", LATER(60), true, DIR_CHANGED);
+	g_assert_true(dir_target_find(dir, "a")->entry.leaving);
+	dir_remove(dir, "a", LATER(61), 0, 0);
+	g_assert_null(dir_target_find(dir, "a"));
+	dir_free(dir);
+}
+
+/* A peer does not know of the restoration yet: guards against one that turns
+ * back a node which does. */
+static void test_older_era_is_earlier(void)
+{
+	struct dir *dir = dir_new(NULL);
+
+	put_at(dir, "a", LATER(60), false);
+	put_at(dir, "b", LATER(61), true);
+	dir_remove(dir, "a", AT(90), 0, 0);
+	g_assert_nonnull(dir_target_find(dir, "a"));
+	expect_at(dir, "b", AT(91), false, DIR_UNCHANGED);
+	g_assert_true(dir_target_find(dir, "b")->entry.leaving);
+	dir_list_begin(dir);
+	dir_list_end(dir, AT(95), 0, 0);
+	g_assert_cmpuint(dir_count(dir), ==, 2);
+	dir_remove(dir, "b", LATER(70), 0, 0);
+	expect_at(dir, "b", AT(99), false, DIR_UNCHANGED);
+	dir_free(dir);
+}
+
+/* Guards against a target that is lost with the copy and outlives each list of
+ * the restored store, because its revision is higher. */
+static void test_list_of_a_newer_era_removes(void)
+{
+	struct dir *dir = dir_new(NULL);
+
+	put(dir, "a", 90);
+	put(dir, "b", 91);
+	dir_list_begin(dir);
+	put_at(dir, "b", LATER(50), false);
+	dir_list_end(dir, LATER(60), SECOND, 0);
+	g_assert_cmpuint(dir_count(dir), ==, 2);
+	dir_tick(dir, SECOND);
+	g_assert_null(dir_target_find(dir, "a"));
+	g_assert_nonnull(dir_target_find(dir, "b"));
+	dir_free(dir);
+}
+
+/* Guards against a server that starts in the restored store and is not used,
+ * because its id had been removed at a higher revision. */
+static void test_new_instance_in_a_newer_era(void)
+{
+	struct dir *dir = dir_new(NULL);
+	struct dir_entry e = entry("a", 0);
+
+	put(dir, "a", 80);
+	dir_remove(dir, "a", AT(90), 0, 0);
+	e.born = 2;
+	e.rev = LATER(60);
+	g_assert_cmpint(dir_put(dir, &e, 0), ==, DIR_CHANGED);
+	g_assert_nonnull(dir_target_find(dir, "a"));
+	dir_free(dir);
+}
+
+/* The copy of a restored store is from before a server began to leave: guards
+ * against one that gets work again, until it has written its entry again. */
+static void test_leftover_does_not_end_leaving(void)
+{
+	struct dir *dir = dir_new(NULL);
+
+	put_at(dir, "a", AT(90), true);
+	put_at(dir, "a", LATER(60), false);
+	g_assert_true(dir_target_find(dir, "a")->entry.leaving);
+	/* The same from a peer, or by another list. */
+	put_at(dir, "a", LATER(60), false);
+	g_assert_true(dir_target_find(dir, "a")->entry.leaving);
+	put_at(dir, "a", LATER(70), false);
+	g_assert_false(dir_target_find(dir, "a")->entry.leaving);
+	dir_free(dir);
+}
+
+/* The copy is from before a server left: guards against one that is used again.
+ * One that lives writes again, and counts then. */
+static void test_leftover_does_not_revive(void)
+{
+	struct dir *dir = dir_new(NULL);
+
+	put(dir, "a", 80);
+	dir_remove(dir, "a", AT(90), 0, 0);
+	dir_remove(dir, "unseen", AT(91), 0, 0);
+	for (int i = 0; i < 2; i++) {
+		put_at(dir, "a", LATER(60), false);
+		put_at(dir, "unseen", LATER(61), false);
+		g_assert_cmpuint(dir_count(dir), ==, 0);
+	}
+	put_at(dir, "a", LATER(75), false);
+	put_at(dir, "unseen", LATER(76), false);
+	g_assert_cmpuint(dir_count(dir), ==, 2);
+	dir_free(dir);
+}
+
+/* A server was removed while it did not reach the store, and its entry in the copy
+ * is right, so it does not change: guards against one that is never used again.
+ * Had it left, its lease would have ended by then. */
+static void test_leftover_that_lasts_is_alive(void)
+{
+	struct dir *dir = dir_new(NULL);
+	struct dir_entry e = entry("a", 60);
+
+	put(dir, "a", 80);
+	dir_remove(dir, "a", AT(90), 0, 0);
+	e.rev = LATER(60);
+	dir_put(dir, &e, SECOND);
+	dir_put(dir, &e, DIR_LEFTOVER_US);
+	g_assert_null(dir_target_find(dir, "a"));
+	dir_put(dir, &e, SECOND + DIR_LEFTOVER_US);
+	g_assert_nonnull(dir_target_find(dir, "a"));
+	dir_remove(dir, "a", LATER(61), 0, 0);
+	dir_put(dir, &e, 3 * DIR_LEFTOVER_US);
+	g_assert_null(dir_target_find(dir, "a"));
+	dir_free(dir);
+}
+
+/* A server started again under its id after the copy was made: guards against a
+ * process that is gone in place of the one that runs. */
+static void test_leftover_of_an_earlier_instance(void)
+{
+	struct dir *dir = dir_new(NULL);
+	struct dir_entry e = entry("a", 90);
+
+	e.born = 2;
+	dir_put(dir, &e, 0);
+	put_at(dir, "a", LATER(60), false);
+	g_assert_cmpuint(dir_target_find(dir, "a")->entry.born, ==, 2);
+	/* Gone from the restored store: the entry has to be removable. */
+	dir_remove(dir, "a", LATER(65), 0, 0);
+	g_assert_null(dir_target_find(dir, "a"));
+	dir_free(dir);
+}
+
+/* The copy tells a longer warm-up than is left: guards against a target that is
+ * taken as slow once more. */
+static void test_leftover_does_not_restart_the_warm_up(void)
+{
+	struct dir *dir = dir_new(NULL);
+	struct dir_entry e = entry("a", 90);
+
+	dir_put(dir, &e, SECOND);
+	e.rev = LATER(60);
+	e.cold_us = 5 * SECOND;
+	dir_put(dir, &e, 2 * SECOND);
+	g_assert_cmpint(dir_target_find(dir, "a")->warm_us, ==, SECOND);
+	dir_free(dir);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -160,7 +356,25 @@
 			test_digest_ignores_revisions);
 	g_test_add_func("/dir/restart", test_restart_is_another_target);
 	g_test_add_func("/dir/grace", test_grace_after_an_outage);
+	g_test_add_func("/dir/late_entry_after_the_grace",
+			test_late_entry_after_the_grace);
 	g_test_add_func("/dir/no_grace", test_no_grace_for_the_leaving);
 	g_test_add_func("/dir/list", test_list_removes_missing_entries);
+	g_test_add_func("/dir/newer_era_is_later", test_newer_era_is_later);
+	g_test_add_func("/dir/older_era_is_earlier", test_older_era_is_earlier);
+	g_test_add_func("/dir/list_of_a_newer_era_removes",
+			test_list_of_a_newer_era_removes);
+	g_test_add_func("/dir/new_instance_in_a_newer_era",
+			test_new_instance_in_a_newer_era);
+	g_test_add_func("/dir/leftover_does_not_end_leaving",
+			test_leftover_does_not_end_leaving);
+	g_test_add_func("/dir/leftover_does_not_revive",
+			test_leftover_does_not_revive);
+	g_test_add_func("/dir/leftover_that_lasts_is_alive",
+			test_leftover_that_lasts_is_alive);
+	g_test_add_func("/dir/leftover_of_an_earlier_instance",
+			test_leftover_of_an_earlier_instance);
+	g_test_add_func("/dir/leftover_does_not_restart_the_warm_up",
+			test_leftover_does_not_restart_the_warm_up);
 	return g_test_run();
 }
