--- a/tests/unit_gwy_leave.c
+++ b/tests/unit_gwy_leave.c
@@ -14,6 +14,7 @@
 #define LIST_REQUEST "GET /list/1?q=1 HTTP/1.1\r\n" FIELDS "\r\n"
 #define BUFFERED_BODY (126 * 1024)
 #define LONG_BODY (8 * 1024 * 1024) /* bytes; more than the sockets hold */
+#define REMOVED_REV ((struct rev){.number = 2}) /* after the entry's */
 
 static struct yard y;
 static struct yard_caller c;
@@ -218,7 +219,7 @@
 	yard_target(&y, "pay", hold, NULL);
 	yard_call(&y, &c, PAY_REQUEST);
 	yard_until(&y, held);
-	dir_remove(y.dir, "s0", 2, 0, fs_now_us());
+	dir_remove(y.dir, "s0", REMOVED_REV, 0, fs_now_us());
 	g_assert_null(dir_target_find(y.dir, "s0"));
 	yard_run(&y, 2 * FS_US_PER_S);
 	yard_ok(held, held_request, "hello");
@@ -234,7 +235,7 @@
 	yard_target(&y, "list", serve_long, NULL);
 	yard_call(&y, &c, LIST_REQUEST);
 	yard_run(&y, 200000);
-	dir_remove(y.dir, "s0", 2, 0, fs_now_us());
+	dir_remove(y.dir, "s0", REMOVED_REV, 0, fs_now_us());
 	yard_until(&y, (yard_read(&c), c.got->len > LONG_BODY));
 	end();
 }
