Keep the ports of the soak's crashed targets, and close its connections

Cause: a target that has crashed binds its port again up to 3 s later, and the port came from the range of which the kernel gives ports to all.

Ruled out: that an outgoing connection took it.

Now a target holds its port with a bound socket of its own, from before it first listens to the end of the soak.

Two more of this kind, not seen to fail: nodes had ports up to 44000, inside that range; now below 32768.

The tracebacks came from kept connections that were never closed.

--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -106,7 +106,18 @@
         if fields.get("connection", "").lower() == "close" or request.method == "POST":
             writer.close()
         else:
-            self.kept[address] = (reader, writer)
+            self._keep(address, (reader, writer))
+
+    def _keep(self, address, connection):
+        before = self.kept.get(address)
+        if before:
+            before[1].close()
+        self.kept[address] = connection
+
+    def close(self):
+        for _, writer in self.kept.values():
+            writer.close()
+        self.kept.clear()
 
 
 def wire_json(body):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -18,6 +18,7 @@
 import random
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -169,22 +170,35 @@
         name = "moved%d" % len(self.acked)
         return name
 
-    async def add_target(self, service, zone, port=0):
+    async def add_target(self, service, zone):
         self.names += 1
         target = Target(self, "t%d" % self.names, service, zone)
-        await target.start(port)
+        await target.start()
         self.targets.append(target)
         return target
 
+    def take_site(self, base):
+        """Addresses that no other soak on this machine uses meanwhile, though it
+        may play the same seed."""
+        for site in range(self.args.seed, self.args.seed + 250):
+            self.site_lock = socket.socket()
+            try:
+                self.site_lock.bind(("127.1.%d.1" % (site % 250), base + 7))
+                return site % 250
+            except OSError:
+                self.site_lock.close()
+        raise RuntimeError("every address is in use")
+
     async def start(self):
-        base = 20000 + self.rng.randrange(0, 3000) * 8
+        # Below the ports that the kernel gives to outgoing connections.
+        base = 20000 + self.rng.randrange(0, 1500) * 8
         for service in ("list", "pay", "export"):
             for zone in ZONES:
                 for _ in range(TARGETS_A_ZONE):
                     await self.add_target(service, zone)
         await self.move()
-        ips = ["127.%d.%d.%d" % (1 + i % 3, self.args.seed % 250, 1 + i // 3)
-               for i in range(self.args.nodes)]
+        site = self.take_site(base)
+        ips = ["127.%d.%d.%d" % (1 + i % 3, site, 1 + i // 3) for i in range(self.args.nodes)]
         seeds = ["%s:%d" % (ip, base + 2) for ip in ips[:3]]
         for i, ip in enumerate(ips):
             name = "n%d" % i
@@ -313,7 +327,7 @@
             self.names += 1
             again.name = "t%d" % self.names
             self.store.delete("servers/" + target.name)
-        await again.start(target.port if self.rng.random() < 0.3 else 0)
+        await again.start(target.reserved if self.rng.random() < 0.3 else None)
         self.targets.append(again)
 
     async def fault_target_leaves(self):
@@ -371,6 +385,18 @@
 
     async def stop_all(self):
         await asyncio.gather(*[n.stop(self.report) for n in self.nodes if n.running()])
+        for caller in self.callers:
+            caller.close()
+        for target in self.targets:
+            if target.alive:
+                await target.crash(forget=False)
+        self.store.close()
+        # What still serves ends here, so that it closes its connection itself.
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.sleep(0.1)
 
 
 def main():
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -29,13 +29,19 @@
         self.lost = 0.0  # share of calls whose answer is lost
         self.calls = 0
         self.disturbed_at = 0.0  # last moment of a fault
+        self.servers = []
 
     async def serve(self, node):
         server = await asyncio.start_server(
             lambda r, w: self._connection(node, r, w), "127.0.0.1", 0, limit=4 << 20
         )
+        self.servers.append(server)
         return server.sockets[0].getsockname()[1]
 
+    def close(self):
+        for server in self.servers:
+            server.close()
+
     def put(self, key, value, lease=0):
         """Writes for the operator or a server; returns False if it is away."""
         if self.down:
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -40,13 +40,16 @@
         self.alive = True
         self.server = None
         self.writers = set()
+        self.reserved = None  # its port; kept when it has crashed
         self.port = 0
 
     FAULTS = ("errors", "hang", "slow", "reset", "lost", "cut", "foreign", "extra", "unproved")
 
-    async def start(self, port=0):
-        self.server = await asyncio.start_server(self._connection, "127.0.0.1", port)
-        self.port = self.server.sockets[0].getsockname()[1]
+    async def start(self, reserved=None):
+        """Listens; reserved: the port of a target that has crashed."""
+        self.reserved = reserved or wire.reserve("127.0.0.1")
+        self.port = self.reserved.getsockname()[1]
+        self.server = await asyncio.start_server(self._connection, "127.0.0.1", self.port)
         self.beat_task = asyncio.ensure_future(self._beat())
 
     def entry(self, state):
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -2,6 +2,7 @@
 speak. Limits: heads of 64 KiB, bodies with a length, in chunks or to the end."""
 
 import asyncio
+import socket
 
 HEAD_MAX = 64 * 1024
 
@@ -50,6 +51,15 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def reserve(ip, port=0):
+    """Takes a port for the whole soak: the kernel gives it to no other process
+    that asks for any free port, also while nobody listens on it."""
+    held = socket.socket()
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    held.bind((ip, port))
+    return held
+
+
 def reset(writer):
     """Closes a connection with a reset."""
     writer.transport.abort()
