Let the soak tell a caller that hung up from a connection that was closed

Cause: asyncio.TimeoutError is an OSError since Python 3.11, so the clause for a closed connection took it first; "left" and "silent" could not happen.

Ruled out: that nodes closed these connections.

--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -85,12 +85,12 @@
             writer.write(wire.message(start, fields, body))
             limit = leave_s or deadline_s + 2.0
             await asyncio.wait_for(self._read(request, address, reader, writer), limit)
+        except asyncio.TimeoutError:  # before OSError, of which it is a kind
+            request.end = "left" if leave_s else "silent"
+            writer.close()
         except (wire.Broken, OSError):
             request.end = "closed"
             writer.close()
-        except asyncio.TimeoutError:
-            request.end = "left" if leave_s else "silent"
-            writer.close()
         request.ended = time.monotonic()
         self.world.check(request)
         return request
