Draw the soak's faults from a generator of their own

Cause: load, callers and stand-ins drew from the same generator whenever an answer came, between the draws of the faults.

Now the series has a generator, and each fault one of its own. What a fault hits still depends on which nodes run then.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -196,7 +196,7 @@
             for zone in ZONES:
                 for _ in range(TARGETS_A_ZONE):
                     await self.add_target(service, zone)
-        await self.move()
+        await self.move(self.rng)
         site = self.take_site(base)
         ips = ["127.%d.%d.%d" % (1 + i % 3, site, 1 + i // 3) for i in range(self.args.nodes)]
         seeds = ["%s:%d" % (ip, base + 2) for ip in ips[:3]]
@@ -210,13 +210,13 @@
         for i in range(12):
             self.callers.append(Caller(self, ZONES[i % 3]))
 
-    async def move(self):
+    async def move(self, rng):
         """A new version, and a target for the service that is new with it."""
         service = self.next_moved()
         global SERVICES
         if service not in SERVICES:
             SERVICES = SERVICES + (service,)
-            await self.add_target(service, self.rng.choice(ZONES))
+            await self.add_target(service, rng.choice(ZONES))
             await asyncio.sleep(1.5)  # its entry is known before it is used
         self.configure(service)
 
@@ -251,116 +251,118 @@
 
     # Faults
 
-    def pick_nodes(self, share):
+    def pick_nodes(self, rng, share):
         up = [n for n in self.nodes if n.running() and not n.expected_end]
-        return self.rng.sample(up, min(len(up), max(1, int(len(self.nodes) * share))))
+        return rng.sample(up, min(len(up), max(1, int(len(self.nodes) * share))))
 
-    async def fault_kill(self):
-        nodes = self.pick_nodes(self.rng.choice((0.1, 0.5, 1.0)))
+    async def fault_kill(self, rng):
+        nodes = self.pick_nodes(rng, rng.choice((0.1, 0.5, 1.0)))
         for node in nodes:
             node.kill()
-        await asyncio.sleep(self.rng.uniform(0.3, 1.5))
+        await asyncio.sleep(rng.uniform(0.3, 1.5))
         for node in nodes:
             node.process.wait()
             node.start()
 
-    async def fault_pause(self):
-        nodes = self.pick_nodes(self.rng.choice((0.1, 0.3)))
+    async def fault_pause(self, rng):
+        nodes = self.pick_nodes(rng, rng.choice((0.1, 0.3)))
         for node in nodes:
             node.pause()
-        await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+        await asyncio.sleep(rng.uniform(0.5, 4.0))
         for node in nodes:
             node.resume()
 
-    async def fault_stop(self):
-        for node in self.pick_nodes(self.rng.choice((0.1, 0.4))):
+    async def fault_stop(self, rng):
+        for node in self.pick_nodes(rng, rng.choice((0.1, 0.4))):
             if node.expected_end:
                 continue  # another fault has taken it meanwhile
             await node.stop(self.report)
             node.process.wait()
             node.start()
-            await asyncio.sleep(self.rng.uniform(0, 0.5))
+            await asyncio.sleep(rng.uniform(0, 0.5))
 
-    async def fault_settings(self):
-        for node in self.pick_nodes(0.5):
-            node.ttl_ms = self.rng.choice((1000, 2000, 3000))
+    async def fault_settings(self, rng):
+        for node in self.pick_nodes(rng, 0.5):
+            node.ttl_ms = rng.choice((1000, 2000, 3000))
             node.write_settings()
-            if self.rng.random() < 0.7 and not node.expected_end:
+            if rng.random() < 0.7 and not node.expected_end:
                 node.signal(signal.SIGHUP)
 
-    async def fault_store(self):
-        store, how = self.store, self.rng.choice(("reset", "silent", "503"))
-        what = self.rng.choice(("down", "refused", "slow", "lost", "compact"))
+    async def fault_store(self, rng):
+        store, how = self.store, rng.choice(("reset", "silent", "503"))
+        what = rng.choice(("down", "refused", "slow", "lost", "compact"))
         if what == "down":
             store.down = how
         elif what == "refused":
-            store.refused = {n.name: how for n in self.pick_nodes(0.5)}
+            store.refused = {n.name: how for n in self.pick_nodes(rng, 0.5)}
         elif what == "slow":
-            store.slow_s = self.rng.uniform(0.1, 0.5)
+            store.slow_s = rng.uniform(0.1, 0.5)
         elif what == "lost":
             store.lost = 0.3
         else:
             store.compact()
-        await asyncio.sleep(self.rng.uniform(1.0, 5.0))
+        await asyncio.sleep(rng.uniform(1.0, 5.0))
         store.down, store.refused, store.slow_s, store.lost = None, {}, 0.0, 0.0
         store.disturbed_at = time.monotonic()
 
-    def pick_target(self):
+    def pick_target(self, rng):
         up = [t for t in self.targets
               if t.alive and not t.leaving_at and t.service in ("list", "pay", "export")]
-        return self.rng.choice(up)
+        return rng.choice(up)
 
-    async def fault_target(self):
-        target = self.pick_target()
-        target.share = self.rng.choice((0.1, 0.6, 1.0))
-        target.fault = self.rng.choice(Target.FAULTS)
-        await asyncio.sleep(self.rng.uniform(1.0, 6.0))
+    async def fault_target(self, rng):
+        target = self.pick_target(rng)
+        target.share = rng.choice((0.1, 0.6, 1.0))
+        target.fault = rng.choice(Target.FAULTS)
+        await asyncio.sleep(rng.uniform(1.0, 6.0))
         target.fault = None
 
-    async def fault_target_crash(self):
-        target = self.pick_target()
-        await target.crash(forget=self.rng.random() < 0.5)
-        await asyncio.sleep(self.rng.uniform(0.2, 3.0))
+    async def fault_target_crash(self, rng):
+        target = self.pick_target(rng)
+        await target.crash(forget=rng.random() < 0.5)
+        await asyncio.sleep(rng.uniform(0.2, 3.0))
         again = Target(self, target.name, target.service, target.zone)
         again.born = int(time.time() * 1000)
-        if self.rng.random() < 0.5:
+        if rng.random() < 0.5:
             self.names += 1
             again.name = "t%d" % self.names
             self.store.delete("servers/" + target.name)
-        await again.start(target.reserved if self.rng.random() < 0.3 else None)
+        await again.start(target.reserved if rng.random() < 0.3 else None)
         self.targets.append(again)
 
-    async def fault_target_leaves(self):
-        target = self.pick_target()
+    async def fault_target_leaves(self, rng):
+        target = self.pick_target(rng)
         await self.add_target(target.service, target.zone)
         await asyncio.sleep(1.0)
         await target.leave()
 
-    async def fault_junk(self):
-        self.store.put("servers/junk", self.rng.choice(("{", "[]", '{"service":1}', "\xff")))
+    async def fault_junk(self, rng):
+        self.store.put("servers/junk", rng.choice(("{", "[]", '{"service":1}', "\xff")))
 
-    async def fault_config(self):
-        await self.move()
+    async def fault_config(self, rng):
+        await self.move(rng)
 
     async def faults(self, until):
         kinds = [getattr(self, name) for name in sorted(dir(self)) if name.startswith("fault_")]
+        # The load draws whenever answers come; the faults are to be the same.
+        rng = random.Random("faults %d" % self.args.seed)
         tasks = set()
         while time.monotonic() < until:
-            fault = self.rng.choice(kinds)
+            fault = rng.choice(kinds)
             print("%7.2f fault %s" % (time.monotonic() - self.begun, fault.__name__), flush=True)
             self.count[fault.__name__] += 1
-            task = asyncio.ensure_future(self.guard(fault))
+            task = asyncio.ensure_future(self.guard(fault, random.Random(rng.random())))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
             # Faults come in series; between them some promises can be checked.
-            pause = PAUSE_S if self.rng.random() < PAUSE_SHARE else 0.0
-            await asyncio.sleep(pause + self.rng.uniform(0.2, 1.5))
+            pause = PAUSE_S if rng.random() < PAUSE_SHARE else 0.0
+            await asyncio.sleep(pause + rng.uniform(0.2, 1.5))
         if tasks:
             await asyncio.wait(tasks)
 
-    async def guard(self, fault):
+    async def guard(self, fault, rng):
         try:
-            await fault()
+            await fault(rng)
         except Exception as error:  # a fault that fails is a fault of the soak
             self.report("SOAK", "%s: %r" % (fault.__name__, error))
 
