Tempt the nodes of each soak to repeat a payment

Cause: the check holds, but an unsafe request that a target runs and then gives no answer to came up only if one of eleven faults, one of nine kinds and one of three services were drawn together. Now each play begins with it: up to three targets of the unsafe route run 30 % of what they get and then reset or cut.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -100,7 +100,7 @@
             self.report("UNASKED", "%s ran a changed %s" % (target.name, request_id))
         if request.kind == "unsafe" and len(runs) > 1:
             self.report("TWICE", "%s ran on %s" % (request_id, [r.target.name for r in runs]))
-        if request.kind == "unsafe" and request.end in NOT_RUN:
+        if request.end in NOT_RUN:
             self.report("REFUSED", "%s ran after its %s" % (request_id, request.end))
         if request.kind == "moved":
             self.check_config(request, target.service)
@@ -132,7 +132,7 @@
             self.count["after SIGTERM"] += 1
         if request.whole is False:
             self.report("MIXED", "%s got %s, not its own whole answer" % (request.id, request.end))
-        if request.kind == "unsafe" and request.end in NOT_RUN and self.runs.get(request.id):
+        if request.end in NOT_RUN and self.runs.get(request.id):
             self.report("REFUSED", "%s got %s and has run" % (request.id, request.end))
         if request.end in (400, 401, 403, 404, 405, 413, 431):
             self.report("DENIED", "%s got %s at %s" % (request.id, request.end, node.name))
@@ -374,6 +374,16 @@
         await asyncio.sleep(1.0)
         await target.leave()
 
+    async def fault_unsafe(self, rng):
+        """Targets run what may run only once, and give no answer."""
+        pay = [t for t in self.targets if t.alive and not t.leaving_at and t.service == "pay"]
+        hit = rng.sample(pay, min(len(pay), 3))
+        for target in hit:
+            target.share, target.fault = 0.3, rng.choice(("lost", "reset", "cut"))
+        await asyncio.sleep(rng.uniform(1.0, 3.0))
+        for target in hit:
+            target.fault = None
+
     async def fault_junk(self, rng):
         self.store.put("servers/junk", rng.choice(("{", "[]", '{"service":1}', "\xff")))
 
@@ -386,7 +396,8 @@
         rng = random.Random("faults %d" % self.args.seed)
         planned = [self.fault_stop, self.fault_settings, self.fault_config, self.fault_target_leaves]
         spell, spell_ends = kinds, 0.0
-        tasks = set()
+        # In each play: without it no answer tempts a node to repeat a payment.
+        tasks = {asyncio.ensure_future(self.guard(self.fault_unsafe, random.Random(rng.random())))}
         while time.monotonic() < until:
             if time.monotonic() > spell_ends:
                 spell = rng.choice((kinds, planned))
