--- a/src/gwy.c
+++ b/src/gwy.c
@@ -11,11 +11,27 @@
 #define CONNECTIONS_MIN 64
 /* Buffered bodies use at most a quarter of the memory. */
 #define BODY_MEMORY_DIVISOR 4
+/* Connections are closed this much after the configured limit. */
+#define IDLE_MARGIN_S 1
+#define US_PER_S_ROUND_UP (FS_US_PER_S - 1)
+
+/* One time-out bounds idle callers and pauses in a head. */
+static void set_idle_limit(struct gwy *gwy, const struct cfg_limits *limits)
+{
+	int64_t idle_us = MAX(limits->idle_us, limits->header_us);
+
+	if (limits->idle_us > 0)
+		htd_set_idle(gwy->htd,
+			     (unsigned int)((idle_us + US_PER_S_ROUND_UP) /
+					    FS_US_PER_S) +
+				     IDLE_MARGIN_S);
+}
 
 static void apply_config(struct gwy *gwy, struct cfg *cfg)
 {
 	cfg_unref(gwy->cfg);
 	gwy->cfg = cfg_ref(cfg);
+	set_idle_limit(gwy, &cfg->limits);
 }
 
 static void apply_view(struct gwy *gwy, struct mem_view *view)
@@ -126,7 +142,7 @@
 }
 
 /* Resumes all connections: MHD must not be stopped while one is suspended. */
-static void cancel_all_requests(struct gwy *gwy)
+static void cut_requests(struct gwy *gwy)
 {
 	g_autoptr(GList) all = g_hash_table_get_keys(gwy->requests);
 	int64_t now_us = fs_now_us();
@@ -136,8 +152,8 @@
 
 		gwy_request_cancel_attempts(req);
 		req->stream_failed = true;
-		if (!req->response && req->headers_received)
-			gwy_answer_refuse(req, FS_E_DISPATCHER_LOST, 0, now_us);
+		if (req->headers_received)
+			gwy_request_log(req, "cut", now_us);
 		gwy_request_resume(req);
 	}
 }
@@ -146,7 +162,7 @@
 {
 	if (!gwy)
 		return;
-	cancel_all_requests(gwy);
+	cut_requests(gwy);
 	gwy_stop_end(gwy);
 	htd_stop(gwy->htd);
 	tgt_pool_free(gwy->pool);
--- a/src/gwy_http.c
+++ b/src/gwy_http.c
@@ -8,10 +8,6 @@
  * replaced. */
 #define REQUEST_ID_MAX 128
 
-/* Connections are closed this much after the advertised idle time-out. */
-#define IDLE_MARGIN_S 1
-#define US_PER_S_ROUND_UP (FS_US_PER_S - 1)
-
 static void *on_target(void *arg, const char *target,
 		       struct MHD_Connection *connection)
 {
@@ -57,12 +53,12 @@
 			++gwy->id_counter);
 }
 
+/* Sets the deadline that the caller allows. A route may shorten it. */
 static void set_deadline(struct gwy_request *req, const GArray *headers)
 {
 	const char *text =
 		msg_headers_get(headers, req->gwy->fields.target.deadline_ms);
 	int64_t allowed_us = GWY_DEADLINE_DEFAULT_US;
-	int64_t route_limit_us = gwy_route_of(req)->deadline_us;
 	guint64 ms;
 
 	if (text &&
@@ -72,9 +68,17 @@
 			MAX(req->client_timeout_us - GWY_DEADLINE_MARGIN_US,
 			    req->client_timeout_us / 2);
 	}
-	if (route_limit_us > 0)
-		allowed_us = MIN(allowed_us, route_limit_us);
 	req->deadline_us = req->started_us + allowed_us;
+	gwy_stop_limit_deadline(req);
+}
+
+static void limit_deadline_to_route(struct gwy_request *req)
+{
+	int64_t limit_us = gwy_route_of(req)->deadline_us;
+
+	if (limit_us > 0)
+		req->deadline_us =
+			MIN(req->deadline_us, req->started_us + limit_us);
 }
 
 /* Route shares hold on average: each request draws a service by weight. */
@@ -114,18 +118,6 @@
 	return 0;
 }
 
-static void set_idle_timeout(struct gwy_request *req)
-{
-	int64_t idle_us = req->cfg->limits.idle_us;
-
-	if (idle_us > 0)
-		MHD_set_connection_option(
-			req->connection, MHD_CONNECTION_OPTION_TIMEOUT,
-			(unsigned int)((idle_us + US_PER_S_ROUND_UP) /
-				       FS_US_PER_S) +
-				IDLE_MARGIN_S);
-}
-
 /* Does the checks that need no configuration. */
 static int validate(struct gwy_request *req, const char *version)
 {
@@ -152,11 +144,11 @@
 	int err;
 
 	req->cfg = cfg_ref(req->gwy->cfg);
-	set_idle_timeout(req);
+	htd_renew_idle(req->gwy->htd, req->connection);
 	err = find_route(req, request->host, req->path, req->body_length);
 	if (err)
 		return err;
-	set_deadline(req, request->headers);
+	limit_deadline_to_route(req);
 	headers = forwarded_headers(req->gwy, request->headers);
 	g_array_unref(request->headers);
 	request->headers = headers;
@@ -184,6 +176,7 @@
 	if (!htd_read_headers(req->connection, request->headers))
 		req->err = FS_E_BAD_REQUEST;
 	set_request_id(req, request->headers);
+	set_deadline(req, request->headers);
 	err = validate(req, version);
 	if (!err && is_ready(req->gwy))
 		err = resolve_route(req);
--- /dev/null
+++ b/tests/unit_gwy_stop.c
@@ -0,0 +1,360 @@
+/* The gateway task during a planned stop: every request that was read ends with
+ * an answer before the process exits. */
+#include <string.h>
+#include <sys/socket.h>
+
+#include "fleet_gwy.h"
+#include "gwy_impl.h"
+
+#define FIELDS "Host: h\r\nX-Id: r1\r\nX-Left: 3000\r\n"
+#define PAY_REQUEST \
+	"POST /pay/1 HTTP/1.1\r\n" FIELDS "Content-Length: 3\r\n\r\na=1"
+#define LIST_REQUEST "GET /list/1?q=1 HTTP/1.1\r\n" FIELDS "\r\n"
+/* Ends before the routes' time-outs do. */
+#define GRACE_US (1200 * FS_US_PER_MS)
+#define LAST_ANSWER_US (850 * FS_US_PER_MS) /* from the start of the stop */
+/* No connection is accepted and none is waited for any more. */
+#define DRAINED_US (2500 * FS_US_PER_MS)
+#define WORK_US (200 * FS_US_PER_MS)
+#define ERROR_US (300 * FS_US_PER_MS) /* before the answer is overdue */
+
+static struct yard y;
+static struct yard_caller c;
+static bool gateway_freed;
+
+/* The process leaves its loop at once. */
+static void receive(void *task, struct msg *m, int64_t now_us)
+{
+	struct yard *yard = task;
+
+	(void)now_us;
+	if (m->type != MSG_STOPPED)
+		return;
+	yard->stopped = true;
+	ev_break(yard->loop, EVBREAK_ALL);
+}
+
+static const struct bus_task_ops node_ops = {
+	.name = "test",
+	.receive = receive,
+};
+
+static void begin(void)
+{
+	yard_begin(&y);
+	bus_attach(y.node.bus, MSG_TASK_NODE, &node_ops, &y);
+	y.node.set.stop_grace_us = GRACE_US;
+	gateway_freed = false;
+}
+
+static void begin_stop(void)
+{
+	y.node.stopping = true;
+	bus_send_all(y.node.bus, MSG_STOP, NULL);
+	yard_run(&y, FS_US_PER_MS);
+}
+
+/* Exits as the process does: nothing runs after MSG_STOPPED. */
+static void run_until_exit(void)
+{
+	yard_until(&y, y.stopped);
+	gwy_free(y.gwy);
+	y.gwy = NULL;
+	gateway_freed = true;
+}
+
+static void end(void)
+{
+	yard_hang_up(&c);
+	if (!gateway_freed)
+		yard_run(&y, 5000);
+	yard_end(&y);
+}
+
+/* Never answers. */
+static void serve_nothing(void *arg, struct fake_conn *conn,
+			  const struct fake_request *request)
+{
+	(void)arg;
+	(void)conn;
+	(void)request;
+}
+
+static void serve_at_once(void *arg, struct fake_conn *conn,
+			  const struct fake_request *request)
+{
+	(void)arg;
+	yard_ok(conn, request, "x");
+}
+
+/* Answers after WORK_US. */
+static void serve_slowly(void *arg, struct fake_conn *conn,
+			 const struct fake_request *request)
+{
+	(void)arg;
+	(void)request;
+	fake_send_later(conn,
+			"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: z\r\n"
+			"Content-Length: 5\r\n\r\nhello",
+			WORK_US);
+}
+
+/* Answers the first request of all targets together after WORK_US; the others
+ * fail after ERROR_US. */
+static void serve_late_error(void *arg, struct fake_conn *conn,
+			     const struct fake_request *request)
+{
+	int *answered = arg;
+
+	if (!(*answered)++)
+		serve_slowly(NULL, conn, request);
+	else
+		fake_send_later(conn,
+				"HTTP/1.1 500 No\r\nX-Id: r1\r\n"
+				"Content-Length: 1\r\n\r\nx",
+				ERROR_US);
+}
+
+/* Sends another request on the connection. */
+static void send_again(const char *request)
+{
+	g_string_truncate(c.got, 0);
+	g_assert_cmpint(send(c.fd, request, strlen(request), MSG_NOSIGNAL), ==,
+			(ssize_t)strlen(request));
+}
+
+/* The gateway learns the mean service time. */
+static void serve_one(const char *request)
+{
+	yard_call(&y, &c, request);
+	yard_expect(&y, &c, 200);
+	yard_hang_up(&c);
+}
+
+/* Checks for a complete answer with that status. */
+static void expect_whole(int status, const char *error)
+{
+	g_autofree char *line = g_strdup_printf("HTTP/1.1 %d ", status);
+
+	yard_read(&c);
+	g_assert_true(g_str_has_prefix(c.got->str, line));
+	g_assert_nonnull(strstr(c.got->str, "Connection: close"));
+	g_assert_nonnull(strstr(c.got->str, error));
+	g_assert_true(g_str_has_suffix(c.got->str, "}\n"));
+}
+
+/* Guards against a connection that ends without an answer: the target still
+ * works on the request when the process exits. */
+static void test_unfinished_work_is_answered(void)
+{
+	begin();
+	yard_target(&y, "pay", serve_nothing, NULL);
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_until(&y, yard_arrivals(&y) == 1);
+	begin_stop();
+	run_until_exit();
+	expect_whole(504, "\"stopped\"");
+	end();
+}
+
+/* Guards against a request without an answer whose body was still being sent
+ * when the stop began. */
+static void test_slow_body_is_answered(void)
+{
+	begin();
+	yard_target(&y, "pay", serve_nothing, NULL);
+	yard_call(&y, &c,
+		  "POST /pay/1 HTTP/1.1\r\n" FIELDS
+		  "Content-Length: 3\r\n\r\n");
+	yard_run(&y, 20 * FS_US_PER_MS);
+	begin_stop();
+	g_assert_cmpint(send(c.fd, "a=1", 3, MSG_NOSIGNAL), ==, 3);
+	run_until_exit();
+	expect_whole(504, "\"stopped\"");
+	end();
+}
+
+/* Guards against work that begins late in a stop and is cut: a request that
+ * can't end before the exit is refused at once, truly as not run. */
+static void test_late_request_is_refused_as_not_run(void)
+{
+	int64_t sent_us;
+
+	begin();
+	yard_target(&y, "pay", serve_slowly, NULL);
+	serve_one(PAY_REQUEST);
+	begin_stop();
+	yard_run(&y, LAST_ANSWER_US - 2 * WORK_US);
+	sent_us = fs_now_us();
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_expect(&y, &c, 503);
+	g_assert_cmpint(fs_now_us() - sent_us, <, WORK_US / 2);
+	g_assert_nonnull(strstr(c.got->str, "Retry-After: "));
+	expect_whole(503, "\"stopping\"");
+	g_assert_cmpuint(yard_arrivals(&y), ==, 1);
+	end();
+}
+
+/* Answers only the first request of all, after WORK_US. */
+static void serve_first_only(void *arg, struct fake_conn *conn,
+			     const struct fake_request *request)
+{
+	int *served = arg;
+
+	if (!(*served)++)
+		serve_slowly(NULL, conn, request);
+}
+
+/* Guards against a request that arrives late in a stop and is broken off at its
+ * target, which counts as lost: the mean service time allows it to begin, but
+ * this one takes longer. */
+static void test_late_request_that_takes_long_is_not_begun(void)
+{
+	struct yard_caller slow;
+	int served = 0;
+
+	begin();
+	y.node.set.stop_grace_us = 6 * FS_US_PER_S;
+	yard_target(&y, "pay", serve_first_only, &served);
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_expect(&y, &c, 200);
+	begin_stop();
+	/* A body that does not end keeps the gateway running. */
+	yard_call(&y, &slow,
+		  "POST /pay/1 HTTP/1.1\r\n" FIELDS
+		  "Content-Length: 3\r\n\r\n");
+	yard_run(&y, 4800 * FS_US_PER_MS);
+	send_again(PAY_REQUEST);
+	yard_expect(&y, &c, 503);
+	run_until_exit();
+	expect_whole(503, "\"stopping\"");
+	g_assert_cmpuint(yard_arrivals(&y), ==, 1);
+	yard_hang_up(&slow);
+	end();
+}
+
+/* A stop with time to spare serves what arrives. */
+static void test_early_request_is_served(void)
+{
+	begin();
+	yard_target(&y, "pay", serve_slowly, NULL);
+	serve_one(PAY_REQUEST);
+	begin_stop();
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_expect(&y, &c, 200);
+	end();
+}
+
+/* Guards against a retry that begins shortly before the exit and is cut: the
+ * failure of the first attempt is the answer. */
+static void test_late_retry_is_not_begun(void)
+{
+	int answered = 0;
+
+	begin();
+	yard_target(&y, "list", serve_late_error, &answered);
+	yard_target(&y, "list", serve_late_error, &answered);
+	serve_one(LIST_REQUEST);
+	/* A retry would have half the mean service time. */
+	y.node.set.stop_grace_us =
+		GRACE_US - LAST_ANSWER_US + ERROR_US + WORK_US / 2;
+	yard_call(&y, &c, LIST_REQUEST);
+	yard_until(&y, yard_arrivals(&y) == 2);
+	begin_stop();
+	yard_expect(&y, &c, 500);
+	g_assert_cmpuint(yard_arrivals(&y), ==, 2);
+	end();
+}
+
+/* Guards against a request that waits unsent until the exit: no target is
+ * there, and its caller is told in time to try another node. */
+static void test_unsent_request_is_refused(void)
+{
+	begin();
+	begin_stop();
+	yard_call(&y, &c, LIST_REQUEST);
+	run_until_exit();
+	expect_whole(503, "\"no_target\"");
+	end();
+}
+
+/* Guards against a route's time-out that is reported as the end of a stop, because
+ * the caller allows more time than the stop leaves. */
+static void test_time_out_is_not_the_stop(void)
+{
+	begin();
+	y.node.set.stop_grace_us = 6 * FS_US_PER_S;
+	yard_target(&y, "pay", serve_nothing, NULL);
+	begin_stop();
+	yard_call(&y, &c,
+		  "POST /pay/1 HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n"
+		  "X-Left: 9000\r\nContent-Length: 3\r\n\r\na=1");
+	yard_expect(&y, &c, 504);
+	expect_whole(504, "\"deadline\"");
+	end();
+}
+
+/* Guards against an exit in the turn that queues the last answers: the process
+ * was paused over the end of its stop. */
+static void test_pause_over_the_end_still_answers(void)
+{
+	begin();
+	yard_target(&y, "pay", serve_nothing, NULL);
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_until(&y, yard_arrivals(&y) == 1);
+	begin_stop();
+	g_usleep(GRACE_US);
+	run_until_exit();
+	expect_whole(504, "\"stopped\"");
+	end();
+}
+
+/* Guards against a request that is read after the decision to exit, passed on,
+ * and cut: in the turn of that decision and in the next one, in which the
+ * process leaves its loop, connections are still served. */
+static void test_request_that_crosses_the_exit_is_not_passed_on(void)
+{
+	begin();
+	y.node.set.stop_grace_us = 6 * FS_US_PER_S;
+	yard_target(&y, "list", serve_at_once, NULL);
+	yard_call(&y, &c, LIST_REQUEST);
+	yard_expect(&y, &c, 200);
+	begin_stop();
+	yard_run(&y, DRAINED_US - 20 * FS_US_PER_MS);
+	g_assert_false(y.stopped);
+	g_assert_cmpint(
+		send(c.fd, LIST_REQUEST, strlen(LIST_REQUEST), MSG_NOSIGNAL), >,
+		0);
+	g_usleep(60 * FS_US_PER_MS);
+	run_until_exit();
+	yard_run(&y, 20 * FS_US_PER_MS);
+	g_assert_cmpuint(yard_arrivals(&y), ==, 1);
+	end();
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/gwy_stop/unfinished_work_is_answered",
+			test_unfinished_work_is_answered);
+	g_test_add_func("/gwy_stop/slow_body_is_answered",
+			test_slow_body_is_answered);
+	g_test_add_func("/gwy_stop/late_request_is_refused_as_not_run",
+			test_late_request_is_refused_as_not_run);
+	g_test_add_func("/gwy_stop/early_request_is_served",
+			test_early_request_is_served);
+	g_test_add_func("/gwy_stop/late_retry_is_not_begun",
+			test_late_retry_is_not_begun);
+	g_test_add_func("/gwy_stop/unsent_request_is_refused",
+			test_unsent_request_is_refused);
+	g_test_add_func("/gwy_stop/time_out_is_not_the_stop",
+			test_time_out_is_not_the_stop);
+	g_test_add_func("/gwy_stop/pause_over_the_end_still_answers",
+			test_pause_over_the_end_still_answers);
+	g_test_add_func(
+		"/gwy_stop/request_that_crosses_the_exit_is_not_passed_on",
+		test_request_that_crosses_the_exit_is_not_passed_on);
+	g_test_add_func("/gwy_stop/late_request_that_takes_long_is_not_begun",
+			test_late_request_that_takes_long_is_not_begun);
+	return g_test_run();
+}
