Lose as many revisions in the soak's restored store as a beat writes

Now all servers write their entries after the copy is taken, and the store goes away no sooner than 2.2 s later. Traced: the three readers n3, n4, n5 got version 3 from their watches and never 5; n1 began to read, listed, and told them, three seconds after the restoration. So the fault shows for as long as no other node begins to read: a play that finds nothing proves little.

A line tells when lost revisions were given out again; the report of LOST is shorter.

--- a/tests/soak/lost.py
+++ b/tests/soak/lost.py
@@ -47,20 +47,24 @@
         if excuse:
             self.excused[excuse] += 1
             return
-        stops = node.stops.get(request.incarnation, [])
-        self.world.report("LOST", "%s %s of %s %s at %s: sent %.3f, ended %.3f, SIGTERM %s, SIGHUP %s; "
-            "arrived at %s, ran at %s; log: %s" % (
-                "held" if request.held else "plain", request.id, request.path, request.end, node.name,
-                self._clock(request.sent), self._clock(request.ended),
-                ["%.3f" % self._clock(at) for at in stops],
-                ["%.3f" % self._clock(at) for at in node.hangups
-                 if abs(at - request.sent) < GRACE_S],
-                ["%s %.3f" % (t.name, self._clock(at)) for at, t in arrivals],
-                ["%s %s %.3f to %s" % (r.target.name, r.fault, self._clock(r.began),
-                 r.ended and "%.3f" % self._clock(r.ended)) for r in runs], line))
+        self.world.report("LOST", self._describe(request, runs, arrivals, line))
+
+    def _describe(self, request, runs, arrivals, line):
+        node = request.node
+        form = "%s at %s (%s, %s) ended %s: sent %s, ended %s; SIGTERM %s; SIGHUP %s; %s; log: %s"
+        return form % (
+            request.id, node.name, request.path, "held" if request.held else "plain", request.end,
+            self._clock(request.sent), self._clock(request.ended),
+            [self._clock(at) for at in node.stops.get(request.incarnation, [])],
+            [self._clock(at) for at in node.hangups if abs(at - request.sent) < GRACE_S],
+            "arrived at %s, ran at %s" % (
+                ["%s %s" % (t.name, self._clock(at)) for at, t in arrivals],
+                ["%s %s to %s, fault %s" % (r.target.name, self._clock(r.began),
+                 self._clock(r.ended), r.fault) for r in runs]),
+            line)
 
     def _clock(self, at):
-        return at - self.world.begun
+        return at and "%.3f" % (at - self.world.begun)
 
     def _unanswered(self, request, runs):
         if request.end == "closed":
--- a/tests/soak/restoration.py
+++ b/tests/soak/restoration.py
@@ -8,6 +8,7 @@
 from target import BEAT_S, Target
 
 KNOWN_S = 2.2  # until nodes have read of a leaving, before the store goes away
+POLL_S = 2.2  # until the nodes' waiting calls are answered and made anew
 COPY_MARGIN_S = 0.2  # the copy is so much older than the scene
 AWAY_S = (0.05, 0.15, 1.5)  # so short that no other node begins to read, or longer
 OPERATOR_S = (0.2, 2.0)
@@ -29,7 +30,9 @@
         leaving = await self._leaves() if self.rng.random() < 0.7 else None
         if self.rng.random() < 0.6:
             await self.world.move(self.rng)
-        await asyncio.sleep(KNOWN_S + self.rng.uniform(0, 1.0) if leaving else 0.3)
+        for target in [t for t in self.world.targets if t.alive]:
+            target.write_entry()  # the copy is older than what the nodes have read of
+        await asyncio.sleep((KNOWN_S if leaving else POLL_S) + self.rng.uniform(0, 1.0))
         for target in self.world.targets:
             target.note_leaving_is_known(KNOWN_S)
         self.world.config_back_at = float("inf")
@@ -62,6 +65,7 @@
                 target.write_entry()
         if self.rng.random() < 0.5:
             self.world.configure_again()
+        print("lost revisions are given out again, version %d" % self.world.version, flush=True)
         await asyncio.sleep(self.rng.uniform(0.0, 0.2))
         self.store.refused = {}
         self.store.disturbed_at = time.monotonic()
@@ -100,6 +104,7 @@
             if not self.store.calm_for(0.2) or again.fault:
                 calm_since = time.monotonic()
             if time.monotonic() - calm_since > USED_S and self.world.loading:
-                self.world.report("UNUSED", "%s, a new instance under an old id, got nothing in %.1f s "
-                    "after the restoration" % (again.name, USED_S))
+                self.world.report(
+                    "UNUSED", "%s, a new instance under an old id, got nothing in %.1f s" % (
+                        again.name, USED_S))
                 return
