--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -24,6 +24,7 @@
         self.whole = None  # of a success: its own whole answer
         self.sealed = False  # the answer bears a target's seal
         self.held = False  # sent by a Holder
+        self.crossed = False  # sent before the caller could know of a close
 
 
 class Caller:
@@ -95,6 +96,7 @@
         }
         start = "%s %s HTTP/1.1" % (request.method, request.path)
         request.incarnation = request.node.incarnation
+        request.crossed = not reader.at_eof()
         request.sent = time.monotonic()
         self.world.requests[request.id] = request
         kept = False
--- a/tests/soak/lost.py
+++ b/tests/soak/lost.py
@@ -41,7 +41,7 @@
         arrivals = self.world.arrivals.get(request.id, [])
         line = self.lines.get((node.name, request.id))
         if not arrivals and not line and request.ended - request.sent < SLACK_S:
-            self.excused["not read"] += 1
+            self.excused["crossed a close" if request.crossed else "sent after a close"] += 1
             return
         excuse = self._excuse(request, runs)
         if excuse:
