Leave the copy of the soak's restored store in force for a moment more often

Cause: a version newer than the copy came in 60 % of the restorations only, and in 60 % the others wrote everything again before a node could read the copy.

Now there always is a newer version, and the others are that fast in 40 %.

--- a/tests/soak/restoration.py
+++ b/tests/soak/restoration.py
@@ -27,9 +27,8 @@
         if begun < self.world.restored_at + APART_S:
             return
         self.world.restored_at = begun
-        leaving = await self._leaves() if self.rng.random() < 0.7 else None
-        if self.rng.random() < 0.6:
-            await self.world.move(self.rng)
+        leaving = await self._leaves() if self.rng.random() < 0.8 else None
+        await self.world.move(self.rng)
         for target in [t for t in self.world.targets if t.alive]:
             target.write_entry()  # the copy is older than what the nodes have read of
         await asyncio.sleep((KNOWN_S if leaving else POLL_S) + self.rng.uniform(0, 1.0))
@@ -39,7 +38,7 @@
         await self.store.restore(begun - COPY_MARGIN_S, self.rng.choice(AWAY_S))
         self.world.count["leaving known at a restoration"] += sum(
             t.leaving_known and t.alive for t in self.world.targets)
-        if self.rng.random() < 0.6:
+        if self.rng.random() < 0.4:
             await self._catch_up()
         self.world.tasks.add(asyncio.ensure_future(self._expire()))
         self.world.tasks.add(asyncio.ensure_future(self._old_id()))
