Let the server that leaves before a restoration be one with work

Nodes did take t21 back for 0.36 s, but it was of the service that only holders use.

Now the server is one of the two services with steady work.

--- a/tests/soak/restoration.py
+++ b/tests/soak/restoration.py
@@ -45,7 +45,7 @@
         await self._operator()
 
     async def _leaves(self):
-        target = self.world.pick_target(self.rng)
+        target = self.world.pick_target(self.rng, ("list", "pay"))
         await self.world.add_target(target.service, target.zone)
         self.world.tasks.add(asyncio.ensure_future(target.leave()))
         while not target.leaving_at:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -370,9 +370,9 @@
         store.down, store.refused, store.slow_s, store.lost = None, {}, 0.0, 0.0
         store.disturbed_at = time.monotonic()
 
-    def pick_target(self, rng):
+    def pick_target(self, rng, services=SERVICES[:4]):
         up = [t for t in self.targets
-              if t.alive and not t.leaving_at and t.service in ("list", "pay", "export", "long")]
+              if t.alive and not t.leaving_at and t.service in services]
         return rng.choice(up)
 
     async def fault_target(self, rng):
