--- a/tests/unit_gwy.c
+++ b/tests/unit_gwy.c
@@ -12,6 +12,7 @@
 #define PAY_REQUEST \
 	"POST /pay/1 HTTP/1.1\r\n" FIELDS "Content-Length: 3\r\n\r\na=1"
 #define LONG_BODY (300 * 1024) /* bytes; streamed, not buffered */
+#define MEMORY (36 * 1024)     /* bytes; of both heads of a request, about */
 #define LONG_QUEUE 30	       /* requests: a wait of over two seconds */
 #define LIST_REQUEST "GET /list/1?q=1 HTTP/1.1\r\n" FIELDS "\r\n"
 
@@ -376,35 +377,50 @@
 	end();
 }
 
-static void test_no_route(void)
+/* Answers with a head of about the size that the argument points to. */
+static void serve_long_head(void *arg, struct fake_conn *conn,
+			    const struct fake_request *request)
 {
-	begin();
-	yard_call(&y, &c, "GET /none/ HTTP/1.1\r\n" FIELDS "\r\n");
-	yard_expect(&y, &c, 404);
-	end();
+	g_autofree char *value = g_strnfill(*(size_t *)arg, 'v');
+	g_autofree char *answer =
+		g_strdup_printf("HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: z\r\n"
+				"Content-Length: 1\r\nX-Long: %s\r\n\r\nx",
+				value);
+
+	(void)request;
+	fake_send_text(conn, answer);
 }
 
-/* Sends what goes to standard error into memory. @return what log_end() takes */
-static int log_begin(void)
+static void call_with_long_heads(size_t request_bytes, size_t answer_bytes)
 {
-	int stderr_fd = dup(STDERR_FILENO);
-	int memory_fd = memfd_create("log", MFD_CLOEXEC);
+	g_autofree char *value = g_strnfill(request_bytes, 'v');
+	g_autofree char *request =
+		g_strdup_printf("POST /pay/1 HTTP/1.1\r\n" FIELDS
+				"X-Long: %s\r\nContent-Length: 1\r\n\r\na",
+				value);
 
-	g_assert_cmpint(dup2(memory_fd, STDERR_FILENO), >=, 0);
-	close(memory_fd);
-	return stderr_fd;
+	begin();
+	yard_target(&y, "pay", serve_long_head, &answer_bytes);
+	yard_call(&y, &c, request);
+	yard_expect(&y, &c, request_bytes + answer_bytes < MEMORY ? 200 : 502);
+	end();
 }
 
-/* Returns what was logged since log_begin(). */
-static char *log_end(int stderr_fd)
+/* Guards against a connection that closes without an answer, as the head of its
+ * answer does not fit in its memory. */
+static void test_long_heads_are_answered(void)
 {
-	off_t size = lseek(STDERR_FILENO, 0, SEEK_CUR);
-	char *text = g_malloc0(size + 1);
+	for (size_t i = 1 << 10; i < 16 << 10; i += 8 << 10)
+		for (size_t j = 8 << 10; j < 64 << 10; j += 8 << 10)
+			call_with_long_heads(i, j);
+}
 
-	g_assert_cmpint(pread(STDERR_FILENO, text, size, 0), ==, size);
-	g_assert_cmpint(dup2(stderr_fd, STDERR_FILENO), >=, 0);
-	close(stderr_fd);
-	return text;
+static void test_no_route(void)
+{
+	begin();
+	yard_call(&y, &c, "GET /none/ HTTP/1.1\r\n" FIELDS "\r\n");
+	yard_expect(&y, &c, 404);
+	end();
 }
 
 /* The log line of a request that is refused before its route is known: guards
@@ -415,10 +431,10 @@
 	int stderr_fd;
 
 	begin();
-	stderr_fd = log_begin();
+	stderr_fd = yard_log_begin();
 	yard_call(&y, &c, "GET /none/ HTTP/1.1\r\n" FIELDS "\r\n");
 	yard_expect(&y, &c, 404);
-	text = log_end(stderr_fd);
+	text = yard_log_end(stderr_fd);
 	if (!strstr(text, "\"given_ms\":2975,"))
 		g_error("logged: %s", text);
 	end();
@@ -600,6 +616,8 @@
 			test_success_without_seal_is_rejected);
 	g_test_add_func("/gwy/no_parking_with_attempt_in_flight",
 			test_no_parking_with_attempt_in_flight);
+	g_test_add_func("/gwy/long_heads_are_answered",
+			test_long_heads_are_answered);
 	g_test_add_func("/gwy/no_route", test_no_route);
 	g_test_add_func("/gwy/refusal_logs_the_time_given",
 			test_refusal_logs_the_time_given);
--- a/tests/unit_gwy_stop.c
+++ b/tests/unit_gwy_stop.c
@@ -4,11 +4,12 @@
 #include <sys/socket.h>
 
 #include "fleet_gwy.h"
+#include "fs_log.h"
 #include "gwy_impl.h"
 
 #define FIELDS "Host: h\r\nX-Id: r1\r\nX-Left: 3000\r\n"
-#define PAY_REQUEST \
-	"POST /pay/1 HTTP/1.1\r\n" FIELDS "Content-Length: 3\r\n\r\na=1"
+#define PAY_HEAD "POST /pay/1 HTTP/1.1\r\n" FIELDS "Content-Length: 3\r\n\r\n"
+#define PAY_REQUEST PAY_HEAD "a=1"
 #define LIST_REQUEST "GET /list/1?q=1 HTTP/1.1\r\n" FIELDS "\r\n"
 /* Ends before the routes' time-outs do. */
 #define GRACE_US (1200 * FS_US_PER_MS)
@@ -16,6 +17,7 @@
 /* No connection is accepted and none is waited for any more. */
 #define DRAINED_US (2500 * FS_US_PER_MS)
 #define WORK_US (200 * FS_US_PER_MS)
+#define STREAM_BYTES (200 * 1024)     /* too many to be buffered */
 #define ERROR_US (300 * FS_US_PER_MS) /* before the answer is overdue */
 
 static struct yard y;
@@ -99,6 +101,23 @@
 			WORK_US);
 }
 
+/* Streams; the end comes between the last answer and the exit. */
+static void serve_stream(void *arg, struct fake_conn *conn,
+			 const struct fake_request *request)
+{
+	g_autofree char *part = g_strnfill(STREAM_BYTES, 'x');
+	g_autofree char *head =
+		g_strdup_printf("HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: z\r\n"
+				"Content-Length: %d\r\n\r\n",
+				STREAM_BYTES + 7);
+
+	(void)arg;
+	(void)request;
+	fake_send_text(conn, head);
+	fake_send_text(conn, part);
+	fake_send_later(conn, "the end", LAST_ANSWER_US + 100 * FS_US_PER_MS);
+}
+
 /* Answers the first request of all targets together after WORK_US; the others
  * fail after ERROR_US. */
 static void serve_late_error(void *arg, struct fake_conn *conn,
@@ -163,9 +182,7 @@
 {
 	begin();
 	yard_target(&y, "pay", serve_nothing, NULL);
-	yard_call(&y, &c,
-		  "POST /pay/1 HTTP/1.1\r\n" FIELDS
-		  "Content-Length: 3\r\n\r\n");
+	yard_call(&y, &c, PAY_HEAD);
 	yard_run(&y, 20 * FS_US_PER_MS);
 	begin_stop();
 	g_assert_cmpint(send(c.fd, "a=1", 3, MSG_NOSIGNAL), ==, 3);
@@ -220,9 +237,7 @@
 	yard_expect(&y, &c, 200);
 	begin_stop();
 	/* A body that does not end keeps the gateway running. */
-	yard_call(&y, &slow,
-		  "POST /pay/1 HTTP/1.1\r\n" FIELDS
-		  "Content-Length: 3\r\n\r\n");
+	yard_call(&y, &slow, PAY_HEAD);
 	yard_run(&y, 4800 * FS_US_PER_MS);
 	send_again(PAY_REQUEST);
 	yard_expect(&y, &c, 503);
@@ -332,9 +347,110 @@
 	end();
 }
 
+/* Guards against a stream that is cut though it ends before the exit: unlike an
+ * answer of the gateway's own, it needs no time to be sent after its end. */
+static void test_stream_is_forwarded_until_the_exit(void)
+{
+	begin();
+	yard_target(&y, "list", serve_stream, NULL);
+	yard_call(&y, &c, LIST_REQUEST);
+	yard_until(&y, yard_arrivals(&y) == 1);
+	begin_stop();
+	while (!y.stopped) {
+		yard_run(&y, 2000);
+		yard_read(&c);
+	}
+	run_until_exit();
+	yard_read(&c);
+	g_assert_true(g_str_has_suffix(c.got->str, "the end"));
+	end();
+}
+
+/* Guards against a deferred request that outlasts a short stop: the node has no
+ * configuration yet. */
+static void test_deferred_request_is_answered(void)
+{
+	begin();
+	y.node.ready = false;
+	y.node.set.stop_grace_us = 800 * FS_US_PER_MS;
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_run(&y, 20 * FS_US_PER_MS);
+	begin_stop();
+	run_until_exit();
+	expect_whole(503, "\"not_ready\"");
+	end();
+}
+
+/* Guards against requests that become whole after the last answer: they are not
+ * passed on, and told so. */
+static void test_request_after_the_last_answer_is_refused(void)
+{
+	struct yard_caller slow;
+
+	begin();
+	yard_target(&y, "pay", serve_at_once, NULL);
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_expect(&y, &c, 200);
+	begin_stop();
+	yard_call(&y, &slow, PAY_HEAD);
+	yard_run(&y, LAST_ANSWER_US + 100 * FS_US_PER_MS);
+	send_again(PAY_REQUEST);
+	g_assert_cmpint(send(slow.fd, "a=1", 3, MSG_NOSIGNAL), ==, 3);
+	run_until_exit();
+	expect_whole(503, "\"stopping\"");
+	yard_hang_up(&c);
+	c = slow;
+	expect_whole(503, "\"stopping\"");
+	g_assert_cmpuint(yard_arrivals(&y), ==, 1);
+	end();
+}
+
+/* A body in chunks that ends during the stop. */
+static void test_chunked_body_is_answered(void)
+{
+	begin();
+	yard_target(&y, "pay", serve_nothing, NULL);
+	yard_call(&y, &c,
+		  "POST /pay/1 HTTP/1.1\r\n" FIELDS
+		  "Transfer-Encoding: chunked\r\n\r\n3\r\na=1\r\n");
+	yard_run(&y, 20 * FS_US_PER_MS);
+	begin_stop();
+	yard_run(&y, 20 * FS_US_PER_MS);
+	g_assert_cmpint(send(c.fd, "0\r\n\r\n", 5, MSG_NOSIGNAL), ==, 5);
+	run_until_exit();
+	expect_whole(504, "\"stopped\"");
+	end();
+}
+
+/* Guards against a log that claims an answer which was never sent: its caller
+ * reads none of it until the exit. */
+static void test_unsent_answer_is_logged(void)
+{
+	g_autofree char *log = NULL;
+	GHashTableIter iter;
+	void *request;
+	int log_fd;
+
+	begin();
+	yard_target(&y, "list", serve_stream, NULL);
+	yard_call(&y, &c, LIST_REQUEST);
+	yard_until(&y, yard_arrivals(&y) == 1);
+	g_hash_table_iter_init(&iter, y.gwy->requests);
+	g_assert_true(g_hash_table_iter_next(&iter, &request, NULL));
+	yard_shrink_sockets(&c, request);
+	log_fd = yard_log_begin();
+	begin_stop();
+	run_until_exit();
+	log = yard_log_end(log_fd);
+	g_assert_nonnull(strstr(log, "\"event\":\"answer_cut\""));
+	g_assert_nonnull(strstr(log, "\"reason\":\"stopped\""));
+	end();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	fs_log_init("test", 2);
 	g_test_add_func("/gwy_stop/unfinished_work_is_answered",
 			test_unfinished_work_is_answered);
 	g_test_add_func("/gwy_stop/slow_body_is_answered",
@@ -356,5 +472,15 @@
 		test_request_that_crosses_the_exit_is_not_passed_on);
 	g_test_add_func("/gwy_stop/late_request_that_takes_long_is_not_begun",
 			test_late_request_that_takes_long_is_not_begun);
+	g_test_add_func("/gwy_stop/stream_is_forwarded_until_the_exit",
+			test_stream_is_forwarded_until_the_exit);
+	g_test_add_func("/gwy_stop/deferred_request_is_answered",
+			test_deferred_request_is_answered);
+	g_test_add_func("/gwy_stop/request_after_the_last_answer_is_refused",
+			test_request_after_the_last_answer_is_refused);
+	g_test_add_func("/gwy_stop/chunked_body_is_answered",
+			test_chunked_body_is_answered);
+	g_test_add_func("/gwy_stop/unsent_answer_is_logged",
+			test_unsent_answer_is_logged);
 	return g_test_run();
 }
