--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -3,7 +3,7 @@
 from outside, and the promises of the pages checked from what callers and targets
 see while it runs.
 
-    soak.py PROGRAM --seed N --seconds S [--nodes N] [--keep FOLDER]
+    soak.py PROGRAM --seed N --seconds S [--nodes N] [--only FAULTS] [--keep FOLDER]
 
 Exit 0 if every check held. The same seed draws the same faults; processes and
 the network keep their own time. Faults between nodes are pauses and kills only:
@@ -12,26 +12,33 @@
 
 import argparse
 import asyncio
+import base64
 import collections
 import json
 import os
 import random
 import shutil
-import signal
+import socket
 import sys
 import tempfile
 import time
 
 from caller import LATE_S, Caller
-from node import Node
+from holder import AHEAD_S, Holder
+from lost import LostCheck
+from node import GRACE_S, Node
+from restoration import Restoration
+from run import Run
 from store import Store
 from target import Target
 
 ZONES = ("a", "b", "c")
-SERVICES = ("list", "pay", "export", "list2")
+SERVICES = ("list", "pay", "export", "long")
+LONG_SLOTS = 12  # of a target whose requests last long
 TARGETS_A_ZONE = 2
 STABLE_S = 3.0  # of the pages: machines and store without a fault
 DRAIN_S = 2.0  # until nobody sends to a leaving target
+RESTORED_DRAIN_S = 2.5  # the same, if the store has been restored since
 CONFIG_S = 2.0  # until a configuration is in force
 BACK_S = 0.25  # a node that has shown a version does not show an older one
 CALM_END_S = 8.0  # without faults at the end
@@ -40,6 +47,7 @@
 LAG_MAX_S = 0.15  # a check of times is void while this process itself is late
 RATE = 60  # requests a second
 PAUSE_SHARE = 0.15  # of the faults are followed by a pause
+SPELL_S = 8.0  # of planned work only, or of faults of all kinds
 PAUSE_S = 6.0  # twice the time after which a machine counts as calm
 
 
@@ -50,10 +58,15 @@
         self.store = Store(self.rng)
         self.nodes, self.targets, self.callers = [], [], []
         self.requests, self.runs = {}, collections.defaultdict(list)
+        self.arrivals = collections.defaultdict(list)  # request id to (time, target)
         self.work, self.found = {}, []
         self.count = collections.Counter()
         self.version, self.acked = 0, []  # (time, version, service of /moved/)
         self.seen = {}  # (node, incarnation) to (version, time)
+        self.loading = False
+        self.config_back_at = 0.0  # when a restored store had the newest again
+        self.restored_at = 0.0
+        self.tasks = set()  # running beside the faults
         self.lagged_at = 0.0
         self.names = 0
         self.begun = time.monotonic()
@@ -73,40 +86,49 @@
         if not request:
             self.report("UNASKED", "%s got request %s" % (target.name, request_id))
             return
+        self.arrivals[request_id].append((time.monotonic(), target))
         late = time.monotonic() - (target.leaving_at or time.monotonic())
+        known = self.store.calm_for(STABLE_S + late)
+        bound = DRAIN_S
+        if target.leaving_known:  # a restored store does not make it unknown
+            known, bound = True, RESTORED_DRAIN_S
         if (
-            late > DRAIN_S
-            and request.sent > target.leaving_at + DRAIN_S
-            and self.store.calm_for(STABLE_S + late)
+            late > bound
+            and request.sent > target.leaving_at + bound
+            and known
             and request.node.calm_for(STABLE_S + late)
         ):
             self.report("DRAIN", "%s got %s %.1f s after it drained" % (target.name, request_id, late))
 
-    def ran(self, target, request_id, method, path, body):
+    def ran(self, target, request_id, method, path, body, fault):
         request = self.requests.get(request_id)
         runs = self.runs[request_id]
-        runs.append((time.monotonic(), target))
+        runs.append(Run(target, fault))
         if not request:
-            return
+            return runs[-1]
         if (method, path, body) != (request.method, request.path, request.body):
             self.report("UNASKED", "%s ran a changed %s" % (target.name, request_id))
         if request.kind == "unsafe" and len(runs) > 1:
-            self.report("TWICE", "%s ran on %s" % (request_id, [t.name for _, t in runs]))
-        if request.kind == "unsafe" and request.end in NOT_RUN:
+            self.report("TWICE", "%s ran on %s" % (request_id, [r.target.name for r in runs]))
+        if request.end in NOT_RUN:
             self.report("REFUSED", "%s ran after its %s" % (request_id, request.end))
         if request.kind == "moved":
             self.check_config(request, target.service)
-        allowed = {"/list/": ("list",), "/pay/": ("pay",), "/export/": ("export",)}
+        allowed = {"/list/": ("list",), "/pay/": ("pay",), "/export/": ("export",),
+                   "/longget/": ("long",), "/longpay/": ("long",)}
         for prefix, services in allowed.items():
             if path.startswith(prefix) and target.service not in services:
                 self.report("ROUTE", "%s ran %s" % (target.service, path))
+        return runs[-1]
 
     def check_config(self, request, service):
         now = time.monotonic()
         version = max(v for _, v, s in self.acked if s == service)
         key = (request.node.name, request.incarnation)
-        due = [v for at, v, _ in self.acked if at + CONFIG_S < request.sent]
-        calm = request.node.calm_for(STABLE_S + CONFIG_S) and self.store.calm_for(STABLE_S + CONFIG_S)
+        due = [v for at, v, _ in self.acked
+               if max(at, self.config_back_at) + CONFIG_S < request.sent]
+        calm_s = STABLE_S + now - request.sent
+        calm = request.node.calm_for(calm_s) and self.store.calm_for(calm_s)
         if due and version < max(due) and calm and self.on_time():
             self.report("CONFIG", "%s shows %d, %d is due" % (request.node.name, version, max(due)))
         known, at = self.seen.get(key, (0, now))
@@ -118,9 +140,11 @@
     def check(self, request):
         node, took = request.node, request.ended - request.sent
         self.count["%s %s" % (request.kind, request.end)] += 1
+        if request.held and node.term_at and request.sent > node.term_at:
+            self.count["after SIGTERM"] += 1
         if request.whole is False:
             self.report("MIXED", "%s got %s, not its own whole answer" % (request.id, request.end))
-        if request.kind == "unsafe" and request.end in NOT_RUN and self.runs.get(request.id):
+        if request.end in NOT_RUN and self.runs.get(request.id):
             self.report("REFUSED", "%s got %s and has run" % (request.id, request.end))
         if request.end in (400, 401, 403, 404, 405, 413, 431):
             self.report("DENIED", "%s got %s at %s" % (request.id, request.end, node.name))
@@ -128,11 +152,6 @@
         late = took - request.deadline_s
         if late > LATE_S and same and node.calm_for(took + STABLE_S) and self.on_time():
             self.report("LATE", "%s ended %.2f s late at %s" % (request.id, late, node.name))
-        stopped = node.term_at and request.sent < node.term_at and same
-        if request.end == "closed" and stopped and took < request.deadline_s * 0.7:
-            bad = [t for _, t in self.runs.get(request.id, []) if t.fault or not t.alive]
-            if not bad and not request.path.startswith("/export/"):
-                self.report("LOST", "%s cut by the stop of %s" % (request.id, node.name))
 
     # The world
 
@@ -149,6 +168,8 @@
             ["r-list", "h.example", "/list/", "safe", "list", 4000, 1000, 3, 1],
             ["r-pay", "h.example", "/pay/", "unsafe", "pay", 4000, 1000, 3, 0],
             ["r-export", "h.example", "/export/", "download", "export", 4000, 1500, 2, 2],
+            ["r-longget", "h.example", "/longget/", "safe", "long", 7000, 6000, 3, 1],
+            ["r-longpay", "h.example", "/longpay/", "unsafe", "long", 7000, 6000, 3, 1],
             ["r-moved", "h.example", "/moved/", "safe", moved, 4000, 1000, 2, 2],
         ]
         value = {
@@ -159,32 +180,59 @@
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 20,
                        "header_timeout_ms": 10000, "idle_timeout_ms": 20000},
         }
-        if self.store.put("op/config", json.dumps(value)):
+        text = json.dumps(value)
+        if self.store.put("op/config", text):
             self.acked.append((time.monotonic(), self.version, moved))
+            self.config, self.config_back_at = text, 0.0
         else:
             self.version -= 1
 
+    def configure_again(self):
+        """Writes the newest acknowledged version once more, if it was lost."""
+        item = self.store.items.get("op/config")
+        same = item and base64.b64decode(item["value"]) == self.config.encode()
+        if not same and not self.store.put("op/config", self.config):
+            return False
+        if self.config_back_at:
+            self.config_back_at = time.monotonic()
+        return True
+
     def next_moved(self):
         """Each version moves the route on, so that the service tells it."""
         name = "moved%d" % len(self.acked)
         return name
 
-    async def add_target(self, service, zone, port=0):
+    async def add_target(self, service, zone):
         self.names += 1
-        target = Target(self, "t%d" % self.names, service, zone)
-        await target.start(port)
+        slots = LONG_SLOTS if service == "long" else 4
+        target = Target(self, "t%d" % self.names, service, zone, slots)
+        await target.start()
         self.targets.append(target)
         return target
 
+    def take_site(self, base):
+        """Addresses that no other soak on this machine uses meanwhile, though it
+        may play the same seed."""
+        for site in range(self.args.seed, self.args.seed + 250):
+            self.site_lock = socket.socket()
+            try:
+                self.site_lock.bind(("127.1.%d.1" % (site % 250), base + 7))
+                return site % 250
+            except OSError:
+                self.site_lock.close()
+        raise RuntimeError("every address is in use")
+
     async def start(self):
-        base = 20000 + self.rng.randrange(0, 3000) * 8
-        for service in ("list", "pay", "export"):
+        # Below the ports that the kernel gives to outgoing connections.
+        base = 20000 + self.rng.randrange(0, 1500) * 8
+        self.tasks.add(asyncio.ensure_future(self.store.copy()))
+        for service in SERVICES[:4]:
             for zone in ZONES:
                 for _ in range(TARGETS_A_ZONE):
                     await self.add_target(service, zone)
-        await self.move()
-        ips = ["127.%d.%d.%d" % (1 + i % 3, self.args.seed % 250, 1 + i // 3)
-               for i in range(self.args.nodes)]
+        await self.move(self.rng)
+        site = self.take_site(base)
+        ips = ["127.%d.%d.%d" % (1 + i % 3, site, 1 + i // 3) for i in range(self.args.nodes)]
         seeds = ["%s:%d" % (ip, base + 2) for ip in ips[:3]]
         for i, ip in enumerate(ips):
             name = "n%d" % i
@@ -196,17 +244,18 @@
         for i in range(12):
             self.callers.append(Caller(self, ZONES[i % 3]))
 
-    async def move(self):
+    async def move(self, rng, wait_s=1.5):
         """A new version, and a target for the service that is new with it."""
         service = self.next_moved()
         global SERVICES
         if service not in SERVICES:
             SERVICES = SERVICES + (service,)
-            await self.add_target(service, self.rng.choice(ZONES))
-            await asyncio.sleep(1.5)  # its entry is known before it is used
+            await self.add_target(service, rng.choice(ZONES))
+            await asyncio.sleep(wait_s)  # its entry is known before it is used
         self.configure(service)
 
     async def load(self, until):
+        self.loading = True
         kinds = (("safe", "/list/1", "GET"), ("unsafe", "/pay/1", "POST"),
                  ("download", "/export/1", "GET"), ("moved", "/moved/1", "GET"))
         tasks = set()
@@ -219,6 +268,7 @@
             tasks.add(task)
             task.add_done_callback(tasks.discard)
             await asyncio.sleep(self.rng.expovariate(RATE))
+        self.loading = False
         if tasks:
             await asyncio.wait(tasks, timeout=8)
 
@@ -237,116 +287,170 @@
 
     # Faults
 
-    def pick_nodes(self, share):
+    def pick_nodes(self, rng, share):
         up = [n for n in self.nodes if n.running() and not n.expected_end]
-        return self.rng.sample(up, min(len(up), max(1, int(len(self.nodes) * share))))
+        return rng.sample(up, min(len(up), max(1, int(len(self.nodes) * share))))
 
-    async def fault_kill(self):
-        nodes = self.pick_nodes(self.rng.choice((0.1, 0.5, 1.0)))
+    async def fault_kill(self, rng):
+        nodes = self.pick_nodes(rng, rng.choice((0.1, 0.5, 1.0)))
         for node in nodes:
             node.kill()
-        await asyncio.sleep(self.rng.uniform(0.3, 1.5))
+        await asyncio.sleep(rng.uniform(0.3, 1.5))
         for node in nodes:
             node.process.wait()
             node.start()
 
-    async def fault_pause(self):
-        nodes = self.pick_nodes(self.rng.choice((0.1, 0.3)))
+    async def fault_pause(self, rng):
+        nodes = self.pick_nodes(rng, rng.choice((0.1, 0.3)))
         for node in nodes:
             node.pause()
-        await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+        await asyncio.sleep(rng.uniform(0.5, 4.0))
         for node in nodes:
             node.resume()
 
-    async def fault_stop(self):
-        for node in self.pick_nodes(self.rng.choice((0.1, 0.4))):
-            if node.expected_end:
-                continue  # another fault has taken it meanwhile
-            await node.stop(self.report)
-            node.process.wait()
+    async def stop_node(self, rng, node, again=True):
+        """A planned stop under callers that hold on to the node, mixed with other
+        planned work, and a start if there is to be one."""
+        holders = asyncio.ensure_future(Holder(self, node).run())
+        self.tasks.add(holders)
+        await asyncio.sleep(AHEAD_S)
+        if node.expected_end:
+            return  # another fault has taken it meanwhile
+        if rng.random() < 0.3:
+            await self.fault_settings(rng)
+        if rng.random() < 0.3:
+            self.tasks.add(asyncio.ensure_future(self.move(rng)))
+        if rng.random() < 0.4:
+            node.ttl_ms = rng.choice((1000, 2000, 3000))
+            node.write_settings()
+            node.hang_up()
+            await asyncio.sleep(rng.choice((0.0, 0.002, 0.1)))
+        if rng.random() < 0.4:
+            self.tasks.add(asyncio.ensure_future(self.terminate_later(rng, node, node.incarnation)))
+        await node.stop(self.report)
+        node.process.wait()
+        if again:
             node.start()
-            await asyncio.sleep(self.rng.uniform(0, 0.5))
 
-    async def fault_settings(self):
-        for node in self.pick_nodes(0.5):
-            node.ttl_ms = self.rng.choice((1000, 2000, 3000))
+    async def terminate_later(self, rng, node, incarnation):
+        """A second SIGTERM during the stop."""
+        await asyncio.sleep(rng.choice((0.0, 1.0, rng.uniform(0, GRACE_S))))
+        if node.incarnation == incarnation and node.running():
+            node.terminate()
+
+    async def fault_stop(self, rng):
+        stops = []
+        for node in self.pick_nodes(rng, rng.choice((0.1, 0.4, 0.7))):
+            if not node.expected_end and not node.paused:
+                stops.append(asyncio.ensure_future(self.stop_node(rng, node)))
+            await asyncio.sleep(rng.choice((0.0, rng.uniform(0, 3.0))))
+        await asyncio.gather(*stops)
+
+    async def fault_settings(self, rng):
+        for node in self.pick_nodes(rng, 0.5):
+            node.ttl_ms = rng.choice((1000, 2000, 3000))
             node.write_settings()
-            if self.rng.random() < 0.7 and not node.expected_end:
-                node.signal(signal.SIGHUP)
+            if rng.random() < 0.7 and not node.expected_end:
+                node.hang_up()
 
-    async def fault_store(self):
-        store, how = self.store, self.rng.choice(("reset", "silent", "503"))
-        what = self.rng.choice(("down", "refused", "slow", "lost", "compact"))
+    async def fault_store(self, rng):
+        store, how = self.store, rng.choice(("reset", "silent", "503"))
+        what = rng.choice(("down", "refused", "slow", "lost", "compact"))
         if what == "down":
             store.down = how
         elif what == "refused":
-            store.refused = {n.name: how for n in self.pick_nodes(0.5)}
+            store.refused = {n.name: how for n in self.pick_nodes(rng, 0.5)}
         elif what == "slow":
-            store.slow_s = self.rng.uniform(0.1, 0.5)
+            store.slow_s = rng.uniform(0.1, 0.5)
         elif what == "lost":
             store.lost = 0.3
         else:
             store.compact()
-        await asyncio.sleep(self.rng.uniform(1.0, 5.0))
+        await asyncio.sleep(rng.uniform(1.0, 5.0))
         store.down, store.refused, store.slow_s, store.lost = None, {}, 0.0, 0.0
         store.disturbed_at = time.monotonic()
 
-    def pick_target(self):
+    def pick_target(self, rng, services=SERVICES[:4]):
         up = [t for t in self.targets
-              if t.alive and not t.leaving_at and t.service in ("list", "pay", "export")]
-        return self.rng.choice(up)
-
-    async def fault_target(self):
-        target = self.pick_target()
-        target.share = self.rng.choice((0.1, 0.6, 1.0))
-        target.fault = self.rng.choice(Target.FAULTS)
-        await asyncio.sleep(self.rng.uniform(1.0, 6.0))
+              if t.alive and not t.leaving_at and t.service in services]
+        return rng.choice(up)
+
+    async def fault_target(self, rng):
+        target = self.pick_target(rng)
+        target.share = rng.choice((0.1, 0.6, 1.0))
+        target.fault = rng.choice(Target.FAULTS)
+        await asyncio.sleep(rng.uniform(1.0, 6.0))
         target.fault = None
 
-    async def fault_target_crash(self):
-        target = self.pick_target()
-        await target.crash(forget=self.rng.random() < 0.5)
-        await asyncio.sleep(self.rng.uniform(0.2, 3.0))
-        again = Target(self, target.name, target.service, target.zone)
+    async def fault_target_crash(self, rng):
+        target = self.pick_target(rng)
+        target.has_successor = True
+        await target.crash(forget=rng.random() < 0.5)
+        await asyncio.sleep(rng.uniform(0.2, 3.0))
+        again = Target(self, target.name, target.service, target.zone, target.slots)
         again.born = int(time.time() * 1000)
-        if self.rng.random() < 0.5:
+        if rng.random() < 0.5:
             self.names += 1
             again.name = "t%d" % self.names
             self.store.delete("servers/" + target.name)
-        await again.start(target.port if self.rng.random() < 0.3 else 0)
+        await again.start(target.reserved if rng.random() < 0.3 else None)
         self.targets.append(again)
 
-    async def fault_target_leaves(self):
-        target = self.pick_target()
+    async def fault_target_leaves(self, rng):
+        target = self.pick_target(rng)
         await self.add_target(target.service, target.zone)
         await asyncio.sleep(1.0)
         await target.leave()
 
-    async def fault_junk(self):
-        self.store.put("servers/junk", self.rng.choice(("{", "[]", '{"service":1}', "\xff")))
+    async def fault_unsafe(self, rng):
+        """Targets run what may run only once, and give no answer."""
+        pay = [t for t in self.targets if t.alive and not t.leaving_at and t.service == "pay"]
+        hit = rng.sample(pay, min(len(pay), 3))
+        for target in hit:
+            target.share, target.fault = 0.3, rng.choice(("lost", "reset", "cut"))
+        await asyncio.sleep(rng.uniform(1.0, 3.0))
+        for target in hit:
+            target.fault = None
 
-    async def fault_config(self):
-        await self.move()
+    async def fault_restore(self, rng):
+        await Restoration(self, rng).run()
+
+    async def fault_junk(self, rng):
+        self.store.put("servers/junk", rng.choice(("{", "[]", '{"service":1}', "\xff")))
+
+    async def fault_config(self, rng):
+        await self.move(rng)
 
     async def faults(self, until):
         kinds = [getattr(self, name) for name in sorted(dir(self)) if name.startswith("fault_")]
-        tasks = set()
+        # The load draws whenever answers come; the faults are to be the same.
+        rng = random.Random("faults %d" % self.args.seed)
+        planned = [self.fault_stop, self.fault_settings, self.fault_config, self.fault_target_leaves]
+        restoring = [self.fault_restore, self.fault_restore] + planned
+        if self.args.only:
+            kinds = planned = restoring = [getattr(self, "fault_" + n) for n in self.args.only.split(",")]
+        spell, spell_ends = kinds, 0.0
+        # In each play: without it no answer tempts a node to repeat a payment.
+        tasks = {asyncio.ensure_future(self.guard(self.fault_unsafe, random.Random(rng.random())))}
         while time.monotonic() < until:
-            fault = self.rng.choice(kinds)
+            if time.monotonic() > spell_ends:
+                spell = rng.choice((kinds, planned, restoring))
+                spell_ends = time.monotonic() + SPELL_S
+            fault = rng.choice(spell)
             print("%7.2f fault %s" % (time.monotonic() - self.begun, fault.__name__), flush=True)
             self.count[fault.__name__] += 1
-            task = asyncio.ensure_future(self.guard(fault))
+            task = asyncio.ensure_future(self.guard(fault, random.Random(rng.random())))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
             # Faults come in series; between them some promises can be checked.
-            pause = PAUSE_S if self.rng.random() < PAUSE_SHARE else 0.0
-            await asyncio.sleep(pause + self.rng.uniform(0.2, 1.5))
+            pause = PAUSE_S if rng.random() < PAUSE_SHARE else 0.0
+            await asyncio.sleep(pause + rng.uniform(0.2, 1.5))
         if tasks:
             await asyncio.wait(tasks)
 
-    async def guard(self, fault):
+    async def guard(self, fault, rng):
         try:
-            await fault()
+            await fault(rng)
         except Exception as error:  # a fault that fails is a fault of the soak
             self.report("SOAK", "%s: %r" % (fault.__name__, error))
 
@@ -370,7 +474,23 @@
         await self.stop_all()
 
     async def stop_all(self):
-        await asyncio.gather(*[n.stop(self.report) for n in self.nodes if n.running()])
+        up = [n for n in self.nodes if n.running() and not n.expected_end]
+        await asyncio.gather(*[self.stop_node(self.rng, n, again=False) for n in up])
+        lost = LostCheck(self)
+        lost.run()
+        print("unanswered and excused: %s" % dict(lost.excused))
+        for caller in self.callers:
+            caller.close()
+        for target in self.targets:
+            if target.alive:
+                await target.crash(forget=False)
+        self.store.close()
+        # What still serves ends here, so that it closes its connection itself.
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.sleep(0.1)
 
 
 def main():
@@ -379,6 +499,7 @@
     parser.add_argument("--seed", type=int, required=True)
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--nodes", type=int, default=6)
+    parser.add_argument("--only", help="faults to draw, with commas between")
     parser.add_argument("--keep", help="folder for settings and logs")
     args = parser.parse_args()
     folder = args.keep or tempfile.mkdtemp(prefix="soak-")
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -37,16 +37,22 @@
         self.fault = None  # one of the kinds in FAULTS
         self.share = 1.0  # of requests that the fault hits
         self.leaving_at = None  # when the store took "draining"
+        self.leaving_known = False  # the nodes have read it
+        self.served = 0
+        self.has_successor = False  # another instance has its id
         self.alive = True
         self.server = None
         self.writers = set()
+        self.reserved = None  # its port; kept when it has crashed
         self.port = 0
 
     FAULTS = ("errors", "hang", "slow", "reset", "lost", "cut", "foreign", "extra", "unproved")
 
-    async def start(self, port=0):
-        self.server = await asyncio.start_server(self._connection, "127.0.0.1", port)
-        self.port = self.server.sockets[0].getsockname()[1]
+    async def start(self, reserved=None):
+        """Listens; reserved: the port of a target that has crashed."""
+        self.reserved = reserved or wire.reserve("127.0.0.1")
+        self.port = self.reserved.getsockname()[1]
+        self.server = await asyncio.start_server(self._connection, "127.0.0.1", self.port)
         self.beat_task = asyncio.ensure_future(self._beat())
 
     def entry(self, state):
@@ -66,13 +72,17 @@
 
     async def _beat(self):
         while self.alive:
-            state = "draining" if self.leaving_at else "ready"
-            key = "servers/" + self.name
-            known = self.world.store.items.get(key)
-            if not known or self._differs(known, state):
-                self.world.store.put(key, self.entry(state))
+            known = self.world.store.items.get("servers/" + self.name)
+            if not known or self._differs(known, self._state()):
+                self.write_entry()
             await asyncio.sleep(BEAT_S)
 
+    def _state(self):
+        return "draining" if self.leaving_at else "ready"
+
+    def write_entry(self):
+        self.world.store.put("servers/" + self.name, self.entry(self._state()))
+
     def _differs(self, known, state):
         return json.loads(base64.b64decode(known["value"])) != json.loads(self.entry(state))
 
@@ -86,6 +96,12 @@
             await asyncio.sleep(0.1)
         await self.crash()
 
+    def note_leaving_is_known(self, known_s):
+        """Called before the store goes away: nodes had the time to read it."""
+        if self.leaving_at:
+            age = time.monotonic() - self.leaving_at
+            self.leaving_known |= age >= known_s and self.world.store.calm_for(age + 3.0)
+
     async def crash(self, forget=True):
         self.alive = False
         self.beat_task.cancel()
@@ -141,9 +157,18 @@
 
     async def _run(self, method, path, request_id, fields, body, base, reader, writer):
         fault = self.fault if self.world.rng.random() < self.share else None
-        self.world.ran(self, request_id, method, path, body)
+        self.served += 1
+        run = self.world.ran(self, request_id, method, path, body, fault)
+        try:
+            return await self._work(path, request_id, fields, base, fault, reader, writer)
+        finally:
+            run.ended = time.monotonic()
+
+    async def _work(self, path, request_id, fields, base, fault, reader, writer):
         left_s = int(fields.get("x-deadline-ms", "10000")) / 1000
         work_s = self.work_s * self.world.rng.uniform(0.5, 1.5)
+        if path.startswith("/long"):  # the path names the milliseconds
+            work_s = int(path.rsplit("/", 1)[1]) / 1000
         if fault == "errors":
             self._send(writer, 500, dict(base, **{"X-Response-Seal": seal_of(request_id)}))
             return True
