Name the requests that a planned stop left unanswered, in run_stop

The logs of the four nodes hold no refusal and no retry, so neither the request nor its cause can be told from them.

The test now prints each such request with its kind, status, error, start and time taken. What it asks for is the same.

--- a/tests/run_stop.c
+++ b/tests/run_stop.c
@@ -50,6 +50,20 @@
 	return plan;
 }
 
+static void print_unanswered(const GArray *results)
+{
+	for (guint i = 0; i < results->len; i++) {
+		const struct fleet_result *r =
+			&g_array_index(results, struct fleet_result, i);
+
+		if (r->unknown || !r->whole)
+			printf("# unanswered: %s kind %u status %ld error %s "
+			       "started at %.3f s took %.3f s\n",
+			       r->token, r->kind, r->status, r->error,
+			       r->start_s, r->took_s);
+	}
+}
+
 /* Fails unless every request was answered well. */
 static void check_uncut(const struct stop_run *run,
 			const struct fleet_plan *plan, const char *name,
@@ -58,6 +72,7 @@
 	struct fleet_history h = fleet_history_of(run->f, plan, results);
 
 	fleet_history_check(name, &h);
+	print_unanswered(results);
 	g_assert_cmpuint(h.cut, ==, 0);
 	g_assert_cmpuint(h.unknown, ==, 0);
 	g_assert_cmpuint(h.good, ==, h.requests);
