--- a/tests/fleet_gwy.c
+++ b/tests/fleet_gwy.c
@@ -33,8 +33,10 @@
 	struct yard *y = task;
 
 	(void)now_us;
-	if (m->type == MSG_STOPPED)
-		y->stopped = true;
+	if (m->type != MSG_STOPPED)
+		return;
+	y->stopped = true;
+	ev_break(y->loop, EVBREAK_ALL);
 }
 
 static const struct bus_task_ops ops = {.name = "test", .receive = receive};
@@ -56,6 +58,20 @@
 	ev_timer_stop(y->loop, &timer);
 }
 
+void yard_stop(struct yard *y)
+{
+	y->node.stopping = true;
+	bus_send_all(y->node.bus, MSG_STOP, NULL);
+	yard_run(y, FS_US_PER_MS);
+}
+
+void yard_exit(struct yard *y)
+{
+	yard_until(y, y->stopped);
+	gwy_free(y->gwy);
+	y->gwy = NULL;
+}
+
 static void add_route(struct cfg_draft *draft, const struct yard_config *config,
 		      const char *name, bool safe)
 {
--- a/tests/fleet_gwy.h
+++ b/tests/fleet_gwy.h
@@ -22,7 +22,7 @@
 	struct gwy *gwy;
 	struct fake *targets[YARD_TARGETS_MAX];
 	uint32_t target_count;
-	bool stopped; /* MSG_STOPPED was seen */
+	bool stopped; /* MSG_STOPPED was seen; it leaves the loop */
 };
 
 /** What differs between the configurations of a test. */
@@ -45,6 +45,12 @@
 void yard_end(struct yard *y);
 void yard_run(struct yard *y, int64_t us);
 
+/** Begins a planned stop. */
+void yard_stop(struct yard *y);
+/** Runs until the stop ends, and exits as the process does: nothing runs after
+ *  MSG_STOPPED. The gateway is freed then. */
+void yard_exit(struct yard *y);
+
 /** Puts a configuration in force. yard_begin() puts version 1. */
 void yard_configure(struct yard *y, const struct yard_config *config);
 
--- a/tests/unit_gwy_stop.c
+++ b/tests/unit_gwy_stop.c
@@ -22,53 +22,17 @@
 
 static struct yard y;
 static struct yard_caller c;
-static bool gateway_freed;
-
-/* The process leaves its loop at once. */
-static void receive(void *task, struct msg *m, int64_t now_us)
-{
-	struct yard *yard = task;
-
-	(void)now_us;
-	if (m->type != MSG_STOPPED)
-		return;
-	yard->stopped = true;
-	ev_break(yard->loop, EVBREAK_ALL);
-}
-
-static const struct bus_task_ops node_ops = {
-	.name = "test",
-	.receive = receive,
-};
 
 static void begin(void)
 {
 	yard_begin(&y);
-	bus_attach(y.node.bus, MSG_TASK_NODE, &node_ops, &y);
 	y.node.set.stop_grace_us = GRACE_US;
-	gateway_freed = false;
-}
-
-static void begin_stop(void)
-{
-	y.node.stopping = true;
-	bus_send_all(y.node.bus, MSG_STOP, NULL);
-	yard_run(&y, FS_US_PER_MS);
-}
-
-/* Exits as the process does: nothing runs after MSG_STOPPED. */
-static void run_until_exit(void)
-{
-	yard_until(&y, y.stopped);
-	gwy_free(y.gwy);
-	y.gwy = NULL;
-	gateway_freed = true;
 }
 
 static void end(void)
 {
 	yard_hang_up(&c);
-	if (!gateway_freed)
+	if (y.gwy)
 		yard_run(&y, 5000);
 	yard_end(&y);
 }
@@ -170,8 +134,8 @@
 	yard_target(&y, "pay", serve_nothing, NULL);
 	yard_call(&y, &c, PAY_REQUEST);
 	yard_until(&y, yard_arrivals(&y) == 1);
-	begin_stop();
-	run_until_exit();
+	yard_stop(&y);
+	yard_exit(&y);
 	expect_whole(504, "\"stopped\"");
 	end();
 }
@@ -184,9 +148,9 @@
 	yard_target(&y, "pay", serve_nothing, NULL);
 	yard_call(&y, &c, PAY_HEAD);
 	yard_run(&y, 20 * FS_US_PER_MS);
-	begin_stop();
+	yard_stop(&y);
 	g_assert_cmpint(send(c.fd, "a=1", 3, MSG_NOSIGNAL), ==, 3);
-	run_until_exit();
+	yard_exit(&y);
 	expect_whole(504, "\"stopped\"");
 	end();
 }
@@ -200,7 +164,7 @@
 	begin();
 	yard_target(&y, "pay", serve_slowly, NULL);
 	serve_one(PAY_REQUEST);
-	begin_stop();
+	yard_stop(&y);
 	yard_run(&y, LAST_ANSWER_US - 2 * WORK_US);
 	sent_us = fs_now_us();
 	yard_call(&y, &c, PAY_REQUEST);
@@ -235,13 +199,13 @@
 	yard_target(&y, "pay", serve_first_only, &served);
 	yard_call(&y, &c, PAY_REQUEST);
 	yard_expect(&y, &c, 200);
-	begin_stop();
+	yard_stop(&y);
 	/* A body that does not end keeps the gateway running. */
 	yard_call(&y, &slow, PAY_HEAD);
 	yard_run(&y, 4800 * FS_US_PER_MS);
 	send_again(PAY_REQUEST);
 	yard_expect(&y, &c, 503);
-	run_until_exit();
+	yard_exit(&y);
 	expect_whole(503, "\"stopping\"");
 	g_assert_cmpuint(yard_arrivals(&y), ==, 1);
 	yard_hang_up(&slow);
@@ -254,7 +218,7 @@
 	begin();
 	yard_target(&y, "pay", serve_slowly, NULL);
 	serve_one(PAY_REQUEST);
-	begin_stop();
+	yard_stop(&y);
 	yard_call(&y, &c, PAY_REQUEST);
 	yard_expect(&y, &c, 200);
 	end();
@@ -275,7 +239,7 @@
 		GRACE_US - LAST_ANSWER_US + ERROR_US + WORK_US / 2;
 	yard_call(&y, &c, LIST_REQUEST);
 	yard_until(&y, yard_arrivals(&y) == 2);
-	begin_stop();
+	yard_stop(&y);
 	yard_expect(&y, &c, 500);
 	g_assert_cmpuint(yard_arrivals(&y), ==, 2);
 	end();
@@ -286,9 +250,9 @@
 static void test_unsent_request_is_refused(void)
 {
 	begin();
-	begin_stop();
+	yard_stop(&y);
 	yard_call(&y, &c, LIST_REQUEST);
-	run_until_exit();
+	yard_exit(&y);
 	expect_whole(503, "\"no_target\"");
 	end();
 }
@@ -300,7 +264,7 @@
 	begin();
 	y.node.set.stop_grace_us = 6 * FS_US_PER_S;
 	yard_target(&y, "pay", serve_nothing, NULL);
-	begin_stop();
+	yard_stop(&y);
 	yard_call(&y, &c,
 		  "POST /pay/1 HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n"
 		  "X-Left: 9000\r\nContent-Length: 3\r\n\r\na=1");
@@ -317,9 +281,9 @@
 	yard_target(&y, "pay", serve_nothing, NULL);
 	yard_call(&y, &c, PAY_REQUEST);
 	yard_until(&y, yard_arrivals(&y) == 1);
-	begin_stop();
+	yard_stop(&y);
 	g_usleep(GRACE_US);
-	run_until_exit();
+	yard_exit(&y);
 	expect_whole(504, "\"stopped\"");
 	end();
 }
@@ -334,14 +298,14 @@
 	yard_target(&y, "list", serve_at_once, NULL);
 	yard_call(&y, &c, LIST_REQUEST);
 	yard_expect(&y, &c, 200);
-	begin_stop();
+	yard_stop(&y);
 	yard_run(&y, DRAINED_US - 20 * FS_US_PER_MS);
 	g_assert_false(y.stopped);
 	g_assert_cmpint(
 		send(c.fd, LIST_REQUEST, strlen(LIST_REQUEST), MSG_NOSIGNAL), >,
 		0);
 	g_usleep(60 * FS_US_PER_MS);
-	run_until_exit();
+	yard_exit(&y);
 	yard_run(&y, 20 * FS_US_PER_MS);
 	g_assert_cmpuint(yard_arrivals(&y), ==, 1);
 	end();
@@ -355,12 +319,12 @@
 	yard_target(&y, "list", serve_stream, NULL);
 	yard_call(&y, &c, LIST_REQUEST);
 	yard_until(&y, yard_arrivals(&y) == 1);
-	begin_stop();
+	yard_stop(&y);
 	while (!y.stopped) {
 		yard_run(&y, 2000);
 		yard_read(&c);
 	}
-	run_until_exit();
+	yard_exit(&y);
 	yard_read(&c);
 	g_assert_true(g_str_has_suffix(c.got->str, "the end"));
 	end();
@@ -375,8 +339,8 @@
 	y.node.set.stop_grace_us = 800 * FS_US_PER_MS;
 	yard_call(&y, &c, PAY_REQUEST);
 	yard_run(&y, 20 * FS_US_PER_MS);
-	begin_stop();
-	run_until_exit();
+	yard_stop(&y);
+	yard_exit(&y);
 	expect_whole(503, "\"not_ready\"");
 	end();
 }
@@ -391,12 +355,12 @@
 	yard_target(&y, "pay", serve_at_once, NULL);
 	yard_call(&y, &c, PAY_REQUEST);
 	yard_expect(&y, &c, 200);
-	begin_stop();
+	yard_stop(&y);
 	yard_call(&y, &slow, PAY_HEAD);
 	yard_run(&y, LAST_ANSWER_US + 100 * FS_US_PER_MS);
 	send_again(PAY_REQUEST);
 	g_assert_cmpint(send(slow.fd, "a=1", 3, MSG_NOSIGNAL), ==, 3);
-	run_until_exit();
+	yard_exit(&y);
 	expect_whole(503, "\"stopping\"");
 	yard_hang_up(&c);
 	c = slow;
@@ -414,10 +378,10 @@
 		  "POST /pay/1 HTTP/1.1\r\n" FIELDS
 		  "Transfer-Encoding: chunked\r\n\r\n3\r\na=1\r\n");
 	yard_run(&y, 20 * FS_US_PER_MS);
-	begin_stop();
+	yard_stop(&y);
 	yard_run(&y, 20 * FS_US_PER_MS);
 	g_assert_cmpint(send(c.fd, "0\r\n\r\n", 5, MSG_NOSIGNAL), ==, 5);
-	run_until_exit();
+	yard_exit(&y);
 	expect_whole(504, "\"stopped\"");
 	end();
 }
@@ -439,8 +403,8 @@
 	g_assert_true(g_hash_table_iter_next(&iter, &request, NULL));
 	yard_shrink_sockets(&c, request);
 	log_fd = yard_log_begin();
-	begin_stop();
-	run_until_exit();
+	yard_stop(&y);
+	yard_exit(&y);
 	log = yard_log_end(log_fd);
 	g_assert_nonnull(strstr(log, "\"event\":\"answer_cut\""));
 	g_assert_nonnull(strstr(log, "\"reason\":\"stopped\""));
