Read what has arrived before an answer is given up at a deadline

A caller got 504 "stopped", or 504 "deadline", though the target's whole answer had come in time: the process was paused or busy over the deadline, and the answer lay in its socket. libev serves the timers of a turn before its sockets, and the two timers of a deadline, of the request and of the exchange, closed the connection unread. The same for the time-out of heads in the daemon.

A timer that finds unread bytes lets the loop turn first, at most as often as a buffered answer takes to read, so that a target that goes on sending does not hold its request (unit_gwy endless_body_ends_in_time, and unfinished_answer_ends_at_the_time_out). A lower priority of these timers was ruled out: libcurl reads 16 KiB of an answer in a turn. libcurl tells the socket of a transfer only when it has ended, so the exchange asks the pool for it.

After a pause over the exit the next tick of the stop comes in the next turn, libev catches up with missed ticks; the exit waits for the length of a tick instead.

--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -85,6 +85,7 @@
 	bool parked;		     /* deferred until a target has capacity */
 	const char *no_retry_reason; /* why there was no retry, for the log */
 	ev_timer timer;
+	unsigned int late_turns; /* see TGT_LATE_TURNS_MAX */
 	/* The caller's connection, while suspended. */
 	struct htd_gone disconnect_watch;
 	/* The answer */
@@ -120,7 +121,7 @@
 	int64_t stop_us;	/* when the stop began */
 	int64_t last_answer_us; /* of the stop: all requests end by then */
 	int64_t exit_us;	/* of the stop: answers are sent until then */
-	bool ending; /* a tick of the stop has passed since last_answer_us */
+	int64_t ending_us; /* of the first tick after last_answer_us; 0: none */
 	ev_timer stop_timer;
 	bool quiesced;
 };
--- a/src/gwy_stop.c
+++ b/src/gwy_stop.c
@@ -17,13 +17,12 @@
 {
 	int64_t since_us = now_us - gwy->stop_us;
 
-	/* After a pause the last answers may only just have been queued. */
-	if (now_us >= gwy->last_answer_us && !gwy->ending) {
-		gwy->ending = true;
-		return false;
-	}
+	if (now_us >= gwy->last_answer_us && !gwy->ending_us)
+		gwy->ending_us = now_us;
+	/* After a pause the last answers may only just have been read or
+	 * queued. */
 	if (now_us >= gwy->exit_us)
-		return true;
+		return now_us - gwy->ending_us >= TICK_US;
 	if (since_us < ACCEPT_US)
 		return false;
 	if (!gwy->quiesced) {
--- a/src/tgt.c
+++ b/src/tgt.c
@@ -99,7 +99,8 @@
 	if (!tgt->reused)
 		tgt_pool_register(tgt->pool, ends, tgt->fd);
 	else
-		tgt->connection_stale = !tgt_pool_is_idle(tgt->pool, ends);
+		tgt->connection_stale =
+			!tgt_pool_is_idle(tgt->pool, ends, &tgt->fd);
 	return !tgt->connection_stale;
 }
 
@@ -170,6 +171,17 @@
 	ev_timer_start(loop, &tgt->timer);
 }
 
+/* Waits a turn of the loop, in which libcurl reads what has arrived. */
+static bool waits_a_turn(struct tgt *tgt)
+{
+	if (tgt->late_turns == TGT_LATE_TURNS_MAX || !tgt_has_unread(tgt))
+		return false;
+	tgt->late_turns++;
+	ev_timer_set(&tgt->timer, 0.0, 0.0);
+	ev_timer_start(crl_loop(tgt->crl), &tgt->timer);
+	return true;
+}
+
 static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct tgt *tgt = timer->data;
@@ -177,6 +189,9 @@
 
 	(void)loop;
 	(void)events;
+	if (waits_a_turn(tgt))
+		return;
+	tgt->late_turns = 0;
 	if (now_us < tgt->deadline_us && !tgt->headers_complete &&
 	    now_us >= tgt->headers_deadline_us &&
 	    !tgt->ops->headers_overdue(tgt->arg, tgt))
@@ -280,6 +295,15 @@
 	return written;
 }
 
+bool tgt_has_unread(const struct tgt *tgt)
+{
+	char byte;
+
+	/* libcurl tells the socket only after the transfer. */
+	return tgt->written && !tgt->ended && !tgt->paused &&
+	       recv(tgt->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
+}
+
 uint32_t tgt_status(const struct tgt *tgt)
 {
 	return tgt->status;
--- a/src/tgt.h
+++ b/src/tgt.h
@@ -18,6 +18,9 @@
  * Bytes behind the last chunk, or behind an answer to HEAD, are discarded: the
  * answer itself is complete.
  *
+ * A process that was paused or busy over a time limit first reads what arrived
+ * meanwhile, so that an answer that came in time is not given up.
+ *
  * With a dialect (see struct tgt_dialect) some of this differs.
  *
  * Limits: an answer's header fields are limited by TGT_HEADERS_MAX and
@@ -34,6 +37,10 @@
 #define TGT_HEADER_BYTES_MAX (64 * 1024) /* bytes of all of them */
 #define TGT_CONNECT_MAX_US 1000000LL	 /* longest time to connect */
 #define TGT_POOL_CONNECTIONS 512	 /* idle connections at most */
+/* Turns of the loop after a time limit in which what has arrived is still read:
+ * libcurl reads 16 KiB of an answer in a turn. */
+#define TGT_LATE_TURNS_MAX \
+	((FS_ANSWER_WHOLE_MAX + TGT_HEADER_BYTES_MAX) / (16 * 1024) + 2)
 
 struct tgt;
 
@@ -115,6 +122,10 @@
 /** Returns whether a byte of the request may have reached the target. */
 bool tgt_written(const struct tgt *tgt);
 
+/** Returns whether bytes of the answer, or its end, have arrived and were not
+ *  read yet. */
+bool tgt_has_unread(const struct tgt *tgt);
+
 /** Returns whether the connection came from the pool. */
 bool tgt_reused(const struct tgt *tgt);
 
--- a/src/tgt_impl.h
+++ b/src/tgt_impl.h
@@ -10,7 +10,7 @@
 struct tgt {
 	struct tgt_pool *pool;
 	struct crl *crl;  /* of the pool */
-	curl_socket_t fd; /* the socket opened last */
+	curl_socket_t fd; /* of the connection, once written */
 	CURL *easy;
 	struct curl_slist *fields;
 	GBytes *body;
@@ -33,6 +33,7 @@
 	bool ended;
 	bool streaming;
 	bool paused;
+	unsigned int late_turns; /* see TGT_LATE_TURNS_MAX */
 
 	/* The answer */
 	bool headers_complete;
--- a/src/tgt_pool.c
+++ b/src/tgt_pool.c
@@ -82,15 +82,15 @@
 }
 
 bool tgt_pool_is_idle(const struct tgt_pool *pool,
-		      const struct tgt_endpoints *ends)
+		      const struct tgt_endpoints *ends, curl_socket_t *fd)
 {
 	g_autofree char *text = format_endpoints(ends);
-	void *fd;
+	void *value;
 	char byte;
 
-	if (!g_hash_table_lookup_extended(pool->fds, text, NULL, &fd))
+	if (!g_hash_table_lookup_extended(pool->fds, text, NULL, &value))
 		return false;
-	return recv(GPOINTER_TO_INT(fd), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <
-		       0 &&
+	*fd = GPOINTER_TO_INT(value);
+	return recv(*fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
 	       (errno == EAGAIN || errno == EWOULDBLOCK);
 }
--- a/src/tgt_pool.h
+++ b/src/tgt_pool.h
@@ -40,8 +40,11 @@
 void tgt_pool_register(struct tgt_pool *pool, const struct tgt_endpoints *ends,
 		       curl_socket_t fd);
 
-/** Returns whether a pooled connection is open and has nothing to be read. */
+/**
+ * Returns whether a pooled connection is open and has nothing to be read.
+ * @param fd  out: its socket, if it is known
+ */
 bool tgt_pool_is_idle(const struct tgt_pool *pool,
-		      const struct tgt_endpoints *ends);
+		      const struct tgt_endpoints *ends, curl_socket_t *fd);
 
 #endif
--- /dev/null
+++ b/tests/unit_gwy_late.c
@@ -0,0 +1,169 @@
+/* The gateway task when it acts late: it was paused or busy over a deadline or over
+ * the end of a planned stop, and what came in time lies unread in its sockets. */
+#include <string.h>
+
+#include "fleet_gwy.h"
+#include "fs_log.h"
+
+#define FIELDS "Host: h\r\nX-Id: r1\r\nX-Left: 9000\r\n"
+#define PAY_HEAD "POST /pay/1 HTTP/1.1\r\n" FIELDS "Content-Length: 3\r\n\r\n"
+#define PAY_REQUEST PAY_HEAD "a=1"
+#define LIST_REQUEST "GET /list/1?q=1 HTTP/1.1\r\n" FIELDS "\r\n"
+/* Ends before the routes' time-outs do. */
+#define GRACE_US (1200 * FS_US_PER_MS)
+#define BEFORE_END_US (700 * FS_US_PER_MS)
+#define PAUSE_US (300 * FS_US_PER_MS)
+#define BUFFERED_BODY (126 * 1024)
+
+static struct yard y;
+static struct yard_caller c;
+static struct fake_conn *held; /* whose request the test answers */
+static const struct fake_request *held_request;
+
+static void begin(void)
+{
+	held = NULL;
+	yard_begin(&y);
+	y.node.set.stop_grace_us = GRACE_US;
+}
+
+static void end(void)
+{
+	yard_hang_up(&c);
+	if (y.gwy)
+		yard_run(&y, 5000);
+	yard_end(&y);
+}
+
+static void hold(void *arg, struct fake_conn *conn,
+		 const struct fake_request *request)
+{
+	(void)arg;
+	held = conn;
+	held_request = request;
+}
+
+/* Answers the first request of a connection, and holds the others. */
+static void hold_later(void *arg, struct fake_conn *conn,
+		       const struct fake_request *request)
+{
+	if (request->nth == 1)
+		yard_ok(conn, request, "first");
+	else
+		hold(arg, conn, request);
+}
+
+/* One turn of the loop, in which the target writes; the gateway reads in the next
+ * one. */
+static void answer_unread(const char *body)
+{
+	yard_ok(held, held_request, body);
+	ev_run(y.loop, EVRUN_NOWAIT);
+}
+
+static void expect_body(const char *body)
+{
+	yard_expect(&y, &c, 200);
+	yard_until(&y, (yard_read(&c), g_str_has_suffix(c.got->str, body)));
+}
+
+/* The target's answer comes before the end of the stop, the process wakes up
+ * after it. */
+static void pause_over_the_end(const char *body, int64_t pause_us)
+{
+	begin();
+	yard_target(&y, "pay", hold, NULL);
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_until(&y, held);
+	yard_stop(&y);
+	yard_run(&y, BEFORE_END_US);
+	answer_unread(body);
+	g_usleep(pause_us);
+	yard_exit(&y);
+	expect_body(body);
+	end();
+}
+
+/* Guards against an answer of a target that is replaced by "stopped" though it
+ * came in time. */
+static void test_answer_before_the_end_is_passed_on(void)
+{
+	pause_over_the_end("hello", PAUSE_US);
+}
+
+/* The same with one that takes several reads. */
+static void test_long_answer_before_the_end_is_passed_on(void)
+{
+	g_autofree char *body = g_strnfill(BUFFERED_BODY, 'x');
+
+	pause_over_the_end(body, PAUSE_US);
+}
+
+/* The same with a pause over the exit as well. */
+static void test_long_answer_before_the_exit_is_passed_on(void)
+{
+	g_autofree char *body = g_strnfill(BUFFERED_BODY, 'x');
+
+	pause_over_the_end(body, GRACE_US);
+}
+
+/* The same at the time-out of a route. */
+static void test_long_answer_before_the_time_out_is_passed_on(void)
+{
+	g_autofree char *body = g_strnfill(BUFFERED_BODY, 'x');
+
+	begin();
+	yard_target(&y, "pay", hold, NULL);
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_until(&y, held);
+	yard_run(&y, YARD_TIMEOUT_MS * FS_US_PER_MS - PAUSE_US / 2);
+	answer_unread(body);
+	g_usleep(PAUSE_US);
+	expect_body(body);
+	end();
+}
+
+/* The same on a connection from the pool, whose socket is found otherwise. */
+static void test_answer_on_a_pooled_connection_is_passed_on(void)
+{
+	begin();
+	yard_target(&y, "list", hold_later, NULL);
+	yard_call(&y, &c, LIST_REQUEST);
+	expect_body("first");
+	yard_send(&c, LIST_REQUEST);
+	yard_until(&y, held);
+	yard_run(&y, YARD_TIMEOUT_MS * FS_US_PER_MS - PAUSE_US / 2);
+	answer_unread("second");
+	g_usleep(PAUSE_US);
+	expect_body("second");
+	end();
+}
+
+/* An answer that is still on its way ends in time all the same. */
+static void test_unfinished_answer_ends_at_the_time_out(void)
+{
+	begin();
+	yard_target(&y, "pay", hold, NULL);
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_until(&y, held);
+	fake_send_text(held, "HTTP/1.1 200 OK\r\nX-Id: r1\r\n");
+	ev_run(y.loop, EVRUN_NOWAIT);
+	g_usleep(YARD_TIMEOUT_MS * FS_US_PER_MS);
+	yard_expect(&y, &c, 504);
+	end();
+}
+
+#define ADD(name) g_test_add_func("/gwy_late/" #name, test_##name)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	fs_log_init("test", 2);
+	ADD(answer_before_the_end_is_passed_on);
+	ADD(long_answer_before_the_end_is_passed_on);
+	ADD(long_answer_before_the_exit_is_passed_on);
+	ADD(long_answer_before_the_time_out_is_passed_on);
+	ADD(answer_on_a_pooled_connection_is_passed_on);
+	ADD(unfinished_answer_ends_at_the_time_out);
+	return g_test_run();
+}
