Pass a target's failure on if its retry brings nothing

A caller of a route that may be repeated got the gateway's 504 "stopped" (or "deadline"), or 502, in place of a target's own answer: a first attempt had brought a whole 500, its retry was still running at the end of the stop, or was refused. The last attempt alone decided on the answer. Said before the change:

unit_gwy failure_is_forwarded_if_retry_is_refused: expected 500, got: HTTP/1.1 502 Bad Gateway unit_gwy_stop failure_outlasts_its_retry: expected 500, got: HTTP/1.1 504 Gateway Timeout

Now the last whole answer of any attempt is passed on before an error of the gateway's own is made. Requests that may not be repeated are not touched: their second attempt follows only on one that has not run, which is no such answer.

--- a/src/gwy_answer.c
+++ b/src/gwy_answer.c
@@ -107,6 +107,17 @@
 	queue_answer(req, response, t->status);
 }
 
+struct gwy_attempt *gwy_answer_find(struct gwy_request *req)
+{
+	for (uint32_t i = req->attempt_count; i > 0; i--) {
+		struct gwy_attempt *t = &req->attempts[i - 1];
+
+		if (t->tgt && !t->in_flight && !t->err && !t->not_run)
+			return t;
+	}
+	return NULL;
+}
+
 void gwy_answer_refuse(struct gwy_request *req, int err, int64_t retry_after_us,
 		       int64_t now_us)
 {
--- a/src/gwy_deadline.c
+++ b/src/gwy_deadline.c
@@ -43,6 +43,7 @@
 
 void gwy_deadline_passed(struct gwy_request *req, int64_t now_us)
 {
+	struct gwy_attempt *answered;
 	int err;
 
 	if (req->late_turns < TGT_LATE_TURNS_MAX && has_unread_answer(req)) {
@@ -58,7 +59,12 @@
 	}
 	if (!gwy_ends_with_node(req))
 		report_overdue(req);
+	answered = gwy_answer_find(req);
+	if (answered)
+		gwy_answer_buffered(answered, now_us);
 	gwy_request_cancel_attempts(req);
+	if (answered)
+		return;
 	err = gwy_deadline_err(req);
 	gwy_answer_refuse(
 		req, err,
--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -194,6 +194,9 @@
 		       int64_t now_us);
 /** Returns the mean size of the answers of a request's route, 0 if unknown. */
 int64_t gwy_answer_mean_bytes(const struct gwy_request *req);
+/** Returns the last attempt that brought a complete answer of a target which can
+ *  be forwarded, or NULL. */
+struct gwy_attempt *gwy_answer_find(struct gwy_request *req);
 /** Starts to forward an answer while it arrives. */
 void gwy_answer_stream(struct gwy_attempt *t, int64_t now_us);
 
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -339,10 +339,11 @@
 static void finish(struct gwy_attempt *t, int64_t now_us)
 {
 	struct gwy_request *req = t->req;
+	struct gwy_attempt *answered = gwy_answer_find(req);
 	int err;
 
-	if (!t->err && !t->not_run) {
-		gwy_answer_buffered(t, now_us);
+	if (answered) {
+		gwy_answer_buffered(answered, now_us);
 		return;
 	}
 	err = final_err(t);
--- a/tests/unit_gwy.c
+++ b/tests/unit_gwy.c
@@ -164,6 +164,35 @@
 	end();
 }
 
+static void serve_error_then_shed(void *arg, struct fake_conn *conn,
+				  const struct fake_request *request)
+{
+	int *served = arg;
+
+	(void)request;
+	fake_send_text(conn,
+		       (*served)++ ?
+			       "HTTP/1.1 503 Full\r\nX-Id: r1\r\n"
+			       "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n" :
+			       "HTTP/1.1 500 No\r\nX-Id: r1\r\n"
+			       "Content-Length: 3\r\n\r\nown");
+}
+
+/* Guards against a target's failure that is replaced by one of the gateway's, as
+ * the target of the retry refuses it. */
+static void test_failure_is_forwarded_if_retry_is_refused(void)
+{
+	int served = 0;
+
+	begin();
+	yard_target(&y, "list", serve_error_then_shed, &served);
+	yard_target(&y, "list", serve_error_then_shed, &served);
+	yard_call(&y, &c, LIST_REQUEST);
+	yard_expect(&y, &c, 500);
+	g_assert_true(g_str_has_suffix(c.got->str, "own"));
+	end();
+}
+
 static void test_failure_is_forwarded_if_unsafe(void)
 {
 	int failed = 0;
@@ -597,6 +626,8 @@
 			test_failure_is_retried_if_safe);
 	g_test_add_func("/gwy/failure_is_forwarded_if_unsafe",
 			test_failure_is_forwarded_if_unsafe);
+	g_test_add_func("/gwy/failure_is_forwarded_if_retry_is_refused",
+			test_failure_is_forwarded_if_retry_is_refused);
 	g_test_add_func("/gwy/last_resort_is_for_safe_requests",
 			test_last_resort_is_for_safe_requests);
 	g_test_add_func("/gwy/not_run_is_retried", test_not_run_is_retried);
--- a/tests/unit_gwy_stop.c
+++ b/tests/unit_gwy_stop.c
@@ -245,6 +245,36 @@
 	end();
 }
 
+/* Fails the first request of all targets at once, and never answers the others. */
+static void serve_failure_first(void *arg, struct fake_conn *conn,
+				const struct fake_request *request)
+{
+	int *served = arg;
+
+	(void)request;
+	if (!(*served)++)
+		fake_send_text(conn, "HTTP/1.1 500 No\r\nX-Id: r1\r\n"
+				     "Content-Length: 8\r\n\r\nits own\n");
+}
+
+/* Guards against a target's answer that is replaced by "stopped": it is a failure,
+ * and its retry does not end before the exit. */
+static void test_failure_outlasts_its_retry(void)
+{
+	int served = 0;
+
+	begin();
+	yard_target(&y, "list", serve_failure_first, &served);
+	yard_target(&y, "list", serve_failure_first, &served);
+	yard_call(&y, &c, LIST_REQUEST);
+	yard_until(&y, yard_arrivals(&y) == 2);
+	yard_stop(&y);
+	yard_exit(&y);
+	yard_expect(&y, &c, 500);
+	g_assert_true(g_str_has_suffix(c.got->str, "its own\n"));
+	end();
+}
+
 /* Guards against a request that waits unsent until the exit: no target is
  * there, and its caller is told in time to try another node. */
 static void test_unsent_request_is_refused(void)
@@ -425,6 +455,8 @@
 			test_early_request_is_served);
 	g_test_add_func("/gwy_stop/late_retry_is_not_begun",
 			test_late_retry_is_not_begun);
+	g_test_add_func("/gwy_stop/failure_outlasts_its_retry",
+			test_failure_outlasts_its_retry);
 	g_test_add_func("/gwy_stop/unsent_request_is_refused",
 			test_unsent_request_is_refused);
 	g_test_add_func("/gwy_stop/time_out_is_not_the_stop",
