Read what arrived during a pause before connections time out

A caller that sent a request on an open connection, or the end of a body, while the process was paused found the connection closed without an answer: with the pause, its idle limit had passed. libmicrohttpd closes connections whose time is up before it reads, also if epoll has just named them readable (seen with strace: epoll_pwait returns EPOLLIN for both, shutdown() follows without a recv()).

unit_gwy_late request_before_a_long_pause_is_served: expected 200, got: (closed)

A run of the library that is over a second late now lets the idle time of all connections begin anew. A shorter delay needs nothing: connections are closed a second after their limit. Sorting the library's timers behind its sockets in libev was ruled out, the order is inside MHD_run().

--- a/src/htd.c
+++ b/src/htd.c
@@ -16,6 +16,10 @@
 #define FIELD_MEMORY 96
 #define OWN_HEAD_MEMORY 1024
 
+/* A process that runs this late was paused. Callers leave an idle connection
+ * earlier than its limit by more than that. */
+#define PAUSE_US FS_US_PER_S
+
 struct htd {
 	struct ev_loop *loop;
 	struct MHD_Daemon *daemon;
@@ -26,17 +30,53 @@
 	GHashTable *connections; /* struct MHD_Connection, open */
 	ev_io io;
 	ev_timer timer;
+	int64_t due_us; /* when a connection's time is up; 0: none waits */
 };
 
+static void set_idle(struct MHD_Connection *connection, unsigned int idle_s)
+{
+	MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
+				  idle_s);
+}
+
+static unsigned int idle_of(struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		connection, MHD_CONNECTION_INFO_CONNECTION_TIMEOUT);
+
+	return info ? info->connection_timeout : 0;
+}
+
+/* Lets the idle time of all connections begin anew. The library closes those
+ * whose time is up before it reads what arrived during a pause. */
+static void restart_idle(struct htd *htd)
+{
+	GHashTableIter iter;
+	void *connection;
+
+	g_hash_table_iter_init(&iter, htd->connections);
+	while (g_hash_table_iter_next(&iter, &connection, NULL)) {
+		unsigned int idle_s = idle_of(connection);
+
+		/* The time starts when a limit is set where there was none. */
+		set_idle(connection, 0);
+		set_idle(connection, idle_s);
+	}
+}
+
 /* Runs the library, then waits as long as it says: without that timer idle
  * connections would never be closed. */
 static void run(struct htd *htd)
 {
 	MHD_UNSIGNED_LONG_LONG wait_ms;
 
+	if (htd->due_us && fs_now_us() - htd->due_us > PAUSE_US)
+		restart_idle(htd);
+	htd->due_us = 0;
 	MHD_run(htd->daemon);
 	ev_timer_stop(htd->loop, &htd->timer);
 	if (MHD_get_timeout(htd->daemon, &wait_ms) == MHD_YES) {
+		htd->due_us = fs_now_us() + (int64_t)wait_ms * FS_US_PER_MS;
 		ev_timer_set(&htd->timer, (double)wait_ms / 1000.0, 0.0);
 		ev_timer_start(htd->loop, &htd->timer);
 	}
@@ -56,12 +96,6 @@
 	run(timer->data);
 }
 
-static void set_idle(struct MHD_Connection *connection, unsigned int idle_s)
-{
-	MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
-				  idle_s);
-}
-
 static enum MHD_Result count_field(void *arg, enum MHD_ValueKind kind,
 				   const char *name, const char *value)
 {
@@ -90,14 +124,6 @@
 	return MAX(htd->connection_memory, used + 1) - used;
 }
 
-static unsigned int idle_of(struct MHD_Connection *connection)
-{
-	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-		connection, MHD_CONNECTION_INFO_CONNECTION_TIMEOUT);
-
-	return info ? info->connection_timeout : 0;
-}
-
 static void extend_idle(struct MHD_Connection *connection, unsigned int idle_s)
 {
 	if (idle_of(connection) < idle_s)
--- a/tests/unit_gwy_late.c
+++ b/tests/unit_gwy_late.c
@@ -43,6 +43,13 @@
 	held_request = request;
 }
 
+static void serve_ok(void *arg, struct fake_conn *conn,
+		     const struct fake_request *request)
+{
+	(void)arg;
+	yard_ok(conn, request, "hello");
+}
+
 /* Answers the first request of a connection, and holds the others. */
 static void hold_later(void *arg, struct fake_conn *conn,
 		       const struct fake_request *request)
@@ -139,6 +146,34 @@
 	end();
 }
 
+/* Guards against a connection that is closed with a request in it, because its idle
+ * limit passed while the process was paused; the same with the end of a body. */
+static void test_request_before_a_long_pause_is_served(void)
+{
+	const struct yard_config config = {
+		.version = 2,
+		.idle_us = FS_US_PER_S / 2,
+		.timeout_us = 8 * FS_US_PER_S,
+	};
+	struct yard_caller slow;
+
+	begin();
+	yard_configure(&y, &config);
+	yard_target(&y, "pay", serve_ok, NULL);
+	yard_call(&y, &c, PAY_REQUEST);
+	expect_body("hello");
+	yard_call(&y, &slow, PAY_HEAD);
+	yard_run(&y, 20 * FS_US_PER_MS);
+	yard_send(&c, PAY_REQUEST);
+	yard_send(&slow, "a=1");
+	g_usleep(3500 * FS_US_PER_MS);
+	expect_body("hello");
+	yard_hang_up(&c);
+	c = slow;
+	expect_body("hello");
+	end();
+}
+
 /* An answer that is still on its way ends in time all the same. */
 static void test_unfinished_answer_ends_at_the_time_out(void)
 {
@@ -164,6 +199,7 @@
 	ADD(long_answer_before_the_exit_is_passed_on);
 	ADD(long_answer_before_the_time_out_is_passed_on);
 	ADD(answer_on_a_pooled_connection_is_passed_on);
+	ADD(request_before_a_long_pause_is_served);
 	ADD(unfinished_answer_ends_at_the_time_out);
 	return g_test_run();
 }
