Log a time-out of a caller's connection by its own name

The log said "caller_gone" for a request whose connection the gateway itself had closed: its caller paused in a body for longer than the idle limit. Whoever looks for requests that got no answer excused these. unit_gwy_reload time_out_in_a_body_is_logged said before: no "outcome":"timeout" in the log.

A request that ends without an outcome now takes the name of the library's reason: timeout, caller_gone or error, as the line answer_cut does.

--- a/src/gwy_http.c
+++ b/src/gwy_http.c
@@ -295,8 +295,7 @@
 		    enum MHD_RequestTerminationCode code)
 {
 	if (!req->logged) {
-		gwy_request_log(req, fs_err_name(FS_E_CALLER_GONE),
-				fs_now_us());
+		gwy_request_log(req, termination_name(code), fs_now_us());
 		return;
 	}
 	ctr_count(req->gwy->node->ctr, "gwy_answers_cut", 1);
--- a/tests/unit_gwy_reload.c
+++ b/tests/unit_gwy_reload.c
@@ -153,6 +153,23 @@
 	end();
 }
 
+/* Guards against a log that blames the caller for a connection which the gateway
+ * closed: its caller waits in the middle of a body for too long. */
+static void test_time_out_in_a_body_is_logged(void)
+{
+	g_autofree char *log = NULL;
+	int log_fd;
+
+	begin();
+	configure(2, FS_US_PER_S / 2, false);
+	yard_call(&y, &c, PAY_HEAD "Content-Length: 5\r\n\r\nx");
+	log_fd = yard_log_begin();
+	yard_until(&y, (yard_read(&c), c.closed));
+	log = yard_log_end(log_fd);
+	g_assert_nonnull(strstr(log, "\"outcome\":\"timeout\""));
+	end();
+}
+
 /* A pause in a head, within the limit of heads: guards against the idle limit
  * of the connection that is shorter. */
 static void test_pause_in_head_outlasts_idle_limit(void)
@@ -264,6 +281,7 @@
 	ADD(idle_connections_are_closed);
 	ADD(wait_outlasts_idle_limit);
 	ADD(slow_body_outlasts_idle_limit);
+	ADD(time_out_in_a_body_is_logged);
 	ADD(pause_in_head_outlasts_idle_limit);
 	ADD(route_dropped_while_reading);
 	ADD(route_dropped_while_waiting);
