Count no answer as overdue that came while this process was paused

After each pause of over half an objective a gateway took every target with a request of its own for slow, told the other nodes so, and started hedges: a request's timer was served before its answer was read. A caller saw healthy targets avoided, and the shared budget of retries shrank. unit_gwy_late pause_is_no_evidence_against_a_target said before:

assertion failed (failure_probability("s0") + failure_probability("s1") <= before): (0.253462544 <= 0.175660665)

and the log had a second attempt at s1 beside the answer of s0.

The wait for unread answers at a deadline now comes first whatever a request's timer is for.

--- a/src/gwy_deadline.c
+++ b/src/gwy_deadline.c
@@ -28,29 +28,11 @@
 	}
 }
 
-/* Returns whether an answer may have come before the deadline and is not read
- * yet: this process ran late. */
-static bool has_unread_answer(const struct gwy_request *req)
-{
-	for (uint32_t i = 0; i < req->attempt_count; i++) {
-		const struct gwy_attempt *t = &req->attempts[i];
-
-		if (t->in_flight && tgt_has_unread(t->tgt))
-			return true;
-	}
-	return false;
-}
-
 void gwy_deadline_passed(struct gwy_request *req, int64_t now_us)
 {
 	struct gwy_attempt *answered;
 	int err;
 
-	if (req->late_turns < TGT_LATE_TURNS_MAX && has_unread_answer(req)) {
-		req->late_turns++;
-		gwy_request_timer(req, now_us, now_us);
-		return;
-	}
 	if (req->state == GWY_STREAMING) {
 		/* No answer is due in its place: it goes on until the exit. */
 		if (!gwy_ends_with_node(req))
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -476,9 +476,33 @@
 	finish(&req->attempts[req->attempt_count - 1], now_us);
 }
 
+static bool has_unread_answer(const struct gwy_request *req)
+{
+	for (uint32_t i = 0; i < req->attempt_count; i++) {
+		const struct gwy_attempt *t = &req->attempts[i];
+
+		if (t->in_flight && tgt_has_unread(t->tgt))
+			return true;
+	}
+	return false;
+}
+
+/* Waits a turn of the loop if this process ran late and an answer that came
+ * meanwhile was not read yet: it is neither overdue nor past the deadline. */
+static bool waits_a_turn(struct gwy_request *req, int64_t now_us)
+{
+	if (req->late_turns == TGT_LATE_TURNS_MAX || !has_unread_answer(req)) {
+		req->late_turns = 0;
+		return false;
+	}
+	req->late_turns++;
+	gwy_request_timer(req, now_us, now_us);
+	return true;
+}
+
 void gwy_send_timer(struct gwy_request *req, int64_t now_us)
 {
-	if (req->state == GWY_ENDED)
+	if (req->state == GWY_ENDED || waits_a_turn(req, now_us))
 		return;
 	if (now_us >= req->deadline_us) {
 		gwy_deadline_passed(req, now_us);
--- a/tests/unit_gwy_late.c
+++ b/tests/unit_gwy_late.c
@@ -4,6 +4,7 @@
 
 #include "fleet_gwy.h"
 #include "fs_log.h"
+#include "gwy_impl.h"
 
 #define FIELDS "Host: h\r\nX-Id: r1\r\nX-Left: 9000\r\n"
 #define PAY_HEAD "POST /pay/1 HTTP/1.1\r\n" FIELDS "Content-Length: 3\r\n\r\n"
@@ -146,6 +147,36 @@
 	end();
 }
 
+static double failure_probability(const char *id)
+{
+	struct dir_target *target = dir_target_find(y.dir, id);
+
+	return gry_failure_probability(
+		&bal_target_get(target, fs_now_us())->gry, fs_now_us());
+}
+
+/* Guards against evidence against a target, and a hedge, for an answer that came
+ * in time and was read late. */
+static void test_pause_is_no_evidence_against_a_target(void)
+{
+	double before;
+
+	begin();
+	yard_target(&y, "list", hold, NULL);
+	yard_target(&y, "list", hold, NULL);
+	before = failure_probability("s0") + failure_probability("s1");
+	yard_call(&y, &c, LIST_REQUEST);
+	yard_until(&y, held);
+	yard_run(&y, PAUSE_US);
+	answer_unread("hello");
+	g_usleep(YARD_TIMEOUT_MS / 2 * FS_US_PER_MS);
+	expect_body("hello");
+	g_assert_cmpuint(yard_arrivals(&y), ==, 1);
+	g_assert_cmpfloat(failure_probability("s0") + failure_probability("s1"),
+			  <=, before);
+	end();
+}
+
 /* Guards against a connection that is closed with a request in it, because its idle
  * limit passed while the process was paused; the same with the end of a body. */
 static void test_request_before_a_long_pause_is_served(void)
@@ -199,6 +230,7 @@
 	ADD(long_answer_before_the_exit_is_passed_on);
 	ADD(long_answer_before_the_time_out_is_passed_on);
 	ADD(answer_on_a_pooled_connection_is_passed_on);
+	ADD(pause_is_no_evidence_against_a_target);
 	ADD(request_before_a_long_pause_is_served);
 	ADD(unfinished_answer_ends_at_the_time_out);
 	return g_test_run();
