Test that the daemon's exchanges read what came before a pause

The pause comes after libcurl's own timer for the connection: that one reads the socket and hides the fault, as a first form of this test showed.

--- a/tests/unit_tgt.c
+++ b/tests/unit_tgt.c
@@ -405,6 +405,43 @@
 	fixture_end(&p);
 }
 
+static void hold(void *arg, struct fake_conn *conn,
+		 const struct fake_request *request)
+{
+	struct fake_conn **held = arg;
+
+	(void)request;
+	*held = conn;
+}
+
+static bool is_held(void *arg)
+{
+	return *(struct fake_conn **)arg != NULL;
+}
+
+/* Guards against an answer that is given up unread: it came in time, but the
+ * process was paused over both time limits. */
+static void test_answer_before_a_pause_is_read(void)
+{
+	struct fake_conn *held = NULL;
+	struct fixture p;
+
+	fixture_begin(&p, hold, &held);
+	p.abort_if_overdue = true;
+	start(&p, true, 600 * FS_US_PER_MS, 500 * FS_US_PER_MS);
+	g_assert_true(fake_run(p.loop, is_held, &held, TEST_TIMEOUT_US));
+	/* libcurl's own timer for the connection has passed then. */
+	fake_run(p.loop, NULL, NULL, 400 * FS_US_PER_MS);
+	fake_ok(held, "answer");
+	ev_run(p.loop, EVRUN_NOWAIT);
+	g_usleep(400 * FS_US_PER_MS);
+	g_assert_true(fake_run(p.loop, is_done, &p, TEST_TIMEOUT_US));
+	g_assert_cmpint(p.result.err, ==, 0);
+	g_assert_false(p.headers_overdue);
+	g_assert_cmpmem(p.body->data, p.body->len, "answer", 6);
+	fixture_end(&p);
+}
+
 static void test_request_validity(void)
 {
 	static const char *const invalid_targets[] = {
@@ -452,5 +489,7 @@
 	g_test_add_func("/tgt/late_request_is_not_written",
 			test_late_request_is_not_written);
 	g_test_add_func("/tgt/headers_timeout", test_headers_timeout);
+	g_test_add_func("/tgt/answer_before_a_pause_is_read",
+			test_answer_before_a_pause_is_read);
 	return g_test_run();
 }
