--- a/src/gwy_deadline.c
+++ b/src/gwy_deadline.c
@@ -30,6 +30,7 @@
 
 void gwy_deadline_passed(struct gwy_request *req, int64_t now_us)
 {
+	struct gwy_attempt *answered;
 	int err;
 
 	if (req->state == GWY_STREAMING) {
@@ -40,7 +41,12 @@
 	}
 	if (!gwy_ends_with_node(req))
 		report_overdue(req);
+	answered = gwy_answer_find(req);
+	if (answered)
+		gwy_answer_buffered(answered, now_us);
 	gwy_request_cancel_attempts(req);
+	if (answered)
+		return;
 	err = gwy_deadline_err(req);
 	gwy_answer_refuse(
 		req, err,
--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -85,6 +85,7 @@
 	bool parked;		     /* deferred until a target has capacity */
 	const char *no_retry_reason; /* why there was no retry, for the log */
 	ev_timer timer;
+	unsigned int late_turns; /* see TGT_LATE_TURNS_MAX */
 	/* The caller's connection, while suspended. */
 	struct htd_gone disconnect_watch;
 	/* The answer */
@@ -120,7 +121,7 @@
 	int64_t stop_us;	/* when the stop began */
 	int64_t last_answer_us; /* of the stop: all requests end by then */
 	int64_t exit_us;	/* of the stop: answers are sent until then */
-	bool ending; /* a tick of the stop has passed since last_answer_us */
+	int64_t ending_us; /* of the first tick after last_answer_us; 0: none */
 	ev_timer stop_timer;
 	bool quiesced;
 };
@@ -193,6 +194,9 @@
 		       int64_t now_us);
 /** Returns the mean size of the answers of a request's route, 0 if unknown. */
 int64_t gwy_answer_mean_bytes(const struct gwy_request *req);
+/** Returns the last attempt that brought a complete answer of a target which can
+ *  be forwarded, or NULL. */
+struct gwy_attempt *gwy_answer_find(struct gwy_request *req);
 /** Starts to forward an answer while it arrives. */
 void gwy_answer_stream(struct gwy_attempt *t, int64_t now_us);
 
