Judge how late a request came in a stop by its last byte

Cause: gwy_stop_is_late() went by started_us, the time of the request line. A break-off is excused only for a request that was sent by then, which means its last byte.

Now it goes by read_us, the time at which the last byte was read. Before that nothing is sent to a server, so the rule now covers each request whenever it could be begun; a retry or a parked request keeps the time of its own last byte.

Evidence: /gwy_stop/late_body_is_not_begun (head at 1.9 s, body at 2.3 s of a stop that ends at 3.15 s, mean service time 0.2 s) failed before in three of three runs: "expected 503, got: HTTP/1.1 504 Gateway Timeout", error "stopped", with one attempt at_ms 400 that took 848 ms.

Ruled out: a deferred request (no configuration yet) and one that is parked; both were whole before and keep that time. A node that is paused reads late and judges by when it reads, which refuses more, never less.

--- a/src/gwy_http.c
+++ b/src/gwy_http.c
@@ -267,8 +267,10 @@
 		*upload_size = 0;
 		return MHD_YES;
 	}
-	if (req->state == GWY_READING)
-		dispatch(req, fs_now_us());
+	if (req->state == GWY_READING) {
+		req->read_us = fs_now_us();
+		dispatch(req, req->read_us);
+	}
 	if (req->response)
 		return queue_response(req);
 	gwy_request_suspend(req);
--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -70,6 +70,7 @@
 	struct msg *m; /* MSG_REQUEST: method, host, target, fields, body */
 	GByteArray *body;
 	int64_t started_us;
+	int64_t read_us; /* when its last byte was read */
 	int64_t deadline_us;
 	int64_t client_timeout_us; /* the caller's time-out; 0: none */
 	struct cfg *cfg;
@@ -201,7 +202,7 @@
 void gwy_stop_end(struct gwy *gwy);
 /** Limits the deadline of a request to the end of the stop, if there is one. */
 void gwy_stop_limit_deadline(struct gwy_request *req);
-/** Returns whether a request came after callers were to use other nodes: none
+/** Returns whether a request was read after callers were to use other nodes: none
  *  that the exit might break off is begun then. */
 bool gwy_stop_is_late(const struct gwy_request *req);
 
--- a/src/gwy_stop.c
+++ b/src/gwy_stop.c
@@ -66,7 +66,7 @@
 {
 	const struct gwy *gwy = req->gwy;
 
-	return gwy->stopping && req->started_us - gwy->stop_us > ACCEPT_US;
+	return gwy->stopping && req->read_us - gwy->stop_us > ACCEPT_US;
 }
 
 /* Requests in flight decide anew with the time that is left. */
--- a/tests/unit_gwy_stop.c
+++ b/tests/unit_gwy_stop.c
@@ -248,6 +248,29 @@
 	end();
 }
 
+/* Guards against work that is begun late in a stop and broken off, because the
+ * head of its request came early: its body ended after callers were to use other
+ * nodes. */
+static void test_late_body_is_not_begun(void)
+{
+	int served = 0;
+
+	begin();
+	y.node.set.stop_grace_us = 3500 * FS_US_PER_MS;
+	yard_target(&y, "pay", serve_first_only, &served);
+	serve_one(PAY_REQUEST);
+	begin_stop();
+	yard_run(&y, 1900 * FS_US_PER_MS);
+	yard_call(&y, &c, PAY_HEAD);
+	yard_run(&y, 400 * FS_US_PER_MS);
+	/* Four times the mean service time is left. */
+	yard_send(&c, "a=1");
+	yard_expect(&y, &c, 503);
+	expect_whole(503, "\"stopping\"");
+	g_assert_cmpuint(yard_arrivals(&y), ==, 1);
+	end();
+}
+
 /* A stop with time to spare serves what arrives. */
 static void test_early_request_is_served(void)
 {
@@ -472,6 +495,8 @@
 		test_request_that_crosses_the_exit_is_not_passed_on);
 	g_test_add_func("/gwy_stop/late_request_that_takes_long_is_not_begun",
 			test_late_request_that_takes_long_is_not_begun);
+	g_test_add_func("/gwy_stop/late_body_is_not_begun",
+			test_late_body_is_not_begun);
 	g_test_add_func("/gwy_stop/stream_is_forwarded_until_the_exit",
 			test_stream_is_forwarded_until_the_exit);
 	g_test_add_func("/gwy_stop/deferred_request_is_answered",
