Send callers on at once where only the stop refuses their request

A request that lacked memory or a configuration of the stopping node was told 1 or 1.2 s.

Cause: the short time (0.01 s) went by the error "stopping". A first attempt got that error, but after an attempt that did not run the request was refused in the name of the attempt (target_refused, no_target), even if the end of the stop alone kept it from another target. An attempt that broke before a byte was written was answered 504, which allows no retry of a request that is not repeatable.

Now such a request is refused as "stopping" (503, not run, 0.01 s): a target is there, the route's attempts and the retry budget allow a retry, nothing of it may have run, and only the stop leaves no time. The lack of memory and of a configuration keep their errors, and get the short time while the node stops.

Which refusals keep the usual time: a service without a target that has room, which is as full for other nodes; a request that has used its attempts or whose service has used its retry budget; "wait_too_long". Tried and dropped: the usual time for a first attempt, too, that comes too late in the stop while the service is full. Another node would park that one, as this one would have before the stop; only a request that has just used up its parking time, within one poll of 50 ms, would have waited longer.

Not shown by a test: the attempt that broke before a byte was written.

--- a/src/gwy_http.c
+++ b/src/gwy_http.c
@@ -207,8 +207,10 @@
 	if (req->gwy->stopping)
 		until_us = MIN(until_us, req->gwy->last_answer_us);
 	if (now_us >= until_us) {
-		gwy_answer_refuse(req, FS_E_NOT_READY, GWY_DEFER_MAX_US,
-				  now_us);
+		gwy_answer_refuse(
+			req, FS_E_NOT_READY,
+			gwy_stop_retry_after(req->gwy, GWY_DEFER_MAX_US),
+			now_us);
 		return;
 	}
 	req->state = GWY_DEFERRED;
@@ -227,9 +229,12 @@
 		req->err = resolve_route(req);
 	}
 	if (req->err) {
-		gwy_answer_refuse(req, req->err,
-				  req->err == FS_E_ENTRY_FULL ? FS_US_PER_S : 0,
-				  now_us);
+		gwy_answer_refuse(
+			req, req->err,
+			req->err == FS_E_ENTRY_FULL ?
+				gwy_stop_retry_after(req->gwy, FS_US_PER_S) :
+				0,
+			now_us);
 		return;
 	}
 	req->m->request.body = g_bytes_new(req->body->data, req->body->len);
--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -84,6 +84,7 @@
 	uint32_t attempts_sent; /* attempts that may have reached a server */
 	bool may_have_run;
 	bool parked;		     /* deferred until a target has capacity */
+	bool stop_prevents_retry;    /* a target was there, and nothing else */
 	const char *no_retry_reason; /* why there was no retry, for the log */
 	ev_timer timer;
 	/* The caller's connection, while suspended. */
@@ -202,6 +203,9 @@
 void gwy_stop_end(struct gwy *gwy);
 /** Limits the deadline of a request to the end of the stop, if there is one. */
 void gwy_stop_limit_deadline(struct gwy_request *req);
+/** Returns the Retry-After of a refusal for a lack of this node: the caller of a
+ *  stopping node goes to another one. */
+int64_t gwy_stop_retry_after(const struct gwy *gwy, int64_t usual_us);
 /** Returns whether a request was read after callers were to use other nodes: none
  *  that the exit might break off is begun then. */
 bool gwy_stop_is_late(const struct gwy_request *req);
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -227,6 +227,7 @@
 			req->deadline_us - now_us - GWY_TIME_LEFT_MIN_US,
 		.usable = choice.target ? 1 : 0,
 	};
+	bool allowed;
 	int err;
 
 	/* An attempt that reached no server costs no retry budget. */
@@ -235,8 +236,12 @@
 	err = check_send(req, &choice, now_us);
 	if (err == FS_E_QUEUE_FULL || err == FS_E_WAIT_TOO_LONG)
 		n.usable = 1;
-	if (req->attempt_count == GWY_ATTEMPTS_MAX || !rty_allowed(&n) ||
-	    (err && !park(req, &choice, err, now_us))) {
+	/* Another node has the time that this one lacks. */
+	if (err == FS_E_STOPPING)
+		n.remaining_us = GWY_TIME_LEFT_MIN_US;
+	allowed = req->attempt_count < GWY_ATTEMPTS_MAX && rty_allowed(&n);
+	req->stop_prevents_retry = allowed && err == FS_E_STOPPING;
+	if (!allowed || (err && !park(req, &choice, err, now_us))) {
 		req->no_retry_reason = err == FS_E_STOPPING ||
 						       err == FS_E_STOPPED ?
 					       fs_err_name(err) :
@@ -327,6 +332,8 @@
 {
 	if (t->err == FS_E_DEADLINE && gwy_ends_with_node(t->req))
 		return gwy_deadline_err(t->req);
+	if (!t->req->may_have_run && t->req->stop_prevents_retry)
+		return FS_E_STOPPING;
 	if (!t->req->may_have_run)
 		return t->err && t->err != FS_E_CONNECT ? FS_E_DEADLINE_QUEUED :
 		       t->err				? FS_E_NO_TARGET :
--- a/src/gwy_stop.c
+++ b/src/gwy_stop.c
@@ -62,6 +62,11 @@
 		req->deadline_us = MIN(req->deadline_us, gwy->last_answer_us);
 }
 
+int64_t gwy_stop_retry_after(const struct gwy *gwy, int64_t usual_us)
+{
+	return gwy->stopping ? GWY_STOPPING_RETRY_AFTER_US : usual_us;
+}
+
 bool gwy_stop_is_late(const struct gwy_request *req)
 {
 	const struct gwy *gwy = req->gwy;
--- a/tests/unit_gwy_stop.c
+++ b/tests/unit_gwy_stop.c
@@ -162,6 +162,17 @@
 	g_assert_true(g_str_has_suffix(c.got->str, "}\n"));
 }
 
+static void expect_retry_after(double min_s, double max_s)
+{
+	const char *field = strstr(c.got->str, "Retry-After: ");
+	double s;
+
+	g_assert_nonnull(field);
+	s = g_ascii_strtod(field + strlen("Retry-After: "), NULL);
+	g_assert_cmpfloat(s, >=, min_s);
+	g_assert_cmpfloat(s, <=, max_s);
+}
+
 /* Guards against a connection that ends without an answer: the target still
  * works on the request when the process exits. */
 static void test_unfinished_work_is_answered(void)
@@ -304,6 +315,80 @@
 	end();
 }
 
+/* Answers the first request of all targets together after WORK_US. The others
+ * are refused as not run, too late in a stop of GRACE_US for a second attempt. */
+static void serve_late_refusal(void *arg, struct fake_conn *conn,
+			       const struct fake_request *request)
+{
+	int *answered = arg;
+
+	if (!(*answered)++)
+		serve_slowly(NULL, conn, request);
+	else
+		fake_send_later(conn,
+				"HTTP/1.1 503 Full\r\nX-Id: r1\r\n"
+				"X-Not-Run: 1\r\nContent-Length: 1\r\n\r\nx",
+				LAST_ANSWER_US - WORK_US);
+}
+
+static void expect_refusal_of(uint32_t targets, const char *error,
+			      double retry_after_min_s,
+			      double retry_after_max_s)
+{
+	int answered = 0;
+
+	begin();
+	for (uint32_t i = 0; i < targets; i++)
+		yard_target(&y, "pay", serve_late_refusal, &answered);
+	serve_one(PAY_REQUEST);
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_until(&y, yard_arrivals(&y) == 2);
+	begin_stop();
+	yard_expect(&y, &c, 503);
+	expect_whole(503, error);
+	expect_retry_after(retry_after_min_s, retry_after_max_s);
+	g_assert_cmpuint(yard_arrivals(&y), ==, 2);
+	end();
+}
+
+/* Guards against a caller that waits although any other node would serve it at
+ * once: only the stop keeps its request from a second target. */
+static void test_refused_attempt_sends_its_caller_on(void)
+{
+	expect_refusal_of(2, "\"stopping\"", 0.01, 0.01);
+}
+
+/* A service whose only target is full is full for other nodes, too. */
+static void test_full_service_is_not_the_stop(void)
+{
+	expect_refusal_of(1, "\"target_refused\"", 0.2, 0.6);
+}
+
+/* Guards against a caller that waits for memory, or for a configuration, of a
+ * node that is about to exit. */
+static void test_lack_of_the_node_sends_its_caller_on(void)
+{
+	size_t memory;
+
+	begin();
+	memory = y.gwy->body_bytes_max;
+	y.node.set.stop_grace_us = 800 * FS_US_PER_MS;
+	begin_stop();
+	y.gwy->body_bytes_max = 1;
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_expect(&y, &c, 503);
+	expect_whole(503, "\"entry_full\"");
+	expect_retry_after(0.01, 0.01);
+	yard_hang_up(&c);
+	y.gwy->body_bytes_max = memory;
+	y.node.ready = false;
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_expect(&y, &c, 503);
+	expect_whole(503, "\"not_ready\"");
+	expect_retry_after(0.01, 0.01);
+	end();
+}
+
 /* Guards against a request that waits unsent until the exit: no target is
  * there, and its caller is told in time to try another node. */
 static void test_unsent_request_is_refused(void)
@@ -484,6 +569,12 @@
 			test_early_request_is_served);
 	g_test_add_func("/gwy_stop/late_retry_is_not_begun",
 			test_late_retry_is_not_begun);
+	g_test_add_func("/gwy_stop/refused_attempt_sends_its_caller_on",
+			test_refused_attempt_sends_its_caller_on);
+	g_test_add_func("/gwy_stop/full_service_is_not_the_stop",
+			test_full_service_is_not_the_stop);
+	g_test_add_func("/gwy_stop/lack_of_the_node_sends_its_caller_on",
+			test_lack_of_the_node_sends_its_caller_on);
 	g_test_add_func("/gwy_stop/unsent_request_is_refused",
 			test_unsent_request_is_refused);
 	g_test_add_func("/gwy_stop/time_out_is_not_the_stop",
