Begin no request at a dispatch task whose process leaves its loop

The dispatcher's process was gone before an answer; the entry waited for the link, and told the caller that the outcome is unknown.

Cause: the dispatch task accepted requests after its last MSG_STOPPED. The process leaves its loop when that message is delivered, a turn later. Requests in front of it in the bus's queue were begun, and so were those behind it, since a turn delivers the whole queue.

Now the dispatch task refuses as not run what comes after its answer to the second MSG_STOP, which it gets when the entry task has stopped: not_owner, as a node that exits owns no shard, upon which the entry goes to the shard's next owner. After its first MSG_STOPPED it still accepts requests, as before.

Ruled out: FS_E_STOPPING as the reason. No audit rule has it, and entries do not go on to another node upon it.

--- a/src/dsp_admit.c
+++ b/src/dsp_admit.c
@@ -96,6 +96,8 @@
 	const struct msg_request *request = &m->request;
 	const struct cfg_service *service;
 
+	if (dsp_leave_has_ended(dsp))
+		return FS_E_NOT_OWNER;
 	if (!dsp->cfg)
 		return FS_E_NOT_READY;
 	if (!request->service || !request->region || !request->route ||
--- a/src/dsp_impl.h
+++ b/src/dsp_impl.h
@@ -120,6 +120,7 @@
 	int64_t ticked_us;
 	int64_t busy_us; /* last time with a run */
 	bool stopping;
+	bool entry_stopped; /* the next MSG_STOPPED ends the process */
 	bool stopped_sent;
 };
 
@@ -255,6 +256,8 @@
  *  @param clear_us  time for which it has answered without the signal */
 bool dsp_drain_has_ended(bool refused, int64_t clear_us);
 void dsp_leave_stop(struct dsp *dsp, int64_t now_us);
+/** Returns whether the process ends before a request could be run. */
+bool dsp_leave_has_ended(const struct dsp *dsp);
 void dsp_leave_tick(struct dsp *dsp, int64_t now_us);
 
 /* dsp_handover.c: idempotency keys follow the owner of their shard */
--- a/src/dsp_leave.c
+++ b/src/dsp_leave.c
@@ -40,12 +40,18 @@
 
 void dsp_leave_stop(struct dsp *dsp, int64_t now_us)
 {
+	dsp->entry_stopped = dsp->stopping;
 	dsp->stopping = true;
 	dsp->stopped_sent = false;
 	dsp->busy_us = MAX(dsp->busy_us, now_us);
 	dsp_handover_send(dsp, now_us);
 }
 
+bool dsp_leave_has_ended(const struct dsp *dsp)
+{
+	return dsp->entry_stopped && dsp->stopped_sent;
+}
+
 void dsp_leave_tick(struct dsp *dsp, int64_t now_us)
 {
 	struct msg *m;
--- a/src/node.h
+++ b/src/node.h
@@ -85,7 +85,8 @@
  *
  * A task with requests in flight (entry, dispatch) answers MSG_STOP by
  * MSG_STOPPED to MSG_TASK_NODE once they have ended; the others run until the
- * process ends.
+ * process ends. The dispatch task gets MSG_STOP once more when the entry task has
+ * stopped; it begins no request after its answer to that.
  */
 struct ent *ent_new(struct node *node); /* callers; binds node->caller */
 void ent_free(struct ent *ent);
--- a/tests/unit_dsp_leave.c
+++ b/tests/unit_dsp_leave.c
@@ -111,6 +111,41 @@
 	scene_end(&s);
 }
 
+static void send_stop(struct scene *s)
+{
+	bus_send(s->node.bus,
+		 msg_new(MSG_STOP, s->node.self, MSG_TASK_DISPATCH));
+}
+
+static void wait_stopped(struct scene *s, guint times)
+{
+	for (int i = 0; i < 100 && s->told->len < times; i++)
+		scene_run(s, 20 * FS_US_PER_MS);
+	g_assert_cmpuint(s->told->len, ==, times);
+}
+
+/* Guards against a peer's request that arrives in the turn in which the process
+ * leaves its loop: it was begun and dropped, its outcome unknown to its caller. */
+static void test_request_in_the_last_turn_is_not_begun(void)
+{
+	struct scene s;
+
+	scene_begin(&s, &(struct scene_setup){.targets = 1});
+	/* Peers still hand requests over until the entry task has stopped. */
+	send_stop(&s);
+	wait_stopped(&s, 1);
+	scene_send(&s, 1, "pay");
+	scene_wait(&s, 1);
+	scene_answered(&s, 1, 200);
+	send_stop(&s);
+	wait_stopped(&s, 2);
+	scene_send(&s, 2, "pay");
+	scene_wait(&s, 2);
+	scene_refused(&s, 2, FS_E_NOT_OWNER, FS_NOT_RUN);
+	g_assert_cmpuint(scene_received(&s), ==, 1);
+	scene_end(&s);
+}
+
 static void test_service_leaving(void)
 {
 	struct scene s;
@@ -253,6 +288,8 @@
 	g_test_add_func("/dsp/drain_signal", test_drain_signal);
 	g_test_add_func("/dsp/leaving_by_vm_list", test_leaving_by_vm_list);
 	g_test_add_func("/dsp/in_flight_finishes", test_in_flight_finishes);
+	g_test_add_func("/dsp/request_in_the_last_turn_is_not_begun",
+			test_request_in_the_last_turn_is_not_begun);
 	g_test_add_func("/dsp/service_leaving", test_service_leaving);
 	g_test_add_func("/dsp/keys", test_keys);
 	g_test_add_func("/dsp/key_freed_if_not_run", test_key_freed_if_not_run);
