Show that nothing is passed on behind an answer that closes its connection

It is not handled and not passed on; RFC 9112, 9.6 forbids to process it, and tells callers so. Seen by strace: if both requests come in one write, the HTTP library takes the bytes of both off the socket in one read (158 bytes) and closes after the first answer; the second is not handled. If the second comes while the first is served, its bytes stay in the socket. The library tells of neither, so that the gateway can't leave "close" out for it.

--- a/tests/unit_gwy_stop.c
+++ b/tests/unit_gwy_stop.c
@@ -555,6 +555,55 @@
 	end();
 }
 
+static guint count(const char *text, const char *part)
+{
+	guint n = 0;
+
+	while ((text = strstr(text, part))) {
+		text += strlen(part);
+		n++;
+	}
+	return n;
+}
+
+/* Sends two requests on one connection, the second one after some time. The
+ * first one's answer says "close", upon which a second must not be handled. */
+static void expect_first_only(int64_t pause_us)
+{
+	g_autofree char *log = NULL;
+	int log_fd;
+
+	begin();
+	yard_target(&y, "pay", serve_slowly, NULL);
+	begin_stop();
+	log_fd = yard_log_begin();
+	if (pause_us) {
+		yard_call(&y, &c, PAY_REQUEST);
+		yard_run(&y, pause_us);
+		yard_send(&c, PAY_REQUEST);
+	} else {
+		yard_call(&y, &c, PAY_REQUEST PAY_REQUEST);
+	}
+	yard_until(&y, (yard_read(&c), c.closed));
+	yard_run(&y, WORK_US);
+	log = yard_log_end(log_fd);
+	g_assert_cmpuint(count(c.got->str, "HTTP/1.1 200 "), ==, 1);
+	g_assert_cmpuint(count(c.got->str, "HTTP/1.1 "), ==, 1);
+	g_assert_nonnull(strstr(c.got->str, "Connection: close"));
+	g_assert_true(g_str_has_suffix(c.got->str, "hello"));
+	g_assert_cmpuint(count(log, "\"event\":\"request\""), ==, 1);
+	g_assert_cmpuint(yard_arrivals(&y), ==, 1);
+	end();
+}
+
+/* Guards against a request that is passed on, but not answered, behind one whose
+ * answer closes the connection: both in one write, and apart. */
+static void test_request_behind_a_close_is_not_passed_on(void)
+{
+	expect_first_only(0);
+	expect_first_only(WORK_US / 2);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -596,6 +645,8 @@
 			test_request_after_the_last_answer_is_refused);
 	g_test_add_func("/gwy_stop/chunked_body_is_answered",
 			test_chunked_body_is_answered);
+	g_test_add_func("/gwy_stop/request_behind_a_close_is_not_passed_on",
+			test_request_behind_a_close_is_not_passed_on);
 	g_test_add_func("/gwy_stop/unsent_answer_is_logged",
 			test_unsent_answer_is_logged);
 	return g_test_run();
