--- a/tests/unit_gwy_stop.c
+++ b/tests/unit_gwy_stop.c
@@ -126,6 +126,17 @@
 	g_assert_true(g_str_has_suffix(c.got->str, "}\n"));
 }
 
+static void expect_retry_after(double min_s, double max_s)
+{
+	const char *field = strstr(c.got->str, "Retry-After: ");
+	double s;
+
+	g_assert_nonnull(field);
+	s = g_ascii_strtod(field + strlen("Retry-After: "), NULL);
+	g_assert_cmpfloat(s, >=, min_s);
+	g_assert_cmpfloat(s, <=, max_s);
+}
+
 /* Guards against a connection that ends without an answer: the target still
  * works on the request when the process exits. */
 static void test_unfinished_work_is_answered(void)
@@ -212,6 +223,29 @@
 	end();
 }
 
+/* Guards against work that is begun late in a stop and broken off, because the
+ * head of its request came early: its body ended after callers were to use other
+ * nodes. */
+static void test_late_body_is_not_begun(void)
+{
+	int served = 0;
+
+	begin();
+	y.node.set.stop_grace_us = 3500 * FS_US_PER_MS;
+	yard_target(&y, "pay", serve_first_only, &served);
+	serve_one(PAY_REQUEST);
+	yard_stop(&y);
+	yard_run(&y, 1900 * FS_US_PER_MS);
+	yard_call(&y, &c, PAY_HEAD);
+	yard_run(&y, 400 * FS_US_PER_MS);
+	/* Four times the mean service time is left. */
+	yard_send(&c, "a=1");
+	yard_expect(&y, &c, 503);
+	expect_whole(503, "\"stopping\"");
+	g_assert_cmpuint(yard_arrivals(&y), ==, 1);
+	end();
+}
+
 /* A stop with time to spare serves what arrives. */
 static void test_early_request_is_served(void)
 {
@@ -275,6 +309,80 @@
 	end();
 }
 
+/* Answers the first request of all targets together after WORK_US. The others
+ * are refused as not run, too late in a stop of GRACE_US for a second attempt. */
+static void serve_late_refusal(void *arg, struct fake_conn *conn,
+			       const struct fake_request *request)
+{
+	int *answered = arg;
+
+	if (!(*answered)++)
+		serve_slowly(NULL, conn, request);
+	else
+		fake_send_later(conn,
+				"HTTP/1.1 503 Full\r\nX-Id: r1\r\n"
+				"X-Not-Run: 1\r\nContent-Length: 1\r\n\r\nx",
+				LAST_ANSWER_US - WORK_US);
+}
+
+static void expect_refusal_of(uint32_t targets, const char *error,
+			      double retry_after_min_s,
+			      double retry_after_max_s)
+{
+	int answered = 0;
+
+	begin();
+	for (uint32_t i = 0; i < targets; i++)
+		yard_target(&y, "pay", serve_late_refusal, &answered);
+	serve_one(PAY_REQUEST);
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_until(&y, yard_arrivals(&y) == 2);
+	yard_stop(&y);
+	yard_expect(&y, &c, 503);
+	expect_whole(503, error);
+	expect_retry_after(retry_after_min_s, retry_after_max_s);
+	g_assert_cmpuint(yard_arrivals(&y), ==, 2);
+	end();
+}
+
+/* Guards against a caller that waits although any other node would serve it at
+ * once: only the stop keeps its request from a second target. */
+static void test_refused_attempt_sends_its_caller_on(void)
+{
+	expect_refusal_of(2, "\"stopping\"", 0.01, 0.01);
+}
+
+/* A service whose only target is full is full for other nodes, too. */
+static void test_full_service_is_not_the_stop(void)
+{
+	expect_refusal_of(1, "\"target_refused\"", 0.2, 0.6);
+}
+
+/* Guards against a caller that waits for memory, or for a configuration, of a
+ * node that is about to exit. */
+static void test_lack_of_the_node_sends_its_caller_on(void)
+{
+	size_t memory;
+
+	begin();
+	memory = y.gwy->body_bytes_max;
+	y.node.set.stop_grace_us = 800 * FS_US_PER_MS;
+	yard_stop(&y);
+	y.gwy->body_bytes_max = 1;
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_expect(&y, &c, 503);
+	expect_whole(503, "\"entry_full\"");
+	expect_retry_after(0.01, 0.01);
+	yard_hang_up(&c);
+	y.gwy->body_bytes_max = memory;
+	y.node.ready = false;
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_expect(&y, &c, 503);
+	expect_whole(503, "\"not_ready\"");
+	expect_retry_after(0.01, 0.01);
+	end();
+}
+
 /* Guards against a request that waits unsent until the exit: no target is
  * there, and its caller is told in time to try another node. */
 static void test_unsent_request_is_refused(void)
@@ -441,6 +549,55 @@
 	end();
 }
 
+static guint count(const char *text, const char *part)
+{
+	guint n = 0;
+
+	while ((text = strstr(text, part))) {
+		text += strlen(part);
+		n++;
+	}
+	return n;
+}
+
+/* Sends two requests on one connection, the second one after some time. The
+ * first one's answer says "close", upon which a second must not be handled. */
+static void expect_first_only(int64_t pause_us)
+{
+	g_autofree char *log = NULL;
+	int log_fd;
+
+	begin();
+	yard_target(&y, "pay", serve_slowly, NULL);
+	yard_stop(&y);
+	log_fd = yard_log_begin();
+	if (pause_us) {
+		yard_call(&y, &c, PAY_REQUEST);
+		yard_run(&y, pause_us);
+		yard_send(&c, PAY_REQUEST);
+	} else {
+		yard_call(&y, &c, PAY_REQUEST PAY_REQUEST);
+	}
+	yard_until(&y, (yard_read(&c), c.closed));
+	yard_run(&y, WORK_US);
+	log = yard_log_end(log_fd);
+	g_assert_cmpuint(count(c.got->str, "HTTP/1.1 200 "), ==, 1);
+	g_assert_cmpuint(count(c.got->str, "HTTP/1.1 "), ==, 1);
+	g_assert_nonnull(strstr(c.got->str, "Connection: close"));
+	g_assert_true(g_str_has_suffix(c.got->str, "hello"));
+	g_assert_cmpuint(count(log, "\"event\":\"request\""), ==, 1);
+	g_assert_cmpuint(yard_arrivals(&y), ==, 1);
+	end();
+}
+
+/* Guards against a request that is passed on, but not answered, behind one whose
+ * answer closes the connection: both in one write, and apart. */
+static void test_request_behind_a_close_is_not_passed_on(void)
+{
+	expect_first_only(0);
+	expect_first_only(WORK_US / 2);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -457,6 +614,12 @@
 			test_late_retry_is_not_begun);
 	g_test_add_func("/gwy_stop/failure_outlasts_its_retry",
 			test_failure_outlasts_its_retry);
+	g_test_add_func("/gwy_stop/refused_attempt_sends_its_caller_on",
+			test_refused_attempt_sends_its_caller_on);
+	g_test_add_func("/gwy_stop/full_service_is_not_the_stop",
+			test_full_service_is_not_the_stop);
+	g_test_add_func("/gwy_stop/lack_of_the_node_sends_its_caller_on",
+			test_lack_of_the_node_sends_its_caller_on);
 	g_test_add_func("/gwy_stop/unsent_request_is_refused",
 			test_unsent_request_is_refused);
 	g_test_add_func("/gwy_stop/time_out_is_not_the_stop",
@@ -468,6 +631,8 @@
 		test_request_that_crosses_the_exit_is_not_passed_on);
 	g_test_add_func("/gwy_stop/late_request_that_takes_long_is_not_begun",
 			test_late_request_that_takes_long_is_not_begun);
+	g_test_add_func("/gwy_stop/late_body_is_not_begun",
+			test_late_body_is_not_begun);
 	g_test_add_func("/gwy_stop/stream_is_forwarded_until_the_exit",
 			test_stream_is_forwarded_until_the_exit);
 	g_test_add_func("/gwy_stop/deferred_request_is_answered",
@@ -476,6 +641,8 @@
 			test_request_after_the_last_answer_is_refused);
 	g_test_add_func("/gwy_stop/chunked_body_is_answered",
 			test_chunked_body_is_answered);
+	g_test_add_func("/gwy_stop/request_behind_a_close_is_not_passed_on",
+			test_request_behind_a_close_is_not_passed_on);
 	g_test_add_func("/gwy_stop/unsent_answer_is_logged",
 			test_unsent_answer_is_logged);
 	return g_test_run();
