Test that a caller who left during a pause is not served

A suspicion that did not hold: a parked request's timer is served before the socket that tells of its caller's end, so a paused process might send the request of a caller who has gone. It begins an attempt, but libcurl connects only in the next turn of the loop, and the attempt is cancelled in this one. The test passes without a change to the code; it guards that order.

--- a/tests/unit_gwy_late.c
+++ b/tests/unit_gwy_late.c
@@ -177,6 +177,30 @@
 	end();
 }
 
+/* Guards against a request that is passed on though its caller has hung up: it
+ * waited for a target with capacity, and both came during the pause. */
+static void test_caller_that_left_in_a_pause_is_not_served(void)
+{
+	struct bal_target *state;
+
+	begin();
+	yard_target(&y, "pay", serve_ok, NULL);
+	state = bal_target_get(dir_target_find(y.dir, "s0"), fs_now_us());
+	state->others = 30;
+	state->sent_us = fs_now_us();
+	yard_call(&y, &c, PAY_REQUEST);
+	yard_run(&y, 20 * FS_US_PER_MS);
+	g_assert_cmpuint(g_hash_table_size(y.gwy->requests), ==, 1);
+	state->others = 0;
+	yard_hang_up(&c);
+	g_usleep(100 * FS_US_PER_MS);
+	yard_until(&y, !g_hash_table_size(y.gwy->requests));
+	yard_run(&y, 20 * FS_US_PER_MS);
+	g_assert_cmpuint(yard_arrivals(&y), ==, 0);
+	yard_call(&y, &c, "");
+	end();
+}
+
 /* Guards against a connection that is closed with a request in it, because its idle
  * limit passed while the process was paused; the same with the end of a body. */
 static void test_request_before_a_long_pause_is_served(void)
@@ -231,6 +255,7 @@
 	ADD(long_answer_before_the_time_out_is_passed_on);
 	ADD(answer_on_a_pooled_connection_is_passed_on);
 	ADD(pause_is_no_evidence_against_a_target);
+	ADD(caller_that_left_in_a_pause_is_not_served);
 	ADD(request_before_a_long_pause_is_served);
 	ADD(unfinished_answer_ends_at_the_time_out);
 	return g_test_run();
