Take no server from a peer that this node's own reading tells is gone

Callers saw nothing yet: found by a test. A reader that lists and watches keeps, and hands to its domain, a server that no longer exists, until it lists anew.

Cause: an entry of a server that the directory neither has nor has a tombstone of counts as new, whatever its era and revision. A peer's message from before the restoration, or from before this node's list, so brings back what was lost or had left; the watch never mentions it, and a reader asks no peer. Class: a belief kept from a state of the store that no longer exists.

Evidence, before the change: unit_fed_peers.c:28:test_server_of_an_older_era: 'rig_has("lost")' should be FALSE unit_fed_peers.c:46:test_server_from_before_the_list: 'rig_has("gone")' should be FALSE

Ruled out: a node that does not read; its next digest differs, and the complete list that it gets removes the server. A reader that the store refuses goes on by its peers (reader_without_the_store passed before).

Why it works: a reader that has listed and watched up to a revision knows each server that was written up to it. What it lacks is gone, or is listed by itself.

--- a/src/fed_tell.c
+++ b/src/fed_tell.c
@@ -173,6 +173,16 @@
 		request_entries(fed, heartbeat, now_us);
 }
 
+/* Returns whether this node's own reading tells that an entry's server is gone: it
+ * is not known at a later revision. */
+static bool is_superseded(const struct fed *fed, const struct dir_entry *entry)
+{
+	struct rev read = {.era = fed->era, .number = fed->targets.from_rev};
+
+	return fed->targets.listed && !dir_target_find(fed->dir, entry->id) &&
+	       rev_compare(entry->rev, read) <= 0;
+}
+
 void fed_merge_entries(struct fed *fed, const struct msg *m, int64_t now_us)
 {
 	const GArray *entries = m->feed_entries.entries;
@@ -187,7 +197,10 @@
 		const struct dir_entry *entry =
 			&g_array_index(entries, struct dir_entry, i);
 
-		fed_apply_entry(fed, entry, now_us);
+		if (is_superseded(fed, entry))
+			ctr_count(fed->node->ctr, "fed_superseded", 1);
+		else
+			fed_apply_entry(fed, entry, now_us);
 	}
 	for (guint i = 0; i < removed->len; i++) {
 		const struct msg_removed *r =
--- a/tests/fleet_fed.c
+++ b/tests/fleet_fed.c
@@ -123,3 +123,22 @@
 {
 	return dir_target_find(rig.dir, id) != NULL;
 }
+
+struct msg *rig_entries_of(struct rev snapshot)
+{
+	struct msg *m =
+		msg_new(MSG_FEED_ENTRIES, rig.node.self, MSG_TASK_CONFIG);
+
+	m->feed_entries.snapshot = snapshot;
+	return m;
+}
+
+void rig_add_entry(struct msg *m, const char *id, struct rev rev)
+{
+	struct dir_entry e = {.rev = rev, .slots = 4};
+
+	g_strlcpy(e.id, id, sizeof(e.id));
+	g_strlcpy(e.service, "pay", sizeof(e.service));
+	g_strlcpy(e.address, "127.0.0.1:1", sizeof(e.address));
+	g_array_append_val(m->feed_entries.entries, e);
+}
--- a/tests/fleet_fed.h
+++ b/tests/fleet_fed.h
@@ -44,4 +44,9 @@
 /** Returns whether the directory has a target. */
 bool rig_has(const char *id);
 
+/** Returns a peer's message of targets to which entries are added; its list is
+ * complete if the snapshot has a number. */
+struct msg *rig_entries_of(struct rev snapshot);
+void rig_add_entry(struct msg *m, const char *id, struct rev rev);
+
 #endif
--- /dev/null
+++ b/tests/unit_fed_peers.c
@@ -0,0 +1,78 @@
+/* What a reader takes from peers whose knowledge of the store is older than its
+ * own, before and after the store is restored from a copy. */
+#include <string.h>
+
+#include "fleet_fed.h"
+#include "fs_log.h"
+
+static void deliver(struct msg *m)
+{
+	bus_deliver(rig.node.bus, m);
+	rig_run(20 * FS_US_PER_MS);
+}
+
+/* A peer tells late of a server that is lost with the copy, and that this node has
+ * never seen: guards against one that a reader uses, and tells of, until it lists
+ * the next time. */
+static void test_server_of_an_older_era(void)
+{
+	struct msg *m;
+
+	rig_begin();
+	shelf_restore(&rig.shelf, 7);
+	rig_run(3 * FS_US_PER_S);
+	m = rig_entries_of((struct rev){1, 0});
+	rig_add_entry(m, "lost", (struct rev){1, 900});
+	deliver(m);
+	rig_run(FS_US_PER_S);
+	g_assert_false(rig_has("lost"));
+	g_assert_cmpuint(dir_count(rig.dir), ==, 5);
+	rig_end();
+}
+
+/* The same within an era: the server was gone before this node's list. */
+static void test_server_from_before_the_list(void)
+{
+	struct msg *m;
+
+	rig_begin();
+	for (int i = 0; i < 20; i++)
+		shelf_put(&rig.shelf, "t/s0", "ready");
+	rig_run(FS_US_PER_S);
+	m = rig_entries_of((struct rev){1, 0});
+	rig_add_entry(m, "gone", (struct rev){1, 9});
+	rig_add_entry(m, "joins", (struct rev){1, 900});
+	deliver(m);
+	g_assert_false(rig_has("gone"));
+	g_assert_true(rig_has("joins"));
+	rig_end();
+}
+
+/* A node that the store does not answer knows servers by its peers alone: guards
+ * against one that discards them since it has listed before. */
+static void test_reader_without_the_store(void)
+{
+	struct msg *m;
+
+	rig_begin();
+	rig.silent = true;
+	shelf_restore(&rig.shelf, 7);
+	m = rig_entries_of((struct rev){2, 0});
+	rig_add_entry(m, "new", (struct rev){2, 6});
+	deliver(m);
+	g_assert_true(rig_has("new"));
+	rig_end();
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	fs_log_init("test", 2);
+	g_test_add_func("/fed_peers/server_of_an_older_era",
+			test_server_of_an_older_era);
+	g_test_add_func("/fed_peers/server_from_before_the_list",
+			test_server_from_before_the_list);
+	g_test_add_func("/fed_peers/reader_without_the_store",
+			test_reader_without_the_store);
+	return g_test_run();
+}
--- a/tests/unit_fed_restore.c
+++ b/tests/unit_fed_restore.c
@@ -182,25 +182,6 @@
 	rig_end();
 }
 
-static struct msg *entries_of(struct rev snapshot)
-{
-	struct msg *m =
-		msg_new(MSG_FEED_ENTRIES, rig.node.self, MSG_TASK_CONFIG);
-
-	m->feed_entries.snapshot = snapshot;
-	return m;
-}
-
-static void add_entry(struct msg *m, const char *id, struct rev rev)
-{
-	struct dir_entry e = {.rev = rev, .slots = 4};
-
-	g_strlcpy(e.id, id, sizeof(e.id));
-	g_strlcpy(e.service, "pay", sizeof(e.service));
-	g_strlcpy(e.address, "127.0.0.1:1", sizeof(e.address));
-	g_array_append_val(m->feed_entries.entries, e);
-}
-
 /* A peer that has not heard of the restoration sends all that it knows: guards
  * against a node that is turned back, or loses a server that has just joined. */
 static void test_peer_of_an_older_era(void)
@@ -212,8 +193,8 @@
 	shelf_put(&rig.shelf, "t/s1", "leaving");
 	shelf_put(&rig.shelf, "t/new", "ready");
 	rig_run(FS_US_PER_S);
-	m = entries_of((struct rev){1, 1000});
-	add_entry(m, "s1", (struct rev){1, 900});
+	m = rig_entries_of((struct rev){1, 1000});
+	rig_add_entry(m, "s1", (struct rev){1, 900});
 	bus_deliver(rig.node.bus, m);
 	rig_run(20 * FS_US_PER_MS);
 	g_assert_true(is_leaving("s1"));
@@ -230,8 +211,8 @@
 
 	rig_begin();
 	rig_run(FS_US_PER_S);
-	m = entries_of((struct rev){2, 6});
-	add_entry(m, "s0", (struct rev){2, 5});
+	m = rig_entries_of((struct rev){2, 6});
+	rig_add_entry(m, "s0", (struct rev){2, 5});
 	bus_deliver(rig.node.bus, m);
 	rig_run(20 * FS_US_PER_MS);
 	g_assert_cmpuint(dir_count(rig.dir), ==, 5);
@@ -290,11 +271,11 @@
 	shelf_put(&rig.shelf, "t/s2", NULL);
 	rig_run(FS_US_PER_S);
 	rig.silent = true;
-	m = entries_of((struct rev){2, 7});
+	m = rig_entries_of((struct rev){2, 7});
 	for (uint64_t i = 0; i < 5; i++) {
 		g_autofree char *id = g_strdup_printf("s%d", (int)i);
 
-		add_entry(m, id, (struct rev){2, 3 + i});
+		rig_add_entry(m, id, (struct rev){2, 3 + i});
 	}
 	bus_deliver(rig.node.bus, m);
 	rig_run(20 * FS_US_PER_MS);
