Leave a list in progress alone when a peer's complete list arrives

Callers saw nothing yet: found by a test. A reader whose list has several pages dropped live servers of the pages before; one whose entry does not change stayed away until the next list.

Cause: the directory marks what a list has shown, one list at a time. A peer's complete list between two pages cleared the marks, and the end of the reader's own list removed what it had shown before.

Evidence, before the change: target_gone for s0 and s1 at the end of the list, and unit_fed_peers.c:82:test_peer_between_two_pages: assertion failed (dir_count(rig.dir) == 5): (3 == 5)

Ruled out: a list of one page, since its marks are set and read in one turn, and a peer's list after the first call was sent and before its page.

Why it works: the entries are merged as ever. What the peer's list lacks, the reader's own list lacks too, and its end follows.

--- a/src/fed_tell.c
+++ b/src/fed_tell.c
@@ -187,11 +187,16 @@
 {
 	const GArray *entries = m->feed_entries.entries;
 	const GArray *removed = m->feed_entries.removed;
+	bool complete = m->feed_entries.snapshot.number != 0;
 
 	if (m->feed_entries.snapshot.era > fed->era)
 		fed_note_era(fed, m->feed_entries.snapshot.era, "peer", now_us);
+	/* The directory keeps track of one list at a time, and this node's own
+	 * removes as well what it lacks. */
+	if (fed->targets.page_after)
+		complete = false;
 	fed->merging = true;
-	if (m->feed_entries.snapshot.number)
+	if (complete)
 		dir_list_begin(fed->dir);
 	for (guint i = 0; i < entries->len; i++) {
 		const struct dir_entry *entry =
@@ -211,7 +216,7 @@
 	}
 	/* A sender that started recently has no removal records of targets
 	 * removed before: drop what its complete list lacks. */
-	if (m->feed_entries.snapshot.number)
+	if (complete)
 		dir_list_end(fed->dir, m->feed_entries.snapshot,
 			     fed->grace_until_us, now_us);
 	fed->merging = false;
--- a/tests/unit_fed_peers.c
+++ b/tests/unit_fed_peers.c
@@ -64,6 +64,25 @@
 	rig_end();
 }
 
+/* A peer's complete list arrives between two pages of this node's own: guards
+ * against servers of the first page that the end of the list removes. */
+static void test_peer_between_two_pages(void)
+{
+	struct msg *m;
+
+	rig_begin_store("5");
+	rig_begin_task();
+	for (int i = 0; i < 100 && dir_count(rig.dir) < 2; i++)
+		rig_run(5 * FS_US_PER_MS);
+	g_assert_nonnull(rig.fed->targets.page_after);
+	m = rig_entries_of((struct rev){1, 2});
+	bus_deliver(rig.node.bus, m);
+	rig_run(FS_US_PER_S);
+	g_assert_true(rig.fed->role.listed);
+	g_assert_cmpuint(dir_count(rig.dir), ==, 5);
+	rig_end();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -74,5 +93,7 @@
 			test_server_from_before_the_list);
 	g_test_add_func("/fed_peers/reader_without_the_store",
 			test_reader_without_the_store);
+	g_test_add_func("/fed_peers/peer_between_two_pages",
+			test_peer_between_two_pages);
 	return g_test_run();
 }
