Let a peer's tombstone of a leftover be a leftover at its receiver too

Callers saw nothing yet: found by a test. After a restoration a live server that had been removed before (its entry is in the copy, is right, and so does not change) was used again by the reader after 6 s, and by nodes that had got the reader's tombstones only once these expired, 60 s later; until then each heartbeat made them request the complete list.

Cause: the tombstone took over the leftover's revision and kept in a flag of its own that this is no removal of the restored store. Messages carry the revision alone.

Evidence, before the change: unit_dir.c:340:test_leftover_that_lasts_at_a_peer: 'dir_target_find(peer, "a")' should not be NULL

Ruled out: sending the removal's own revision instead. A node that has just started and took the leftover for a live server would drop that as older.

Why it works: no entry has the revision of a removal, so an entry at the tombstone's revision is a leftover wherever the tombstone comes from. The time for which leftovers are possible runs from the restoration, once a directory, so no node starts it anew with what a peer sends.

--- a/src/dir.c
+++ b/src/dir.c
@@ -7,10 +7,9 @@
 
 /** Tombstone of a removed target. */
 struct tombstone {
-	uint64_t born; /* of the target; BORN_UNKNOWN if it was not known */
-	struct rev rev;
+	uint64_t born;	/* of the target; BORN_UNKNOWN if it was not known */
+	struct rev rev; /* of the removal, or of the leftover seen since */
 	int64_t at_us;
-	bool leftover; /* rev is that of a leftover, first seen at at_us */
 };
 
 struct dir {
@@ -22,6 +21,8 @@
 	dir_removed_fn on_removed;
 	void *on_removed_arg;
 	uint64_t digest;
+	uint64_t era;	/* highest one known */
+	int64_t era_us; /* known since */
 };
 
 static void service_free(void *data)
@@ -163,18 +164,26 @@
 	invalidate(dir, target);
 }
 
-/* Returns whether an entry tells of a target that was removed before. */
-static bool is_of_removed(struct tombstone *tombstone,
+void dir_note_era(struct dir *dir, uint64_t era, int64_t now_us)
+{
+	if (era <= dir->era)
+		return;
+	dir->era = era;
+	dir->era_us = now_us;
+}
+
+/* Returns whether an entry tells of a target that was removed before. No entry has
+ * the revision of a removal, so an equal one is the leftover again. */
+static bool is_of_removed(const struct dir *dir, struct tombstone *tombstone,
 			  const struct dir_entry *entry, int64_t now_us)
 {
-	if (tombstone->leftover && !rev_compare(entry->rev, tombstone->rev))
-		return now_us - tombstone->at_us < DIR_LEFTOVER_US;
-	if (entry->rev.era == tombstone->rev.era ||
-	    entry->born > tombstone->born)
+	if (entry->born > tombstone->born ||
+	    now_us - dir->era_us >= DIR_LEFTOVER_US)
 		return false;
+	if (entry->rev.era == tombstone->rev.era)
+		return !rev_compare(entry->rev, tombstone->rev);
 	tombstone->rev = entry->rev;
 	tombstone->at_us = now_us;
-	tombstone->leftover = true;
 	return true;
 }
 
@@ -183,13 +192,12 @@
 {
 	struct tombstone *tombstone =
 		g_hash_table_lookup(dir->tombstones, entry->id);
-	int order = tombstone ? rev_compare(entry->rev, tombstone->rev) : 1;
 	struct dir_target *target;
 
-	if (order < 0 || (!order && !tombstone->leftover) ||
+	if ((tombstone && rev_compare(entry->rev, tombstone->rev) < 0) ||
 	    g_hash_table_size(dir->by_id) >= DIR_TARGETS_MAX)
 		return DIR_UNCHANGED;
-	if (tombstone && is_of_removed(tombstone, entry, now_us))
+	if (tombstone && is_of_removed(dir, tombstone, entry, now_us))
 		return DIR_LEFTOVER;
 	g_hash_table_remove(dir->tombstones, entry->id);
 	target = g_new0(struct dir_target, 1);
@@ -239,6 +247,7 @@
 	const struct dir_entry *known;
 	int order;
 
+	dir_note_era(dir, entry->rev.era, now_us);
 	if (!target)
 		return put_new(dir, entry, now_us);
 	known = &target->entry;
@@ -290,6 +299,7 @@
 	struct dir_target *target = dir_target_find(dir, id);
 	const struct tombstone *tombstone;
 
+	dir_note_era(dir, rev.era, now_us);
 	if (!target) {
 		tombstone = g_hash_table_lookup(dir->tombstones, id);
 		if (!tombstone || rev_compare(tombstone->rev, rev) < 0)
--- a/src/dir.h
+++ b/src/dir.h
@@ -11,9 +11,9 @@
  * In a restored store the first sight of a server may be a leftover: its entry as
  * it was when the copy was made. It neither ends that the server leaves, nor
  * brings back one that has left or an earlier start of it. Only its revision is
- * taken over: whatever the server writes next is later. An entry that is still
- * there after DIR_LEFTOVER_US is no leftover: the lease of a server that left has
- * ended by then.
+ * taken over: whatever the server writes next is later. DIR_LEFTOVER_US after the
+ * restoration no entry of a removed server is a leftover: the lease of one that
+ * left has ended by then.
  *
  * Entries whose lease expired during an outage of the service are restored
  * soon after it ends. A removal within the grace time after an outage
@@ -96,6 +96,9 @@
 struct dir_target *dir_target_ref(struct dir_target *target);
 void dir_target_unref(struct dir_target *target);
 
+/** Notes that the store is in @p era; entries and removals tell of it as well. */
+void dir_note_era(struct dir *dir, uint64_t era, int64_t now_us);
+
 /** Effect of an entry. */
 enum dir_effect {
 	DIR_UNCHANGED,
--- a/src/fed_era.c
+++ b/src/fed_era.c
@@ -30,6 +30,7 @@
 		return FED_ERA_OLDER;
 	}
 	fed->era = era;
+	dir_note_era(fed->dir, era, now_us);
 	if (first)
 		return FED_ERA_KNOWN;
 	fs_log_eventf("fed", G_LOG_LEVEL_MESSAGE, "store_restored",
--- a/tests/unit_dir.c
+++ b/tests/unit_dir.c
@@ -313,6 +313,35 @@
 	dir_free(dir);
 }
 
+static void copy_tombstone(void *arg, const char *id, struct rev rev)
+{
+	dir_remove(arg, id, rev, 0, SECOND);
+}
+
+/* A peer tells of the removal after it has seen the leftover: guards against a
+ * node that takes this for a removal in the restored store, and uses the server,
+ * which lives, a minute later than its peer. */
+static void test_leftover_that_lasts_at_a_peer(void)
+{
+	struct dir *dir = dir_new(NULL);
+	struct dir *peer = dir_new(NULL);
+	struct dir_entry e = entry("a", 60);
+
+	put(dir, "a", 80);
+	put(peer, "a", 80);
+	dir_remove(dir, "a", AT(90), 0, 0);
+	dir_remove(peer, "a", AT(90), 0, 0);
+	e.rev = LATER(60);
+	dir_put(dir, &e, SECOND);
+	dir_each_tombstone(dir, copy_tombstone, peer);
+	dir_put(dir, &e, SECOND + DIR_LEFTOVER_US);
+	dir_put(peer, &e, SECOND + DIR_LEFTOVER_US);
+	g_assert_nonnull(dir_target_find(dir, "a"));
+	g_assert_nonnull(dir_target_find(peer, "a"));
+	dir_free(peer);
+	dir_free(dir);
+}
+
 /* A server started again under its id after the copy was made: guards against a
  * process that is gone in place of the one that runs. */
 static void test_leftover_of_an_earlier_instance(void)
@@ -372,6 +401,8 @@
 			test_leftover_does_not_revive);
 	g_test_add_func("/dir/leftover_that_lasts_is_alive",
 			test_leftover_that_lasts_is_alive);
+	g_test_add_func("/dir/leftover_that_lasts_at_a_peer",
+			test_leftover_that_lasts_at_a_peer);
 	g_test_add_func("/dir/leftover_of_an_earlier_instance",
 			test_leftover_of_an_earlier_instance);
 	g_test_add_func("/dir/leftover_does_not_restart_the_warm_up",
