Carry the store's era in heartbeats of readers

Callers saw nothing yet: found by a test. A node whose link to its reader broke when the store was restored kept a server 2.2 s after its removal, if that was the first change it heard of afterwards: with a server that does not announce its end, longer than drain_ms allows.

Cause: a restoration was told once, by a message that may be lost, and the digest that reveals lost messages covers no eras: the content is the same before and after. The removal then brought the news, and removals are deferred after a restoration.

Evidence, with the field sent and not read: unit_fed_peers.c:106:test_removal_after_a_missed_restoration: 'rig_has("s3")' should be FALSE

Ruled out: the era in the digest. Each node that hears the heartbeat before the message would request the complete list from its reader, right after a restoration.

Why it works: heartbeats of fresh readers come several times a second, so a node knows of the restoration within its grace time. Packets keep their layout; the era follows at the end, where earlier versions do not read.

--- a/src/fed.h
+++ b/src/fed.h
@@ -18,8 +18,9 @@
  * (anti-entropy).
  *
  * An answer that states a newer era tells that the store was restored from a copy:
- * the reader lists everything anew and tells its domain. Answers of an older era
- * are void. An answer that states none counts as one of the known era.
+ * the reader lists everything anew and tells its domain; heartbeats carry the era
+ * too. Answers of an older era are void. An answer that states none counts as one
+ * of the known era.
  *
  * A configuration is in force once it is decoded. A process never goes back to
  * an older version.
--- a/src/fed_tell.c
+++ b/src/fed_tell.c
@@ -98,6 +98,7 @@
 
 	m->feed_heartbeat.digest = dir_digest(fed->dir);
 	m->feed_heartbeat.config_version = fed->cfg ? fed->cfg->version : 0;
+	m->feed_heartbeat.era = fed->era;
 	m->feed_heartbeat.fresh =
 		fed->targets.listed &&
 		now_us - fed->targets.answered_us < FED_FRESH_US &&
@@ -164,6 +165,10 @@
 	fed->role.last_rx_us = now_us;
 	if (heartbeat->local)
 		fed->role.local_rx_us = now_us;
+	/* The message that tells of a restoration may be lost, and digests stay
+	 * equal over it. */
+	if (heartbeat->era > fed->era)
+		fed_note_era(fed, heartbeat->era, "heartbeat", now_us);
 	if (!heartbeat->local &&
 	    now_us - fed->role.local_rx_us < FED_READER_TIMEOUT_US)
 		return;
--- a/src/lod.c
+++ b/src/lod.c
@@ -213,6 +213,7 @@
 	m = msg_new(MSG_FEED_HEARTBEAT, lod->node->self, MSG_TASK_CONFIG);
 	m->feed_heartbeat.digest = packet->feed.digest;
 	m->feed_heartbeat.config_version = packet->feed.config_version;
+	m->feed_heartbeat.era = packet->feed.era;
 	m->feed_heartbeat.fresh = packet->feed.fresh;
 	m->feed_heartbeat.local = packet->domain == lod->domain;
 	m->feed_heartbeat.reader = reader;
@@ -403,6 +404,7 @@
 
 	lod->feeds.own.digest = m->digest;
 	lod->feeds.own.config_version = m->config_version;
+	lod->feeds.own.era = m->era;
 	lod->feeds.own.fresh = m->fresh;
 	lod->feeds.own_us = now_us;
 	if (!m->fresh || !lod->view || lod->hubs[0] == lod->node->self)
--- a/src/lod_wire.c
+++ b/src/lod_wire.c
@@ -6,9 +6,9 @@
 #include "fs_err.h"
 #include "sig.h"
 
-/* Type to domain, feed, then three lists; the reader follows if it is not the
- * sender. */
-#define PACKET_MEMBERS 11
+/* Type to domain, feed, three lists, reader and era. Nodes of earlier versions send
+ * no era, and a reader only if it is not the sender. */
+#define PACKET_MEMBERS 13
 #define EVIDENCE_COUNT_MAX 64
 #define REQUESTS_MAX 100000
 #define LATENCY_SUM_MAX_US (600 * FS_US_PER_S)
@@ -86,7 +86,7 @@
 	uint8_t signature[SIG_SIZE];
 
 	msgpack_packer_init(&packer, out, append);
-	msgpack_pack_array(&packer, PACKET_MEMBERS + !!packet->feed.reader);
+	msgpack_pack_array(&packer, PACKET_MEMBERS);
 	pack_uint(&packer, packet->type);
 	pack_uint(&packer, packet->sender);
 	pack_uint(&packer, packet->incarnation);
@@ -96,8 +96,8 @@
 	pack_uint(&packer, packet->feed.config_version);
 	pack_uint(&packer, packet->feed.fresh);
 	pack_lists(&packer, packet);
-	if (packet->feed.reader)
-		pack_uint(&packer, packet->feed.reader);
+	pack_uint(&packer, packet->feed.reader);
+	pack_uint(&packer, packet->feed.era);
 	if (sig_sign(key, out->data, out->len, signature))
 		return FS_E_INVALID;
 	g_byte_array_append(out, signature, SIG_SIZE);
@@ -220,6 +220,8 @@
 	read_service_counts(&r, packet);
 	if (r.remaining)
 		packet->feed.reader = read_uint(&r, UINT64_MAX);
+	if (r.remaining)
+		packet->feed.era = read_uint(&r, UINT64_MAX);
 	return r.invalid ? FS_E_PROTOCOL : 0;
 }
 
--- a/src/lod_wire.h
+++ b/src/lod_wire.h
@@ -46,6 +46,7 @@
 struct lod_feed {
 	uint64_t digest;
 	uint64_t config_version;
+	uint64_t era;
 	bool fresh;
 	node_id reader; /* 0: the sender of the packet */
 };
--- a/src/msg.h
+++ b/src/msg.h
@@ -204,6 +204,7 @@
 struct msg_feed_heartbeat {
 	uint64_t digest;	 /* dir_digest() of the sender */
 	uint64_t config_version; /* 0: none */
+	uint64_t era;		 /* of the store, see rev.h */
 	bool fresh;		 /* the store has answered recently */
 	bool local;		 /* the reader is in this failure domain */
 	node_id reader;		 /* node that reads the store */
--- a/tests/unit_fed_peers.c
+++ b/tests/unit_fed_peers.c
@@ -83,6 +83,30 @@
 	rig_end();
 }
 
+/* The link to the reader breaks when the store is restored, and the node hears of it
+ * by the next heartbeat: guards against one that takes the first removal, some time
+ * after, for one that the restoration explains, and keeps the server for 2.2 s. */
+static void test_removal_after_a_missed_restoration(void)
+{
+	struct msg_removed removed = {.id = "s3", .rev = {2, 30}};
+	struct msg *m;
+
+	rig_begin();
+	rig.silent = true;
+	m = msg_new(MSG_FEED_HEARTBEAT, rig.node.self, MSG_TASK_CONFIG);
+	m->feed_heartbeat.digest = dir_digest(rig.dir);
+	m->feed_heartbeat.era = 2;
+	m->feed_heartbeat.fresh = true;
+	m->feed_heartbeat.local = true;
+	deliver(m);
+	rig_run(FED_REMOVAL_GRACE_US);
+	m = rig_entries_of((struct rev){2, 0});
+	g_array_append_val(m->feed_entries.removed, removed);
+	deliver(m);
+	g_assert_false(rig_has("s3"));
+	rig_end();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -95,5 +119,7 @@
 			test_reader_without_the_store);
 	g_test_add_func("/fed_peers/peer_between_two_pages",
 			test_peer_between_two_pages);
+	g_test_add_func("/fed_peers/removal_after_a_missed_restoration",
+			test_removal_after_a_missed_restoration);
 	return g_test_run();
 }
--- a/tests/unit_lod.c
+++ b/tests/unit_lod.c
@@ -29,6 +29,7 @@
 	packet->domain = 44;
 	packet->feed.digest = UINT64_MAX - 1;
 	packet->feed.config_version = 12;
+	packet->feed.era = UINT64_MAX;
 	packet->feed.fresh = true;
 	packet->feed.reader = 99;
 	g_array_append_val(packet->counts, count);
@@ -52,6 +53,7 @@
 	g_assert_cmpuint(out.sender, ==, 42);
 	g_assert_cmpuint(out.serial, ==, UINT32_MAX);
 	g_assert_cmpuint(out.feed.digest, ==, UINT64_MAX - 1);
+	g_assert_cmpuint(out.feed.era, ==, UINT64_MAX);
 	g_assert_true(out.feed.fresh);
 	g_assert_cmpuint(out.feed.reader, ==, 99);
 	g_assert_cmpmem(out.counts->data, sizeof(struct lod_target_count),
