Believe an era that jumps only when a second answer states it

One answer of the store that states a far too high era made every later answer void, at the node that got it and, by its messages, at all others, until the whole fleet was restarted: no change of the configuration, no new server.

Cause: the highest era that anyone states wins, at once and for ever.

Evidence, before the change: unit_fed_restore.c:154:test_era_stated_once: assertion failed (rig.fed->era == 1): (1000 == 1) unit_fed_restore.c:178:test_missed_restorations: assertion failed (rig.fed->era == 4): (1000 == 4)

Ruled out: going back to a lower era once the store denies the higher one for long. By then entries, tombstones and peers hold revisions of the wrong era, and all of them would have to be changed together. The same rule for peers' messages: a reader repeats what it believes, so a second message proves nothing; it believes only what two answers or a rise by one told it.

Why it works: eras rise by one, so only a node that missed a restoration sees a jump. It costs that node one more call (test_missed_restorations). Not covered: a wrong era that is higher by one, the same wrong one twice in a row, and the first answer after a start, which binds that node alone (by reading the code, no test: its configuration stays unanswered, so its heartbeats are not fresh).

--- a/src/fed.h
+++ b/src/fed.h
@@ -19,8 +19,9 @@
  *
  * An answer that states a newer era tells that the store was restored from a copy:
  * the reader lists everything anew and tells its domain; heartbeats carry the era
- * too. Answers of an older era are void. An answer that states none counts as one
- * of the known era.
+ * too. Answers of an older era are void, and so is the first one of an era that is
+ * newer by more than one. An answer that states none counts as one of the known
+ * era.
  *
  * A configuration is in force once it is decoded. A process never goes back to
  * an older version.
--- a/src/fed_impl.h
+++ b/src/fed_impl.h
@@ -62,7 +62,8 @@
 	struct fed_watcher targets;
 	struct fed_watcher config;
 	struct fed_role role;
-	uint64_t era; /* highest one stated by the store, or 0 */
+	uint64_t era;	     /* highest one known, or 0 */
+	uint64_t era_stated; /* by the previous answer of the store */
 	uint64_t random;
 	int64_t changed_us;	/* last change of the directory */
 	int64_t relist_us;	/* look at leftovers again; 0: none */
@@ -98,13 +99,15 @@
 enum fed_era {
 	FED_ERA_KNOWN, /* the one known, or not stated */
 	FED_ERA_NEWER, /* the store was restored: everything is read anew */
-	FED_ERA_OLDER, /* from before a restoration: the answer is void */
+	FED_ERA_VOID,  /* from before a restoration, or doubtful */
 };
 
-/** Notes the era of an answer of the store, KVS_NO_ERA if it does not state one,
- * or of a peer's message. */
-enum fed_era fed_note_era(struct fed *fed, uint64_t era, const char *source,
-			  int64_t now_us);
+/** Notes the era of an answer of the store, KVS_NO_ERA if it does not state one.
+ * One that is newer by more than one counts when the next answer states it too. */
+enum fed_era fed_note_era(struct fed *fed, uint64_t era, int64_t now_us);
+/** Notes the era that a peer knows. */
+void fed_hear_era(struct fed *fed, uint64_t era, const char *source,
+		  int64_t now_us);
 
 /* Reading (fed_read.c) */
 void fed_read_init(struct fed *fed);
--- a/src/fed_node.c
+++ b/src/fed_node.c
@@ -28,9 +28,9 @@
 static bool accept_result(struct fed *fed, const struct kvs_result *result,
 			  int *err)
 {
-	enum fed_era era = fed_note_era(fed, result->era, "store", fs_now_us());
+	enum fed_era era = fed_note_era(fed, result->era, fs_now_us());
 
-	if (era == FED_ERA_OLDER)
+	if (era == FED_ERA_VOID)
 		*err = FS_E_UNAVAILABLE;
 	return era != FED_ERA_NEWER;
 }
@@ -85,9 +85,7 @@
 	struct msg *m;
 
 	fed->nodes_running = false;
-	if (fed_note_era(fed, page->era, "store", fs_now_us()) ==
-		    FED_ERA_OLDER ||
-	    err)
+	if (fed_note_era(fed, page->era, fs_now_us()) == FED_ERA_VOID || err)
 		return;
 	m = msg_new(MSG_CONTACTS, fed->node->self, MSG_TASK_MEMBERS);
 	m->contacts.addresses =
--- a/src/fed_read.c
+++ b/src/fed_read.c
@@ -99,8 +99,8 @@
 	enum fed_era era;
 
 	watcher->running = false;
-	era = fed_note_era(watcher->fed, page->era, "store", now_us);
-	if (era == FED_ERA_OLDER)
+	era = fed_note_era(watcher->fed, page->era, now_us);
+	if (era == FED_ERA_VOID)
 		err = FS_E_UNAVAILABLE;
 	if (err) {
 		call_failed(watcher, err, now_us);
--- a/src/fed_tell.c
+++ b/src/fed_tell.c
@@ -167,8 +167,7 @@
 		fed->role.local_rx_us = now_us;
 	/* The message that tells of a restoration may be lost, and digests stay
 	 * equal over it. */
-	if (heartbeat->era > fed->era)
-		fed_note_era(fed, heartbeat->era, "heartbeat", now_us);
+	fed_hear_era(fed, heartbeat->era, "heartbeat", now_us);
 	if (!heartbeat->local &&
 	    now_us - fed->role.local_rx_us < FED_READER_TIMEOUT_US)
 		return;
@@ -194,8 +193,7 @@
 	const GArray *removed = m->feed_entries.removed;
 	bool complete = m->feed_entries.snapshot.number != 0;
 
-	if (m->feed_entries.snapshot.era > fed->era)
-		fed_note_era(fed, m->feed_entries.snapshot.era, "peer", now_us);
+	fed_hear_era(fed, m->feed_entries.snapshot.era, "peer", now_us);
 	/* The directory keeps track of one list at a time, and this node's own
 	 * removes as well what it lacks. */
 	if (fed->targets.page_after)
--- a/tests/fleet_kvs.c
+++ b/tests/fleet_kvs.c
@@ -243,14 +243,16 @@
 	}
 }
 
-static void answer(const struct shelf *shelf, const struct shelf_call *call)
+static void answer(struct shelf *shelf, const struct shelf_call *call)
 {
+	uint64_t era = shelf->wrong_era ? shelf->wrong_era : shelf->era;
 	g_autoptr(GArray)
 		items = g_array_new(FALSE, TRUE, sizeof(struct kvs_item));
-	struct kvs_page page = {.at_rev = shelf->rev, .era = shelf->era};
+	struct kvs_page page = {.at_rev = shelf->rev, .era = era};
 	int err = shelf->refuse;
-	struct kvs_result result = {.lease = !err, .era = shelf->era};
+	struct kvs_result result = {.lease = !err, .era = era};
 
+	shelf->wrong_era = 0;
 	if (!call->page_done) {
 		call->write_done(call->arg, err, &result);
 		return;
--- a/tests/fleet_kvs.h
+++ b/tests/fleet_kvs.h
@@ -18,11 +18,12 @@
 	GPtrArray *history; /* struct shelf_item, one a change */
 	GPtrArray *calls;   /* struct shelf_call, waiting */
 	uint64_t rev;
-	uint64_t era;	 /* rises with each restoration */
-	uint64_t oldest; /* history before it is dropped */
-	uint64_t count;	 /* of calls */
-	uint32_t page;	 /* items in one */
-	int refuse;	 /* error of every call, or 0 */
+	uint64_t era;	    /* rises with each restoration */
+	uint64_t wrong_era; /* the next answer alone states it; 0: none */
+	uint64_t oldest;    /* history before it is dropped */
+	uint64_t count;	    /* of calls */
+	uint32_t page;	    /* items in one */
+	int refuse;	    /* error of every call, or 0 */
 };
 
 void shelf_begin(struct shelf *shelf);
--- a/tests/unit_fed_restore.c
+++ b/tests/unit_fed_restore.c
@@ -142,6 +142,45 @@
 	rig_end();
 }
 
+/* One answer states an era that is far too high: guards against a node that takes
+ * each later answer as one from before a restoration. */
+static void test_era_stated_once(void)
+{
+	rig_begin();
+	for (int i = 0; i < 2; i++) {
+		rig.shelf.wrong_era = 1000 + (uint64_t)i;
+		rig_run(FS_US_PER_S);
+		g_assert_cmpuint(rig.shelf.wrong_era, ==, 0);
+		g_assert_cmpuint(rig.fed->era, ==, 1);
+	}
+	shelf_put(&rig.shelf, "c/config", "8");
+	shelf_put(&rig.shelf, "t/new", "ready");
+	rig_run(FS_US_PER_S);
+	g_assert_cmpuint(version(), ==, 8);
+	g_assert_true(rig_has("new"));
+	rig_end();
+}
+
+/* A node that was away over several restorations. */
+static void test_missed_restorations(void)
+{
+	rig_begin();
+	rig.shelf.wrong_era = 1000;
+	rig_run(FS_US_PER_S);
+	rig.silent = true;
+	rig_run(FS_US_PER_S);
+	for (int i = 0; i < 3; i++)
+		shelf_restore(&rig.shelf, 7);
+	shelf_put(&rig.shelf, "c/config", "9");
+	shelf_put(&rig.shelf, "t/new", "ready");
+	rig.silent = false;
+	rig_run(FS_US_PER_S);
+	g_assert_cmpuint(rig.fed->era, ==, 4);
+	g_assert_cmpuint(version(), ==, 9);
+	g_assert_true(rig_has("new"));
+	rig_end();
+}
+
 static bool is_leaving(const char *id)
 {
 	const struct dir_target *target = dir_target_find(rig.dir, id);
@@ -410,6 +449,9 @@
 	g_test_add_func("/fed_restore/era_not_stated", test_era_not_stated);
 	g_test_add_func("/fed_restore/second_restoration",
 			test_second_restoration);
+	g_test_add_func("/fed_restore/era_stated_once", test_era_stated_once);
+	g_test_add_func("/fed_restore/missed_restorations",
+			test_missed_restorations);
 	g_test_add_func("/fed_restore/server_leaves_after_a_restoration",
 			test_server_leaves_after_a_restoration);
 	g_test_add_func("/fed_restore/servers_that_the_copy_lacks",
