Keep deferred removals pending while the store is away again

Servers that a restored store does not list yet are kept for 2.2 s, in which they write again. If the store was away again within that time, or was restored a second time, they could not, and all of them were dropped until it was back: a whole service, for an outage of any length.

Cause: the grace time ran by the clock, whether the store was there or not, and a second restoration did not extend what the first had deferred. A belief kept from a state of the store (its first list) that no longer exists.

Evidence, before the change, for outage_in_the_grace and restoration_in_the_grace: unit_fed_restore.c:237:away_in_the_grace: 'rig_has("alive")' should be TRUE

Ruled out: letting each deferred removal wait for the next answer. Answers are up to 1.1 s apart, which would keep servers that are gone for longer than needed.

Why it works: time passes for deferred removals only up to 1.1 s, the longest pause of a reader, after the store or a fresh reader was heard. When the store is back after an outage or a restoration, the grace time begins anew for what is still deferred. What remains: an outage that begins in the last 1.1 s of the grace time.

--- a/src/dir.c
+++ b/src/dir.c
@@ -341,6 +341,21 @@
 	}
 }
 
+void dir_defer(struct dir *dir, int64_t grace_until_us)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, dir->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct dir_target *target = value;
+
+		if (target->missing_us)
+			target->missing_us =
+				MAX(target->missing_us, grace_until_us);
+	}
+}
+
 static gboolean is_expired(void *id, void *value, void *now)
 {
 	const struct tombstone *tombstone = value;
--- a/src/dir.h
+++ b/src/dir.h
@@ -127,7 +127,11 @@
 void dir_list_end(struct dir *dir, struct rev rev, int64_t grace_until_us,
 		  int64_t now_us);
 
-/** Removes targets whose grace time has ended, and expired tombstones. */
+/** Extends the grace time of removals that are deferred. */
+void dir_defer(struct dir *dir, int64_t grace_until_us);
+
+/** Removes targets whose grace time has ended, and expired tombstones.
+ * @param now_us  earlier than the present while the service is away */
 void dir_tick(struct dir *dir, int64_t now_us);
 
 /** Returns a hash of the content that peers need. */
--- a/src/fed_era.c
+++ b/src/fed_era.c
@@ -8,6 +8,7 @@
 	fed->grace_until_us = now_us + FED_REMOVAL_GRACE_US;
 	fed->targets.grace_until_us =
 		MAX(fed->targets.grace_until_us, fed->grace_until_us);
+	dir_defer(fed->dir, fed->grace_until_us);
 }
 
 static void log_era(const char *event, GLogLevelFlags level,
--- a/src/fed_impl.h
+++ b/src/fed_impl.h
@@ -50,6 +50,7 @@
 	uint32_t failures;   /* consecutive failed calls */
 	int64_t next_us;
 	int64_t answered_us;
+	int64_t reached_us;	/* the same, with answers that are void */
 	int64_t grace_until_us; /* removals are deferred until then */
 };
 
--- a/src/fed_read.c
+++ b/src/fed_read.c
@@ -43,13 +43,15 @@
 static void call_answered(struct fed_watcher *watcher, int64_t now_us)
 {
 	struct fed *fed = watcher->fed;
-
 	int64_t known_us = MAX(fed->role.last_rx_us, watcher->answered_us);
+	bool gap = now_us - known_us > FED_STORE_GAP_US;
 
 	/* An outage of the store in the meantime is possible, in which entries
-	 * may have expired. */
-	if (fed->directory_known && now_us - known_us > FED_STORE_GAP_US)
+	 * may have expired, and could not be written again. */
+	if (fed->directory_known && gap)
 		watcher->grace_until_us = now_us + FED_REMOVAL_GRACE_US;
+	if (gap || fed->store_lost)
+		dir_defer(fed->dir, now_us + FED_REMOVAL_GRACE_US);
 	if (!watcher->is_config)
 		set_store_lost(fed, false, 0);
 	watcher->failures = 0;
@@ -99,6 +101,8 @@
 	enum fed_era era;
 
 	watcher->running = false;
+	if (!err)
+		watcher->reached_us = now_us;
 	era = fed_note_era(watcher->fed, page->era, now_us);
 	if (era == FED_ERA_VOID)
 		err = FS_E_UNAVAILABLE;
@@ -231,9 +235,18 @@
 		stop_reading(&fed->targets);
 }
 
+/* Time does not pass for deferred removals while neither the store nor a fresh reader
+ * is heard: servers may not be able to write either. */
+static void tick_directory(struct fed *fed, int64_t now_us)
+{
+	int64_t heard_us = MAX(fed->role.last_rx_us, fed->targets.reached_us);
+
+	dir_tick(fed->dir, MIN(now_us, heard_us + FED_FRESH_US));
+}
+
 void fed_read_tick(struct fed *fed, int64_t now_us)
 {
-	dir_tick(fed->dir, now_us);
+	tick_directory(fed, now_us);
 	if (!fed->role.reading) {
 		stop_reading(&fed->targets);
 		stop_reading(&fed->config);
--- a/tests/unit_fed_restore.c
+++ b/tests/unit_fed_restore.c
@@ -221,6 +221,44 @@
 	rig_end();
 }
 
+/* The store is away again before servers could write their entries: guards against
+ * ones that are dropped then, by a list that nothing has confirmed, until it is
+ * back. */
+static void away_in_the_grace(bool restored)
+{
+	rig_begin();
+	shelf_put(&rig.shelf, "t/alive", "ready");
+	shelf_put(&rig.shelf, "t/dead", "ready");
+	rig_run(FS_US_PER_S);
+	shelf_restore(&rig.shelf, 7);
+	while (rig.fed->era < 2)
+		rig_run(20 * FS_US_PER_MS);
+	rig_run(FS_US_PER_S / 4);
+	rig.shelf.refuse = FS_E_UNAVAILABLE;
+	rig_run(3 * FS_US_PER_S);
+	g_assert_true(rig_has("alive"));
+	rig.shelf.refuse = 0;
+	if (restored)
+		shelf_restore(&rig.shelf, 7);
+	rig_run(3 * FS_US_PER_S / 2);
+	g_assert_true(rig_has("alive"));
+	shelf_put(&rig.shelf, "t/alive", "ready");
+	rig_run(3 * FS_US_PER_S);
+	g_assert_true(rig_has("alive"));
+	g_assert_false(rig_has("dead"));
+	rig_end();
+}
+
+static void test_outage_in_the_grace(void)
+{
+	away_in_the_grace(false);
+}
+
+static void test_restoration_in_the_grace(void)
+{
+	away_in_the_grace(true);
+}
+
 /* A peer that has not heard of the restoration sends all that it knows: guards
  * against a node that is turned back, or loses a server that has just joined. */
 static void test_peer_of_an_older_era(void)
@@ -456,6 +494,10 @@
 			test_server_leaves_after_a_restoration);
 	g_test_add_func("/fed_restore/servers_that_the_copy_lacks",
 			test_servers_that_the_copy_lacks);
+	g_test_add_func("/fed_restore/outage_in_the_grace",
+			test_outage_in_the_grace);
+	g_test_add_func("/fed_restore/restoration_in_the_grace",
+			test_restoration_in_the_grace);
 	g_test_add_func("/fed_restore/peer_of_an_older_era",
 			test_peer_of_an_older_era);
 	g_test_add_func("/fed_restore/peer_of_a_newer_era",
