Do not let an entry from before a deferred removal clear it

A server that was removed in the grace time after an outage or a restoration stayed in use for good at a reader, if a peer's message with the entry of before arrived meanwhile.

Cause: any entry that is not older than the one known cleared the removal, also the same one again. The watch had passed the removal, so nothing repeated it.

Evidence, before the change: unit_dir.c:174:test_known_entry_in_the_grace: 'dir_target_find(dir, "a")' should be NULL

Why it works: the removal's revision is kept beside it, and only a later entry is a sign that the server lives. One that writes again in the grace time writes a later one, in the same era or the next.

--- a/src/dir.c
+++ b/src/dir.c
@@ -255,7 +255,8 @@
 	if (order < 0)
 		return DIR_UNCHANGED;
 	target->listed = true;
-	target->missing_us = 0;
+	if (rev_compare(entry->rev, target->missing_rev) > 0)
+		target->missing_us = 0;
 	if (entry->rev.era > known->rev.era && is_leftover(entry, known)) {
 		target->entry.rev = entry->rev;
 		return DIR_LEFTOVER;
--- a/tests/unit_dir.c
+++ b/tests/unit_dir.c
@@ -157,6 +157,25 @@
 	dir_free(dir);
 }
 
+/* A peer sends what it knew before a removal that is deferred here: guards against a
+ * removal that is forgotten. The entry that the server writes again is later. */
+static void test_known_entry_in_the_grace(void)
+{
+	struct dir *dir = dir_new(NULL);
+
+	put(dir, "a", 5);
+	put(dir, "b", 6);
+	dir_remove(dir, "a", AT(9), SECOND, 0);
+	dir_remove(dir, "b", AT(10), SECOND, 0);
+	put(dir, "a", 5);
+	put(dir, "a", 7);
+	put(dir, "b", 11);
+	dir_tick(dir, SECOND);
+	g_assert_null(dir_target_find(dir, "a"));
+	g_assert_nonnull(dir_target_find(dir, "b"));
+	dir_free(dir);
+}
+
 /* A leaving target gets no grace time. */
 static void test_no_grace_for_the_leaving(void)
 {
@@ -387,6 +406,8 @@
 	g_test_add_func("/dir/grace", test_grace_after_an_outage);
 	g_test_add_func("/dir/late_entry_after_the_grace",
 			test_late_entry_after_the_grace);
+	g_test_add_func("/dir/known_entry_in_the_grace",
+			test_known_entry_in_the_grace);
 	g_test_add_func("/dir/no_grace", test_no_grace_for_the_leaving);
 	g_test_add_func("/dir/list", test_list_removes_missing_entries);
 	g_test_add_func("/dir/newer_era_is_later", test_newer_era_is_later);
