Tell peers which start of a server was removed

Callers saw nothing yet: found by a property test. A server that started again under its id soon after a restoration was not used, for up to 6 s, by a node that knew of the removal before by a peer alone; and a reader that got that node's tombstones dropped the server that lived.

Cause: messages carried a removal without the start of the server. A tombstone without it takes any first entry of a newer era for a leftover, takes over its revision, and so becomes, at a peer that knows better, a removal of that very entry.

Evidence, before the change: unit_dir.c:381:test_new_start_after_a_removal_told: 'dir_target_find(started, "a")' should not be NULL prop_dir (as it was then): RC_ASSERT(node.used[i] != servers[i].born), 2 != 2

Ruled out: taking an unknown start for an earlier one. The copy's entry of a server that left would be used (leftover_does_not_revive).

Why it works: a removal at the revision of a known entry says that the peer took it for a leftover. It counts only if the peer knew that start of the server; a real removal has a revision of its own.

--- a/src/dir.c
+++ b/src/dir.c
@@ -3,11 +3,9 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define BORN_UNKNOWN UINT64_MAX
-
 /** Tombstone of a removed target. */
 struct tombstone {
-	uint64_t born;	/* of the target; BORN_UNKNOWN if it was not known */
+	uint64_t born;	/* of the target, or DIR_BORN_UNKNOWN */
 	struct rev rev; /* of the removal, or of the leftover seen since */
 	int64_t at_us;
 };
@@ -294,17 +292,25 @@
 	dir_target_unref(target);
 }
 
+/* Remembers the removal of a target that is not in the directory. */
+static void note_removal(struct dir *dir, const char *id, struct rev rev,
+			 uint64_t born, int64_t now_us)
+{
+	const struct tombstone *tombstone =
+		g_hash_table_lookup(dir->tombstones, id);
+
+	if (!tombstone || rev_compare(tombstone->rev, rev) < 0)
+		add_tombstone(dir, id, rev, born, now_us);
+}
+
 void dir_remove(struct dir *dir, const char *id, struct rev rev,
 		int64_t grace_until_us, int64_t now_us)
 {
 	struct dir_target *target = dir_target_find(dir, id);
-	const struct tombstone *tombstone;
 
 	dir_note_era(dir, rev.era, now_us);
 	if (!target) {
-		tombstone = g_hash_table_lookup(dir->tombstones, id);
-		if (!tombstone || rev_compare(tombstone->rev, rev) < 0)
-			add_tombstone(dir, id, rev, BORN_UNKNOWN, now_us);
+		note_removal(dir, id, rev, DIR_BORN_UNKNOWN, now_us);
 		return;
 	}
 	if (rev_compare(target->entry.rev, rev) > 0)
@@ -318,6 +324,20 @@
 	remove_and_notify(dir, target, rev, now_us);
 }
 
+void dir_merge_removal(struct dir *dir, const char *id, struct rev rev,
+		       uint64_t born, int64_t grace_until_us, int64_t now_us)
+{
+	const struct dir_target *target = dir_target_find(dir, id);
+	bool knew_start = target && born != DIR_BORN_UNKNOWN &&
+			  target->entry.born <= born;
+
+	dir_note_era(dir, rev.era, now_us);
+	if (!target)
+		note_removal(dir, id, rev, born, now_us);
+	else if (rev_compare(target->entry.rev, rev) || knew_start)
+		dir_remove(dir, id, rev, grace_until_us, now_us);
+}
+
 void dir_list_begin(struct dir *dir)
 {
 	GHashTableIter iter;
@@ -395,17 +415,18 @@
 		fn(arg, target);
 }
 
-void dir_each_tombstone(const struct dir *dir,
-			void (*fn)(void *arg, const char *id, struct rev rev),
-			void *arg)
+void dir_each_tombstone(const struct dir *dir, dir_tombstone_fn fn, void *arg)
 {
 	GHashTableIter iter;
 	void *id;
-	void *tombstone;
+	void *value;
 
 	g_hash_table_iter_init(&iter, dir->tombstones);
-	while (g_hash_table_iter_next(&iter, &id, &tombstone))
-		fn(arg, id, ((struct tombstone *)tombstone)->rev);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		const struct tombstone *tombstone = value;
+
+		fn(arg, id, tombstone->rev, tombstone->born);
+	}
 }
 
 uint32_t dir_count(const struct dir *dir)
--- a/src/dir.h
+++ b/src/dir.h
@@ -117,6 +117,17 @@
 void dir_remove(struct dir *dir, const char *id, struct rev rev,
 		int64_t grace_until_us, int64_t now_us);
 
+#define DIR_BORN_UNKNOWN UINT64_MAX
+
+/**
+ * Applies a removal that a peer knows of. If the peer has since taken an entry for a
+ * leftover, the removal has the entry's revision; it then counts only if the peer
+ * knew that start of the server.
+ * @param born  latest start that was removed, or DIR_BORN_UNKNOWN
+ */
+void dir_merge_removal(struct dir *dir, const char *id, struct rev rev,
+		       uint64_t born, int64_t grace_until_us, int64_t now_us);
+
 /** Starts a complete list of entries. */
 void dir_list_begin(struct dir *dir);
 
@@ -142,10 +153,11 @@
 	      void (*fn)(void *arg, const struct dir_target *target),
 	      void *arg);
 
-/** Calls @p fn for each tombstone. */
-void dir_each_tombstone(const struct dir *dir,
-			void (*fn)(void *arg, const char *id, struct rev rev),
-			void *arg);
+typedef void (*dir_tombstone_fn)(void *arg, const char *id, struct rev rev,
+				 uint64_t born);
+
+/** Calls @p fn for each tombstone, with what dir_merge_removal() takes. */
+void dir_each_tombstone(const struct dir *dir, dir_tombstone_fn fn, void *arg);
 
 /** Returns how many targets there are. */
 uint32_t dir_count(const struct dir *dir);
--- a/src/fed_tell.c
+++ b/src/fed_tell.c
@@ -55,7 +55,7 @@
 		       struct rev rev)
 {
 	struct fed *fed = arg;
-	struct msg_removed removed = {.rev = rev};
+	struct msg_removed removed = {.born = target->entry.born, .rev = rev};
 
 	fs_log_eventf(
 		"fed", G_LOG_LEVEL_INFO, "target_gone",
@@ -214,8 +214,8 @@
 		const struct msg_removed *r =
 			&g_array_index(removed, struct msg_removed, i);
 
-		dir_remove(fed->dir, r->id, r->rev, fed->grace_until_us,
-			   now_us);
+		dir_merge_removal(fed->dir, r->id, r->rev, r->born,
+				  fed->grace_until_us, now_us);
 	}
 	/* A sender that started recently has no removal records of targets
 	 * removed before: drop what its complete list lacks. */
@@ -242,10 +242,11 @@
 	g_array_append_val(full->m->feed_entries.entries, entry);
 }
 
-static void add_removed(void *arg, const char *id, struct rev rev)
+static void add_removed(void *arg, const char *id, struct rev rev,
+			uint64_t born)
 {
 	struct full_sync *full = arg;
-	struct msg_removed removed = {.rev = rev};
+	struct msg_removed removed = {.born = born, .rev = rev};
 
 	g_strlcpy(removed.id, id, sizeof(removed.id));
 	g_array_append_val(full->m->feed_entries.removed, removed);
--- a/src/msg_codec_in.c
+++ b/src/msg_codec_in.c
@@ -175,11 +175,12 @@
 		g_array_append_val(m->feed_entries.entries, e);
 	}
 	msg_end_array(r, &inner);
-	inner = msg_get_array(r, 3);
+	inner = msg_get_array(r, 4);
 	while (!inner.malformed && inner.left) {
 		struct msg_removed removed = {0};
 
 		read_fixed_text(&inner, removed.id, sizeof(removed.id));
+		removed.born = msg_get_u64(&inner, UINT64_MAX);
 		removed.rev = get_rev(&inner);
 		g_array_append_val(m->feed_entries.removed, removed);
 	}
--- a/src/msg_codec_out.c
+++ b/src/msg_codec_out.c
@@ -147,12 +147,13 @@
 		msg_put_i64(w, e->cold_us);
 		msg_put_bool(w, e->leaving);
 	}
-	msgpack_pack_array(&w->packer, (size_t)3 * removed->len);
+	msgpack_pack_array(&w->packer, (size_t)4 * removed->len);
 	for (guint i = 0; i < removed->len; i++) {
 		const struct msg_removed *r =
 			&g_array_index(removed, struct msg_removed, i);
 
 		msg_put_text(w, r->id);
+		msg_put_u64(w, r->born);
 		put_rev(w, r->rev);
 	}
 }
--- a/tests/prop_msg.cpp
+++ b/tests/prop_msg.cpp
@@ -75,6 +75,7 @@
 
 		g_strlcpy(removed.id, random_text(20).c_str(),
 			  sizeof(removed.id));
+		removed.born = *rc::gen::arbitrary<uint64_t>();
 		removed.rev = random_rev();
 		g_array_append_val(out.removed, removed);
 	}
@@ -86,7 +87,8 @@
 	RC_ASSERT(a.number == b.number);
 }
 
-// Peers order entries by era and revision: neither may be lost on the way.
+// Peers order entries by era and revision, and removals by the start of the server as
+// well: none may be lost on the way.
 void expect_same_revs(const struct msg_feed_entries &a,
 		      const struct msg_feed_entries &b)
 {
@@ -96,10 +98,13 @@
 	for (guint i = 0; i < a.entries->len; i++)
 		expect_equal(g_array_index(a.entries, struct dir_entry, i).rev,
 			     g_array_index(b.entries, struct dir_entry, i).rev);
-	for (guint i = 0; i < a.removed->len; i++)
-		expect_equal(
-			g_array_index(a.removed, struct msg_removed, i).rev,
-			g_array_index(b.removed, struct msg_removed, i).rev);
+	for (guint i = 0; i < a.removed->len; i++) {
+		const auto &x = g_array_index(a.removed, struct msg_removed, i);
+		const auto &y = g_array_index(b.removed, struct msg_removed, i);
+
+		expect_equal(x.rev, y.rev);
+		RC_ASSERT(x.born == y.born);
+	}
 }
 
 struct msg *random_message()
--- a/tests/unit_dir.c
+++ b/tests/unit_dir.c
@@ -332,9 +332,10 @@
 	dir_free(dir);
 }
 
-static void copy_tombstone(void *arg, const char *id, struct rev rev)
+static void copy_tombstone(void *arg, const char *id, struct rev rev,
+			   uint64_t born)
 {
-	dir_remove(arg, id, rev, 0, SECOND);
+	dir_merge_removal(arg, id, rev, born, 0, SECOND);
 }
 
 /* A peer tells of the removal after it has seen the leftover: guards against a
@@ -361,6 +362,36 @@
 	dir_free(dir);
 }
 
+/* A node that has just started knows of a removal by a peer alone. The server starts
+ * again under its id after a restoration: guards against one that is not used there,
+ * and against a peer that drops it at this node's word. */
+static void test_new_start_after_a_removal_told(void)
+{
+	struct dir *dir = dir_new(NULL);
+	struct dir *started = dir_new(NULL);
+	struct dir_entry e = entry("a", 60);
+
+	put(dir, "a", 80);
+	dir_remove(dir, "a", AT(90), 0, 0);
+	dir_remove(started, "b", AT(91), 0, 0);
+	dir_each_tombstone(dir, copy_tombstone, started);
+	e.rev = LATER(60);
+	e.born = 2;
+	dir_put(dir, &e, SECOND);
+	dir_put(started, &e, SECOND);
+	g_assert_nonnull(dir_target_find(started, "a"));
+	/* Whether its start is later than the removed one's is not known. */
+	e = entry("b", 0);
+	e.rev = LATER(61);
+	dir_put(dir, &e, SECOND);
+	dir_put(started, &e, SECOND);
+	g_assert_null(dir_target_find(started, "b"));
+	dir_each_tombstone(started, copy_tombstone, dir);
+	g_assert_cmpuint(dir_count(dir), ==, 2);
+	dir_free(started);
+	dir_free(dir);
+}
+
 /* A server started again under its id after the copy was made: guards against a
  * process that is gone in place of the one that runs. */
 static void test_leftover_of_an_earlier_instance(void)
@@ -424,6 +455,8 @@
 			test_leftover_that_lasts_is_alive);
 	g_test_add_func("/dir/leftover_that_lasts_at_a_peer",
 			test_leftover_that_lasts_at_a_peer);
+	g_test_add_func("/dir/new_start_after_a_removal_told",
+			test_new_start_after_a_removal_told);
 	g_test_add_func("/dir/leftover_of_an_earlier_instance",
 			test_leftover_of_an_earlier_instance);
 	g_test_add_func("/dir/leftover_does_not_restart_the_warm_up",
