Give up a deferred removal of a server that the reader has

Callers saw nothing yet: found by a property test. A node that does not read dropped all servers for as long as it takes to ask its reader, 0.3 s and more, 2.2 s after it had got the list of a reader that had just started in the restored store, though the servers had written again and the node's reader had never missed them.

Cause: the node defers these removals. The reader finds nothing changed when a server writes the same again, so it tells nothing; and the digest is equal, since both have the servers, so the node does not ask.

Evidence, before the change: unit_fed_peers.c:133:test_list_from_before_the_rewrite: assertion failed (dir_count(rig.dir) == 5): (1 == 5)

Ruled out: ignoring what lists lack in the grace time. A peer that tells of a newer era by its list, and nothing after, has to be believed in the end (peer_of_a_newer_era).

Why it works: with an equal digest a fresh reader has the server too. If the reader defers the same removal, it tells when that takes effect, or its digest does.

--- a/src/dir.c
+++ b/src/dir.c
@@ -377,6 +377,16 @@
 	}
 }
 
+void dir_keep(struct dir *dir)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, dir->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct dir_target *)value)->missing_us = 0;
+}
+
 static gboolean is_expired(void *id, void *value, void *now)
 {
 	const struct tombstone *tombstone = value;
--- a/src/dir.h
+++ b/src/dir.h
@@ -141,6 +141,9 @@
 /** Extends the grace time of removals that are deferred. */
 void dir_defer(struct dir *dir, int64_t grace_until_us);
 
+/** Gives up removals that are deferred. */
+void dir_keep(struct dir *dir);
+
 /** Removes targets whose grace time has ended, and expired tombstones.
  * @param now_us  earlier than the present while the service is away */
 void dir_tick(struct dir *dir, int64_t now_us);
--- a/src/fed_tell.c
+++ b/src/fed_tell.c
@@ -132,9 +132,14 @@
 			    const struct msg_feed_heartbeat *heartbeat,
 			    int64_t now_us)
 {
+	if (heartbeat->digest == dir_digest(fed->dir)) {
+		/* The reader has what is to be removed here, and tells of it if
+		 * that changes. */
+		dir_keep(fed->dir);
+		return;
+	}
 	/* Changes in flight cause a digest mismatch for a moment. */
-	if (heartbeat->digest == dir_digest(fed->dir) ||
-	    now_us - fed->changed_us < FED_QUERY_INTERVAL_US ||
+	if (now_us - fed->changed_us < FED_QUERY_INTERVAL_US ||
 	    now_us - fed->queried_us < FED_QUERY_INTERVAL_US)
 		return;
 	fed->queried_us = now_us;
--- a/tests/unit_fed_peers.c
+++ b/tests/unit_fed_peers.c
@@ -11,6 +11,18 @@
 	rig_run(20 * FS_US_PER_MS);
 }
 
+static void hear_reader(uint64_t era)
+{
+	struct msg *m =
+		msg_new(MSG_FEED_HEARTBEAT, rig.node.self, MSG_TASK_CONFIG);
+
+	m->feed_heartbeat.digest = dir_digest(rig.dir);
+	m->feed_heartbeat.era = era;
+	m->feed_heartbeat.fresh = true;
+	m->feed_heartbeat.local = true;
+	deliver(m);
+}
+
 /* A peer tells late of a server that is lost with the copy, and that this node has
  * never seen: guards against one that a reader uses, and tells of, until it lists
  * the next time. */
@@ -93,12 +105,7 @@
 
 	rig_begin();
 	rig.silent = true;
-	m = msg_new(MSG_FEED_HEARTBEAT, rig.node.self, MSG_TASK_CONFIG);
-	m->feed_heartbeat.digest = dir_digest(rig.dir);
-	m->feed_heartbeat.era = 2;
-	m->feed_heartbeat.fresh = true;
-	m->feed_heartbeat.local = true;
-	deliver(m);
+	hear_reader(2);
 	rig_run(FED_REMOVAL_GRACE_US);
 	m = rig_entries_of((struct rev){2, 0});
 	g_array_append_val(m->feed_entries.removed, removed);
@@ -107,6 +114,26 @@
 	rig_end();
 }
 
+/* A reader that has just started sends its list of the restored store before servers
+ * have written again, and the next reader has never missed them: guards against a
+ * node that drops them, while its digest is equal to the reader's. */
+static void test_list_from_before_the_rewrite(void)
+{
+	struct msg *m;
+
+	rig_begin();
+	rig.silent = true;
+	m = rig_entries_of((struct rev){2, 6});
+	rig_add_entry(m, "s0", (struct rev){2, 5});
+	deliver(m);
+	for (int i = 0; i < 30; i++) {
+		hear_reader(2);
+		rig_run(100 * FS_US_PER_MS);
+	}
+	g_assert_cmpuint(dir_count(rig.dir), ==, 5);
+	rig_end();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -121,5 +148,7 @@
 			test_peer_between_two_pages);
 	g_test_add_func("/fed_peers/removal_after_a_missed_restoration",
 			test_removal_after_a_missed_restoration);
+	g_test_add_func("/fed_peers/list_from_before_the_rewrite",
+			test_list_from_before_the_rewrite);
 	return g_test_run();
 }
