--- a/src/dir.c
+++ b/src/dir.c
@@ -3,14 +3,11 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define BORN_UNKNOWN UINT64_MAX
-
 /** Tombstone of a removed target. */
 struct tombstone {
-	uint64_t born; /* of the target; BORN_UNKNOWN if it was not known */
-	struct rev rev;
+	uint64_t born;	/* of the target, or DIR_BORN_UNKNOWN */
+	struct rev rev; /* of the removal, or of the leftover seen since */
 	int64_t at_us;
-	bool leftover; /* rev is that of a leftover, first seen at at_us */
 };
 
 struct dir {
@@ -22,6 +19,8 @@
 	dir_removed_fn on_removed;
 	void *on_removed_arg;
 	uint64_t digest;
+	uint64_t era;	/* highest one known */
+	int64_t era_us; /* known since */
 };
 
 static void service_free(void *data)
@@ -163,18 +162,26 @@
 	invalidate(dir, target);
 }
 
-/* Returns whether an entry tells of a target that was removed before. */
-static bool is_of_removed(struct tombstone *tombstone,
+void dir_note_era(struct dir *dir, uint64_t era, int64_t now_us)
+{
+	if (era <= dir->era)
+		return;
+	dir->era = era;
+	dir->era_us = now_us;
+}
+
+/* Returns whether an entry tells of a target that was removed before. No entry has
+ * the revision of a removal, so an equal one is the leftover again. */
+static bool is_of_removed(const struct dir *dir, struct tombstone *tombstone,
 			  const struct dir_entry *entry, int64_t now_us)
 {
-	if (tombstone->leftover && !rev_compare(entry->rev, tombstone->rev))
-		return now_us - tombstone->at_us < DIR_LEFTOVER_US;
-	if (entry->rev.era == tombstone->rev.era ||
-	    entry->born > tombstone->born)
+	if (entry->born > tombstone->born ||
+	    now_us - dir->era_us >= DIR_LEFTOVER_US)
 		return false;
+	if (entry->rev.era == tombstone->rev.era)
+		return !rev_compare(entry->rev, tombstone->rev);
 	tombstone->rev = entry->rev;
 	tombstone->at_us = now_us;
-	tombstone->leftover = true;
 	return true;
 }
 
@@ -183,13 +190,12 @@
 {
 	struct tombstone *tombstone =
 		g_hash_table_lookup(dir->tombstones, entry->id);
-	int order = tombstone ? rev_compare(entry->rev, tombstone->rev) : 1;
 	struct dir_target *target;
 
-	if (order < 0 || (!order && !tombstone->leftover) ||
+	if ((tombstone && rev_compare(entry->rev, tombstone->rev) < 0) ||
 	    g_hash_table_size(dir->by_id) >= DIR_TARGETS_MAX)
 		return DIR_UNCHANGED;
-	if (tombstone && is_of_removed(tombstone, entry, now_us))
+	if (tombstone && is_of_removed(dir, tombstone, entry, now_us))
 		return DIR_LEFTOVER;
 	g_hash_table_remove(dir->tombstones, entry->id);
 	target = g_new0(struct dir_target, 1);
@@ -239,6 +245,7 @@
 	const struct dir_entry *known;
 	int order;
 
+	dir_note_era(dir, entry->rev.era, now_us);
 	if (!target)
 		return put_new(dir, entry, now_us);
 	known = &target->entry;
@@ -246,7 +253,8 @@
 	if (order < 0)
 		return DIR_UNCHANGED;
 	target->listed = true;
-	target->missing_us = 0;
+	if (rev_compare(entry->rev, target->missing_rev) > 0)
+		target->missing_us = 0;
 	if (entry->rev.era > known->rev.era && is_leftover(entry, known)) {
 		target->entry.rev = entry->rev;
 		return DIR_LEFTOVER;
@@ -284,16 +292,25 @@
 	dir_target_unref(target);
 }
 
+/* Remembers the removal of a target that is not in the directory. */
+static void note_removal(struct dir *dir, const char *id, struct rev rev,
+			 uint64_t born, int64_t now_us)
+{
+	const struct tombstone *tombstone =
+		g_hash_table_lookup(dir->tombstones, id);
+
+	if (!tombstone || rev_compare(tombstone->rev, rev) < 0)
+		add_tombstone(dir, id, rev, born, now_us);
+}
+
 void dir_remove(struct dir *dir, const char *id, struct rev rev,
 		int64_t grace_until_us, int64_t now_us)
 {
 	struct dir_target *target = dir_target_find(dir, id);
-	const struct tombstone *tombstone;
 
+	dir_note_era(dir, rev.era, now_us);
 	if (!target) {
-		tombstone = g_hash_table_lookup(dir->tombstones, id);
-		if (!tombstone || rev_compare(tombstone->rev, rev) < 0)
-			add_tombstone(dir, id, rev, BORN_UNKNOWN, now_us);
+		note_removal(dir, id, rev, DIR_BORN_UNKNOWN, now_us);
 		return;
 	}
 	if (rev_compare(target->entry.rev, rev) > 0)
@@ -307,6 +324,20 @@
 	remove_and_notify(dir, target, rev, now_us);
 }
 
+void dir_merge_removal(struct dir *dir, const char *id, struct rev rev,
+		       uint64_t born, int64_t grace_until_us, int64_t now_us)
+{
+	const struct dir_target *target = dir_target_find(dir, id);
+	bool knew_start = target && born != DIR_BORN_UNKNOWN &&
+			  target->entry.born <= born;
+
+	dir_note_era(dir, rev.era, now_us);
+	if (!target)
+		note_removal(dir, id, rev, born, now_us);
+	else if (rev_compare(target->entry.rev, rev) || knew_start)
+		dir_remove(dir, id, rev, grace_until_us, now_us);
+}
+
 void dir_list_begin(struct dir *dir)
 {
 	GHashTableIter iter;
@@ -331,6 +362,31 @@
 	}
 }
 
+void dir_defer(struct dir *dir, int64_t grace_until_us)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, dir->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct dir_target *target = value;
+
+		if (target->missing_us)
+			target->missing_us =
+				MAX(target->missing_us, grace_until_us);
+	}
+}
+
+void dir_keep(struct dir *dir)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, dir->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct dir_target *)value)->missing_us = 0;
+}
+
 static gboolean is_expired(void *id, void *value, void *now)
 {
 	const struct tombstone *tombstone = value;
@@ -369,17 +425,18 @@
 		fn(arg, target);
 }
 
-void dir_each_tombstone(const struct dir *dir,
-			void (*fn)(void *arg, const char *id, struct rev rev),
-			void *arg)
+void dir_each_tombstone(const struct dir *dir, dir_tombstone_fn fn, void *arg)
 {
 	GHashTableIter iter;
 	void *id;
-	void *tombstone;
+	void *value;
 
 	g_hash_table_iter_init(&iter, dir->tombstones);
-	while (g_hash_table_iter_next(&iter, &id, &tombstone))
-		fn(arg, id, ((struct tombstone *)tombstone)->rev);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		const struct tombstone *tombstone = value;
+
+		fn(arg, id, tombstone->rev, tombstone->born);
+	}
 }
 
 uint32_t dir_count(const struct dir *dir)
--- a/src/dir.h
+++ b/src/dir.h
@@ -11,9 +11,9 @@
  * In a restored store the first sight of a server may be a leftover: its entry as
  * it was when the copy was made. It neither ends that the server leaves, nor
  * brings back one that has left or an earlier start of it. Only its revision is
- * taken over: whatever the server writes next is later. An entry that is still
- * there after DIR_LEFTOVER_US is no leftover: the lease of a server that left has
- * ended by then.
+ * taken over: whatever the server writes next is later. DIR_LEFTOVER_US after the
+ * restoration no entry of a removed server is a leftover: the lease of one that
+ * left has ended by then.
  *
  * Entries whose lease expired during an outage of the service are restored
  * soon after it ends. A removal within the grace time after an outage
@@ -96,6 +96,9 @@
 struct dir_target *dir_target_ref(struct dir_target *target);
 void dir_target_unref(struct dir_target *target);
 
+/** Notes that the store is in @p era; entries and removals tell of it as well. */
+void dir_note_era(struct dir *dir, uint64_t era, int64_t now_us);
+
 /** Effect of an entry. */
 enum dir_effect {
 	DIR_UNCHANGED,
@@ -114,6 +117,17 @@
 void dir_remove(struct dir *dir, const char *id, struct rev rev,
 		int64_t grace_until_us, int64_t now_us);
 
+#define DIR_BORN_UNKNOWN UINT64_MAX
+
+/**
+ * Applies a removal that a peer knows of. If the peer has since taken an entry for a
+ * leftover, the removal has the entry's revision; it then counts only if the peer
+ * knew that start of the server.
+ * @param born  latest start that was removed, or DIR_BORN_UNKNOWN
+ */
+void dir_merge_removal(struct dir *dir, const char *id, struct rev rev,
+		       uint64_t born, int64_t grace_until_us, int64_t now_us);
+
 /** Starts a complete list of entries. */
 void dir_list_begin(struct dir *dir);
 
@@ -124,7 +138,14 @@
 void dir_list_end(struct dir *dir, struct rev rev, int64_t grace_until_us,
 		  int64_t now_us);
 
-/** Removes targets whose grace time has ended, and expired tombstones. */
+/** Extends the grace time of removals that are deferred. */
+void dir_defer(struct dir *dir, int64_t grace_until_us);
+
+/** Gives up removals that are deferred. */
+void dir_keep(struct dir *dir);
+
+/** Removes targets whose grace time has ended, and expired tombstones.
+ * @param now_us  earlier than the present while the service is away */
 void dir_tick(struct dir *dir, int64_t now_us);
 
 /** Returns a hash of the content that peers need. */
@@ -135,10 +156,11 @@
 	      void (*fn)(void *arg, const struct dir_target *target),
 	      void *arg);
 
-/** Calls @p fn for each tombstone. */
-void dir_each_tombstone(const struct dir *dir,
-			void (*fn)(void *arg, const char *id, struct rev rev),
-			void *arg);
+typedef void (*dir_tombstone_fn)(void *arg, const char *id, struct rev rev,
+				 uint64_t born);
+
+/** Calls @p fn for each tombstone, with what dir_merge_removal() takes. */
+void dir_each_tombstone(const struct dir *dir, dir_tombstone_fn fn, void *arg);
 
 /** Returns how many targets there are. */
 uint32_t dir_count(const struct dir *dir);
--- a/src/fed_tell.c
+++ b/src/fed_tell.c
@@ -55,7 +55,7 @@
 		       struct rev rev)
 {
 	struct fed *fed = arg;
-	struct msg_removed removed = {.rev = rev};
+	struct msg_removed removed = {.born = target->entry.born, .rev = rev};
 
 	fs_log_eventf(
 		"fed", G_LOG_LEVEL_INFO, "target_gone",
@@ -98,6 +98,7 @@
 
 	m->feed_heartbeat.digest = dir_digest(fed->dir);
 	m->feed_heartbeat.config_version = fed->cfg ? fed->cfg->version : 0;
+	m->feed_heartbeat.era = fed->era;
 	m->feed_heartbeat.fresh =
 		fed->targets.listed &&
 		now_us - fed->targets.answered_us < FED_FRESH_US &&
@@ -131,9 +132,14 @@
 			    const struct msg_feed_heartbeat *heartbeat,
 			    int64_t now_us)
 {
+	if (heartbeat->digest == dir_digest(fed->dir)) {
+		/* The reader has what is to be removed here, and tells of it if
+		 * that changes. */
+		dir_keep(fed->dir);
+		return;
+	}
 	/* Changes in flight cause a digest mismatch for a moment. */
-	if (heartbeat->digest == dir_digest(fed->dir) ||
-	    now_us - fed->changed_us < FED_QUERY_INTERVAL_US ||
+	if (now_us - fed->changed_us < FED_QUERY_INTERVAL_US ||
 	    now_us - fed->queried_us < FED_QUERY_INTERVAL_US)
 		return;
 	fed->queried_us = now_us;
@@ -164,6 +170,9 @@
 	fed->role.last_rx_us = now_us;
 	if (heartbeat->local)
 		fed->role.local_rx_us = now_us;
+	/* The message that tells of a restoration may be lost, and digests stay
+	 * equal over it. */
+	fed_hear_era(fed, heartbeat->era, "heartbeat", now_us);
 	if (!heartbeat->local &&
 	    now_us - fed->role.local_rx_us < FED_READER_TIMEOUT_US)
 		return;
@@ -173,32 +182,49 @@
 		request_entries(fed, heartbeat, now_us);
 }
 
+/* Returns whether this node's own reading tells that an entry's server is gone: it
+ * is not known at a later revision. */
+static bool is_superseded(const struct fed *fed, const struct dir_entry *entry)
+{
+	struct rev read = {.era = fed->era, .number = fed->targets.from_rev};
+
+	return fed->targets.listed && !dir_target_find(fed->dir, entry->id) &&
+	       rev_compare(entry->rev, read) <= 0;
+}
+
 void fed_merge_entries(struct fed *fed, const struct msg *m, int64_t now_us)
 {
 	const GArray *entries = m->feed_entries.entries;
 	const GArray *removed = m->feed_entries.removed;
+	bool complete = m->feed_entries.snapshot.number != 0;
 
-	if (m->feed_entries.snapshot.era > fed->era)
-		fed_note_era(fed, m->feed_entries.snapshot.era, "peer", now_us);
+	fed_hear_era(fed, m->feed_entries.snapshot.era, "peer", now_us);
+	/* The directory keeps track of one list at a time, and this node's own
+	 * removes as well what it lacks. */
+	if (fed->targets.page_after)
+		complete = false;
 	fed->merging = true;
-	if (m->feed_entries.snapshot.number)
+	if (complete)
 		dir_list_begin(fed->dir);
 	for (guint i = 0; i < entries->len; i++) {
 		const struct dir_entry *entry =
 			&g_array_index(entries, struct dir_entry, i);
 
-		fed_apply_entry(fed, entry, now_us);
+		if (is_superseded(fed, entry))
+			ctr_count(fed->node->ctr, "fed_superseded", 1);
+		else
+			fed_apply_entry(fed, entry, now_us);
 	}
 	for (guint i = 0; i < removed->len; i++) {
 		const struct msg_removed *r =
 			&g_array_index(removed, struct msg_removed, i);
 
-		dir_remove(fed->dir, r->id, r->rev, fed->grace_until_us,
-			   now_us);
+		dir_merge_removal(fed->dir, r->id, r->rev, r->born,
+				  fed->grace_until_us, now_us);
 	}
 	/* A sender that started recently has no removal records of targets
 	 * removed before: drop what its complete list lacks. */
-	if (m->feed_entries.snapshot.number)
+	if (complete)
 		dir_list_end(fed->dir, m->feed_entries.snapshot,
 			     fed->grace_until_us, now_us);
 	fed->merging = false;
@@ -221,10 +247,11 @@
 	g_array_append_val(full->m->feed_entries.entries, entry);
 }
 
-static void add_removed(void *arg, const char *id, struct rev rev)
+static void add_removed(void *arg, const char *id, struct rev rev,
+			uint64_t born)
 {
 	struct full_sync *full = arg;
-	struct msg_removed removed = {.rev = rev};
+	struct msg_removed removed = {.born = born, .rev = rev};
 
 	g_strlcpy(removed.id, id, sizeof(removed.id));
 	g_array_append_val(full->m->feed_entries.removed, removed);
--- a/src/msg.h
+++ b/src/msg.h
@@ -204,6 +204,7 @@
 struct msg_feed_heartbeat {
 	uint64_t digest;	 /* dir_digest() of the sender */
 	uint64_t config_version; /* 0: none */
+	uint64_t era;		 /* of the store, see rev.h */
 	bool fresh;		 /* the store has answered recently */
 	bool local;		 /* the reader is in this failure domain */
 	node_id reader;		 /* node that reads the store */
@@ -212,6 +213,7 @@
 /** A target removed from the directory. */
 struct msg_removed {
 	char id[FS_NAME_MAX];
+	uint64_t born; /* see dir_merge_removal() */
 	struct rev rev;
 };
 
--- a/tests/unit_dir.c
+++ b/tests/unit_dir.c
@@ -157,6 +157,25 @@
 	dir_free(dir);
 }
 
+/* A peer sends what it knew before a removal that is deferred here: guards against a
+ * removal that is forgotten. The entry that the server writes again is later. */
+static void test_known_entry_in_the_grace(void)
+{
+	struct dir *dir = dir_new(NULL);
+
+	put(dir, "a", 5);
+	put(dir, "b", 6);
+	dir_remove(dir, "a", AT(9), SECOND, 0);
+	dir_remove(dir, "b", AT(10), SECOND, 0);
+	put(dir, "a", 5);
+	put(dir, "a", 7);
+	put(dir, "b", 11);
+	dir_tick(dir, SECOND);
+	g_assert_null(dir_target_find(dir, "a"));
+	g_assert_nonnull(dir_target_find(dir, "b"));
+	dir_free(dir);
+}
+
 /* A leaving target gets no grace time. */
 static void test_no_grace_for_the_leaving(void)
 {
@@ -313,6 +332,66 @@
 	dir_free(dir);
 }
 
+static void copy_tombstone(void *arg, const char *id, struct rev rev,
+			   uint64_t born)
+{
+	dir_merge_removal(arg, id, rev, born, 0, SECOND);
+}
+
+/* A peer tells of the removal after it has seen the leftover: guards against a
+ * node that takes this for a removal in the restored store, and uses the server,
+ * which lives, a minute later than its peer. */
+static void test_leftover_that_lasts_at_a_peer(void)
+{
+	struct dir *dir = dir_new(NULL);
+	struct dir *peer = dir_new(NULL);
+	struct dir_entry e = entry("a", 60);
+
+	put(dir, "a", 80);
+	put(peer, "a", 80);
+	dir_remove(dir, "a", AT(90), 0, 0);
+	dir_remove(peer, "a", AT(90), 0, 0);
+	e.rev = LATER(60);
+	dir_put(dir, &e, SECOND);
+	dir_each_tombstone(dir, copy_tombstone, peer);
+	dir_put(dir, &e, SECOND + DIR_LEFTOVER_US);
+	dir_put(peer, &e, SECOND + DIR_LEFTOVER_US);
+	g_assert_nonnull(dir_target_find(dir, "a"));
+	g_assert_nonnull(dir_target_find(peer, "a"));
+	dir_free(peer);
+	dir_free(dir);
+}
+
+/* A node that has just started knows of a removal by a peer alone. The server starts
+ * again under its id after a restoration: guards against one that is not used there,
+ * and against a peer that drops it at this node's word. */
+static void test_new_start_after_a_removal_told(void)
+{
+	struct dir *dir = dir_new(NULL);
+	struct dir *started = dir_new(NULL);
+	struct dir_entry e = entry("a", 60);
+
+	put(dir, "a", 80);
+	dir_remove(dir, "a", AT(90), 0, 0);
+	dir_remove(started, "b", AT(91), 0, 0);
+	dir_each_tombstone(dir, copy_tombstone, started);
+	e.rev = LATER(60);
+	e.born = 2;
+	dir_put(dir, &e, SECOND);
+	dir_put(started, &e, SECOND);
+	g_assert_nonnull(dir_target_find(started, "a"));
+	/* Whether its start is later than the removed one's is not known. */
+	e = entry("b", 0);
+	e.rev = LATER(61);
+	dir_put(dir, &e, SECOND);
+	dir_put(started, &e, SECOND);
+	g_assert_null(dir_target_find(started, "b"));
+	dir_each_tombstone(started, copy_tombstone, dir);
+	g_assert_cmpuint(dir_count(dir), ==, 2);
+	dir_free(started);
+	dir_free(dir);
+}
+
 /* A server started again under its id after the copy was made: guards against a
  * process that is gone in place of the one that runs. */
 static void test_leftover_of_an_earlier_instance(void)
@@ -358,6 +437,8 @@
 	g_test_add_func("/dir/grace", test_grace_after_an_outage);
 	g_test_add_func("/dir/late_entry_after_the_grace",
 			test_late_entry_after_the_grace);
+	g_test_add_func("/dir/known_entry_in_the_grace",
+			test_known_entry_in_the_grace);
 	g_test_add_func("/dir/no_grace", test_no_grace_for_the_leaving);
 	g_test_add_func("/dir/list", test_list_removes_missing_entries);
 	g_test_add_func("/dir/newer_era_is_later", test_newer_era_is_later);
@@ -372,6 +453,10 @@
 			test_leftover_does_not_revive);
 	g_test_add_func("/dir/leftover_that_lasts_is_alive",
 			test_leftover_that_lasts_is_alive);
+	g_test_add_func("/dir/leftover_that_lasts_at_a_peer",
+			test_leftover_that_lasts_at_a_peer);
+	g_test_add_func("/dir/new_start_after_a_removal_told",
+			test_new_start_after_a_removal_told);
 	g_test_add_func("/dir/leftover_of_an_earlier_instance",
 			test_leftover_of_an_earlier_instance);
 	g_test_add_func("/dir/leftover_does_not_restart_the_warm_up",
--- a/tests/unit_fed_restore.c
+++ b/tests/unit_fed_restore.c
@@ -142,6 +142,45 @@
 	rig_end();
 }
 
+/* One answer states an era that is far too high: guards against a node that takes
+ * each later answer as one from before a restoration. */
+static void test_era_stated_once(void)
+{
+	rig_begin();
+	for (int i = 0; i < 2; i++) {
+		rig.shelf.wrong_era = 1000 + (uint64_t)i;
+		rig_run(FS_US_PER_S);
+		g_assert_cmpuint(rig.shelf.wrong_era, ==, 0);
+		g_assert_cmpuint(rig.fed->era, ==, 1);
+	}
+	shelf_put(&rig.shelf, "c/config", "8");
+	shelf_put(&rig.shelf, "t/new", "ready");
+	rig_run(FS_US_PER_S);
+	g_assert_cmpuint(version(), ==, 8);
+	g_assert_true(rig_has("new"));
+	rig_end();
+}
+
+/* A node that was away over several restorations. */
+static void test_missed_restorations(void)
+{
+	rig_begin();
+	rig.shelf.wrong_era = 1000;
+	rig_run(FS_US_PER_S);
+	rig.silent = true;
+	rig_run(FS_US_PER_S);
+	for (int i = 0; i < 3; i++)
+		shelf_restore(&rig.shelf, 7);
+	shelf_put(&rig.shelf, "c/config", "9");
+	shelf_put(&rig.shelf, "t/new", "ready");
+	rig.silent = false;
+	rig_run(FS_US_PER_S);
+	g_assert_cmpuint(rig.fed->era, ==, 4);
+	g_assert_cmpuint(version(), ==, 9);
+	g_assert_true(rig_has("new"));
+	rig_end();
+}
+
 static bool is_leaving(const char *id)
 {
 	const struct dir_target *target = dir_target_find(rig.dir, id);
@@ -182,23 +221,42 @@
 	rig_end();
 }
 
-static struct msg *entries_of(struct rev snapshot)
+/* The store is away again before servers could write their entries: guards against
+ * ones that are dropped then, by a list that nothing has confirmed, until it is
+ * back. */
+static void away_in_the_grace(bool restored)
 {
-	struct msg *m =
-		msg_new(MSG_FEED_ENTRIES, rig.node.self, MSG_TASK_CONFIG);
-
-	m->feed_entries.snapshot = snapshot;
-	return m;
+	rig_begin();
+	shelf_put(&rig.shelf, "t/alive", "ready");
+	shelf_put(&rig.shelf, "t/dead", "ready");
+	rig_run(FS_US_PER_S);
+	shelf_restore(&rig.shelf, 7);
+	while (rig.fed->era < 2)
+		rig_run(20 * FS_US_PER_MS);
+	rig_run(FS_US_PER_S / 4);
+	rig.shelf.refuse = FS_E_UNAVAILABLE;
+	rig_run(3 * FS_US_PER_S);
+	g_assert_true(rig_has("alive"));
+	rig.shelf.refuse = 0;
+	if (restored)
+		shelf_restore(&rig.shelf, 7);
+	rig_run(3 * FS_US_PER_S / 2);
+	g_assert_true(rig_has("alive"));
+	shelf_put(&rig.shelf, "t/alive", "ready");
+	rig_run(3 * FS_US_PER_S);
+	g_assert_true(rig_has("alive"));
+	g_assert_false(rig_has("dead"));
+	rig_end();
 }
 
-static void add_entry(struct msg *m, const char *id, struct rev rev)
+static void test_outage_in_the_grace(void)
 {
-	struct dir_entry e = {.rev = rev, .slots = 4};
+	away_in_the_grace(false);
+}
 
-	g_strlcpy(e.id, id, sizeof(e.id));
-	g_strlcpy(e.service, "pay", sizeof(e.service));
-	g_strlcpy(e.address, "127.0.0.1:1", sizeof(e.address));
-	g_array_append_val(m->feed_entries.entries, e);
+static void test_restoration_in_the_grace(void)
+{
+	away_in_the_grace(true);
 }
 
 /* A peer that has not heard of the restoration sends all that it knows: guards
@@ -212,8 +270,8 @@
 	shelf_put(&rig.shelf, "t/s1", "leaving");
 	shelf_put(&rig.shelf, "t/new", "ready");
 	rig_run(FS_US_PER_S);
-	m = entries_of((struct rev){1, 1000});
-	add_entry(m, "s1", (struct rev){1, 900});
+	m = rig_entries_of((struct rev){1, 1000});
+	rig_add_entry(m, "s1", (struct rev){1, 900});
 	bus_deliver(rig.node.bus, m);
 	rig_run(20 * FS_US_PER_MS);
 	g_assert_true(is_leaving("s1"));
@@ -230,8 +288,8 @@
 
 	rig_begin();
 	rig_run(FS_US_PER_S);
-	m = entries_of((struct rev){2, 6});
-	add_entry(m, "s0", (struct rev){2, 5});
+	m = rig_entries_of((struct rev){2, 6});
+	rig_add_entry(m, "s0", (struct rev){2, 5});
 	bus_deliver(rig.node.bus, m);
 	rig_run(20 * FS_US_PER_MS);
 	g_assert_cmpuint(dir_count(rig.dir), ==, 5);
@@ -290,11 +348,11 @@
 	shelf_put(&rig.shelf, "t/s2", NULL);
 	rig_run(FS_US_PER_S);
 	rig.silent = true;
-	m = entries_of((struct rev){2, 7});
+	m = rig_entries_of((struct rev){2, 7});
 	for (uint64_t i = 0; i < 5; i++) {
 		g_autofree char *id = g_strdup_printf("s%d", (int)i);
 
-		add_entry(m, id, (struct rev){2, 3 + i});
+		rig_add_entry(m, id, (struct rev){2, 3 + i});
 	}
 	bus_deliver(rig.node.bus, m);
 	rig_run(20 * FS_US_PER_MS);
@@ -429,10 +487,17 @@
 	g_test_add_func("/fed_restore/era_not_stated", test_era_not_stated);
 	g_test_add_func("/fed_restore/second_restoration",
 			test_second_restoration);
+	g_test_add_func("/fed_restore/era_stated_once", test_era_stated_once);
+	g_test_add_func("/fed_restore/missed_restorations",
+			test_missed_restorations);
 	g_test_add_func("/fed_restore/server_leaves_after_a_restoration",
 			test_server_leaves_after_a_restoration);
 	g_test_add_func("/fed_restore/servers_that_the_copy_lacks",
 			test_servers_that_the_copy_lacks);
+	g_test_add_func("/fed_restore/outage_in_the_grace",
+			test_outage_in_the_grace);
+	g_test_add_func("/fed_restore/restoration_in_the_grace",
+			test_restoration_in_the_grace);
 	g_test_add_func("/fed_restore/peer_of_an_older_era",
 			test_peer_of_an_older_era);
 	g_test_add_func("/fed_restore/peer_of_a_newer_era",
