Keep a removed target's start when its removal is told again

Cause: dir_remove() of an id that is already gone replaced its tombstone by one without the target's start if the removal came with a later revision. Lists of several readers give one removal several revisions, so this is common. In the next era the entry of a new instance was then taken for a leftover of the removed one, and the nodes that knew better were told by peers that it was gone, at the revision of its own entry.

The entry of era 3, revision 40, was target_leftover at n3 and n5 and a target at n0, n1 and n4, until those got target_gone at revision 40 from peers 2.6 to 3.2 s later. It was used again after its second write, revision 82.

unit_dir repeated_removal_keeps_the_start failed before: ERROR:tests/unit_dir.c:271: assertion failed (dir_put(dir, &e, 0) == DIR_CHANGED): (2 == 1)

Ruled out: an entry that never came (all readers saw revision 40); a store in trouble (the check waits for 6 s without).

The removal is now taken for the same one: the start of the target stays. If it was that of an instance which this node never saw, and the store is restored from a copy with its entry, the node uses it until the entry ends.

--- a/src/dir.c
+++ b/src/dir.c
@@ -299,8 +299,12 @@
 	const struct tombstone *tombstone =
 		g_hash_table_lookup(dir->tombstones, id);
 
-	if (!tombstone || rev_compare(tombstone->rev, rev) < 0)
-		add_tombstone(dir, id, rev, born, now_us);
+	if (tombstone && rev_compare(tombstone->rev, rev) >= 0)
+		return;
+	/* Most likely the same removal, told again. */
+	if (tombstone && born == DIR_BORN_UNKNOWN)
+		born = tombstone->born;
+	add_tombstone(dir, id, rev, born, now_us);
 }
 
 void dir_remove(struct dir *dir, const char *id, struct rev rev,
--- a/tests/unit_dir.c
+++ b/tests/unit_dir.c
@@ -273,6 +273,25 @@
 	dir_free(dir);
 }
 
+/* A removal is told again, by a list or a peer with a later revision: guards
+ * against a new instance under the id that is then taken for a leftover. */
+static void test_repeated_removal_keeps_the_start(void)
+{
+	struct dir *dir = dir_new(NULL);
+	struct dir_entry e = entry("a", 0);
+
+	put(dir, "a", 80);
+	dir_remove(dir, "a", AT(90), 0, 0);
+	dir_remove(dir, "a", AT(91), 0, 0);
+	expect_at(dir, "a", LATER(60), false, DIR_LEFTOVER);
+	dir_remove(dir, "a", LATER(61), 0, 0);
+	e.born = 2;
+	e.rev = (struct rev){.era = 3, .number = 40};
+	g_assert_cmpint(dir_put(dir, &e, 0), ==, DIR_CHANGED);
+	g_assert_nonnull(dir_target_find(dir, "a"));
+	dir_free(dir);
+}
+
 /* The copy of a restored store is from before a server began to leave: guards
  * against one that gets work again, until it has written its entry again. */
 static void test_leftover_does_not_end_leaving(void)
@@ -447,6 +466,8 @@
 			test_list_of_a_newer_era_removes);
 	g_test_add_func("/dir/new_instance_in_a_newer_era",
 			test_new_instance_in_a_newer_era);
+	g_test_add_func("/dir/repeated_removal_keeps_the_start",
+			test_repeated_removal_keeps_the_start);
 	g_test_add_func("/dir/leftover_does_not_end_leaving",
 			test_leftover_does_not_end_leaving);
 	g_test_add_func("/dir/leftover_does_not_revive",
