--- a/tests/soak/node.py
+++ b/tests/soak/node.py
@@ -130,7 +130,8 @@
         self.terminate()
         while self.running() and time.monotonic() - self.term_at < GRACE_S + 0.5:
             await asyncio.sleep(0.05)
-        if self.running() and not self.paused:
+        # One that was paused may have heard of it later.
+        if self.running() and self.only_planned(self.term_at, time.monotonic()):
             report("STOP", "%s runs %.1f s after SIGTERM" % (self.name, GRACE_S + 0.5))
         if self.running():
             self.process.kill()
