Keep a calm end in large runs of the soak

Intervals are now shorter by the number of nodes, as with six in total, and the load goes on until the calm has lasted for two seconds. Runs of six nodes draw and last as before, if their faults end in time.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -42,10 +42,12 @@
 CONFIG_S = 2.0  # until a configuration is in force
 BACK_S = 0.25  # a node that has shown a version does not show an older one
 CALM_END_S = 8.0  # without faults at the end
+CALM_MIN_S = 2.0  # of it, if the faults took longer
 SERVED_MIN = 0.9  # of the requests in that calm
 NOT_RUN = (408, 421, 429, 503)
 LAG_MAX_S = 0.15  # a check of times is void while this process itself is late
 RATE = 60  # requests a second
+SMALL = 6  # nodes; more are stopped at shorter intervals
 PAUSE_SHARE = 0.15  # of the faults are followed by a pause
 SPELL_S = 8.0  # of planned work only, or of faults of all kinds
 PAUSE_S = 6.0  # twice the time after which a machine counts as calm
@@ -64,6 +66,7 @@
         self.version, self.acked = 0, []  # (time, version, service of /moved/)
         self.seen = {}  # (node, incarnation) to (version, time)
         self.loading = False
+        self.ends = float("inf")  # of the load
         self.config_back_at = 0.0  # when a restored store had the newest again
         self.restored_at = 0.0
         self.tasks = set()  # running beside the faults
@@ -254,12 +257,12 @@
             await asyncio.sleep(wait_s)  # its entry is known before it is used
         self.configure(service)
 
-    async def load(self, until):
+    async def load(self):
         self.loading = True
         kinds = (("safe", "/list/1", "GET"), ("unsafe", "/pay/1", "POST"),
                  ("download", "/export/1", "GET"), ("moved", "/moved/1", "GET"))
         tasks = set()
-        while time.monotonic() < until:
+        while time.monotonic() < self.ends:
             kind, path, method = self.rng.choices(kinds, (5, 5, 1, 2))[0]
             caller = self.rng.choice(self.callers)
             leave_s = self.rng.uniform(0.01, 0.2) if self.rng.random() < 0.02 else None
@@ -272,9 +275,9 @@
         if tasks:
             await asyncio.wait(tasks, timeout=8)
 
-    async def watch(self, until):
+    async def watch(self):
         """Finds processes that end by themselves, and lateness of this one."""
-        while time.monotonic() < until:
+        while time.monotonic() < self.ends:
             at = time.monotonic()
             await asyncio.sleep(0.05)
             if time.monotonic() - at > 0.05 + LAG_MAX_S:
@@ -341,11 +344,11 @@
             node.terminate()
 
     async def fault_stop(self, rng):
-        stops = []
+        stops, pause = [], min(1.0, SMALL / len(self.nodes))
         for node in self.pick_nodes(rng, rng.choice((0.1, 0.4, 0.7))):
             if not node.expected_end and not node.paused:
                 stops.append(asyncio.ensure_future(self.stop_node(rng, node)))
-            await asyncio.sleep(rng.choice((0.0, rng.uniform(0, 3.0))))
+            await asyncio.sleep(pause * rng.choice((0.0, rng.uniform(0, 3.0))))
         await asyncio.gather(*stops)
 
     async def fault_settings(self, rng):
@@ -459,12 +462,12 @@
     async def run(self):
         await self.start()
         await asyncio.sleep(4.0)
-        now = time.monotonic()
-        ends = now + self.args.seconds
-        watch = asyncio.ensure_future(self.watch(ends))
-        load = asyncio.ensure_future(self.load(ends))
+        ends = time.monotonic() + self.args.seconds
+        watch = asyncio.ensure_future(self.watch())
+        load = asyncio.ensure_future(self.load())
         await self.faults(ends - CALM_END_S - 6.0)
         calm = time.monotonic() + 4.0
+        self.ends = max(ends, calm + CALM_MIN_S)
         await load
         await watch
         calm_requests = [r for r in self.requests.values() if r.sent > calm and r.end != "left"]
@@ -500,7 +503,7 @@
     parser.add_argument("program")
     parser.add_argument("--seed", type=int, required=True)
     parser.add_argument("--seconds", type=float, default=30.0)
-    parser.add_argument("--nodes", type=int, default=6)
+    parser.add_argument("--nodes", type=int, default=SMALL)
     parser.add_argument("--only", help="faults to draw, with commas between")
     parser.add_argument("--keep", help="folder for settings and logs")
     args = parser.parse_args()
