--- a/tests/unit_dir.c
+++ b/tests/unit_dir.c
@@ -392,6 +392,26 @@
 	dir_free(dir);
 }
 
+/* A leftover's lease ends, and the store is restored once more before the server
+ * starts again under its id: guards against a node that no longer knows which start
+ * had been removed, and does not use the new one. */
+static void test_new_start_after_a_leftover_ended(void)
+{
+	struct dir *dir = dir_new(NULL);
+	struct dir_entry e = entry("a", 60);
+
+	put(dir, "a", 80);
+	dir_remove(dir, "a", AT(90), 0, 0);
+	e.rev = LATER(60);
+	dir_put(dir, &e, 0);
+	dir_remove(dir, "a", LATER(61), 0, SECOND);
+	e.rev = (struct rev){.era = 3, .number = 50};
+	e.born = 2;
+	dir_put(dir, &e, 2 * SECOND);
+	g_assert_nonnull(dir_target_find(dir, "a"));
+	dir_free(dir);
+}
+
 /* A server started again under its id after the copy was made: guards against a
  * process that is gone in place of the one that runs. */
 static void test_leftover_of_an_earlier_instance(void)
@@ -457,6 +477,8 @@
 			test_leftover_that_lasts_at_a_peer);
 	g_test_add_func("/dir/new_start_after_a_removal_told",
 			test_new_start_after_a_removal_told);
+	g_test_add_func("/dir/new_start_after_a_leftover_ended",
+			test_new_start_after_a_leftover_ended);
 	g_test_add_func("/dir/leftover_of_an_earlier_instance",
 			test_leftover_of_an_earlier_instance);
 	g_test_add_func("/dir/leftover_does_not_restart_the_warm_up",
