List once more after each restoration, whoever saw a leftover

A reader that dropped a live server at the word of a peer that took its entry for a leftover stayed without it until the entry changed.

Cause: the list 6 s after a restoration, which shows what lives, was due only at the node that saw the leftover itself.

Evidence, before the change: unit_fed_peers.c:176:test_leftover_at_a_peer: 'rig_has("s2")' should be TRUE

Why it works: each reader lists once more 6 s after it heard of an era, the first one included, since a node that has just started trusts its peers most. It costs a reader one list a restoration or start. start_after_a_restoration passed before.

--- a/src/fed_era.c
+++ b/src/fed_era.c
@@ -20,13 +20,21 @@
 		      era, fed->era, source);
 }
 
+/* Until leftovers are over, servers that live may be taken for gone, also at a peer's
+ * word: a list after that has them. */
+static void note_era(struct fed *fed, uint64_t era, int64_t now_us)
+{
+	fed->era = era;
+	dir_note_era(fed->dir, era, now_us);
+	fed->relist_us = now_us + DIR_LEFTOVER_US;
+}
+
 /* Takes over a newer era. */
 static void begin_era(struct fed *fed, uint64_t era, const char *source,
 		      int64_t now_us)
 {
 	log_era("store_restored", G_LOG_LEVEL_MESSAGE, fed, era, source);
-	fed->era = era;
-	dir_note_era(fed->dir, era, now_us);
+	note_era(fed, era, now_us);
 	defer_removals(fed, now_us);
 	fed_read_restart(fed, now_us);
 	fed_node_restart(fed, now_us);
@@ -39,8 +47,7 @@
 	if (fed->era_known)
 		return false;
 	fed->era_known = true;
-	fed->era = era;
-	dir_note_era(fed->dir, era, now_us);
+	note_era(fed, era, now_us);
 	return true;
 }
 
--- a/src/fed_impl.h
+++ b/src/fed_impl.h
@@ -67,7 +67,7 @@
 	uint64_t era_stated; /* by the previous answer of the store */
 	uint64_t random;
 	int64_t changed_us;	/* last change of the directory */
-	int64_t relist_us;	/* look at leftovers again; 0: none */
+	int64_t relist_us;	/* leftovers are over; 0: no list is due */
 	int64_t grace_until_us; /* removals by peers are deferred until then */
 	int64_t queried_us;
 	int64_t config_queried_us;
--- a/src/fed_tell.c
+++ b/src/fed_tell.c
@@ -27,12 +27,9 @@
 }
 
 /* The entry is older than what is known of the server, see dir.h. */
-static void report_leftover(struct fed *fed, const struct dir_entry *entry,
-			    int64_t now_us)
+static void report_leftover(struct fed *fed, const struct dir_entry *entry)
 {
 	ctr_count(fed->node->ctr, "fed_leftovers", 1);
-	if (!fed->relist_us)
-		fed->relist_us = now_us + DIR_LEFTOVER_US;
 	fs_log_eventf("fed", G_LOG_LEVEL_INFO, "target_leftover",
 		      "\"target\":\"%s\",\"era\":%" G_GUINT64_FORMAT
 		      ",\"rev\":%" G_GUINT64_FORMAT ",\"source\":\"%s\"",
@@ -46,7 +43,7 @@
 	enum dir_effect effect = dir_put(fed->dir, entry, now_us);
 
 	if (effect == DIR_LEFTOVER)
-		report_leftover(fed, entry, now_us);
+		report_leftover(fed, entry);
 	if (effect == DIR_CHANGED)
 		queue_entry(fed, entry);
 }
--- a/tests/unit_fed_peers.c
+++ b/tests/unit_fed_peers.c
@@ -134,6 +134,49 @@
 	rig_end();
 }
 
+/* A node that starts has what peers know, and its own list is of a store that was
+ * restored just before: guards against one that drops servers which are about to
+ * write again. */
+static void test_start_after_a_restoration(void)
+{
+	struct msg *m;
+
+	rig_begin_store("5");
+	rig.shelf.era = 2;
+	rig_begin_task();
+	m = rig_entries_of((struct rev){2, 0});
+	rig_add_entry(m, "alive", (struct rev){1, 900});
+	rig_add_entry(m, "dead", (struct rev){1, 901});
+	deliver(m);
+	rig_run(FS_US_PER_S);
+	g_assert_true(rig.fed->role.listed);
+	g_assert_true(rig_has("alive"));
+	shelf_put(&rig.shelf, "t/alive", "ready");
+	rig_run(5 * FS_US_PER_S);
+	g_assert_true(rig_has("alive"));
+	g_assert_false(rig_has("dead"));
+	rig_end();
+}
+
+/* A peer takes a live server for gone, as its entry looks like a leftover: guards
+ * against a reader that believes it and never lists again. */
+static void test_leftover_at_a_peer(void)
+{
+	struct msg_removed removed = {.id = "s2", .rev = {2, 5}};
+	struct msg *m;
+
+	rig_begin();
+	shelf_restore(&rig.shelf, 7);
+	rig_run(3 * FS_US_PER_S);
+	m = rig_entries_of((struct rev){2, 0});
+	g_array_append_val(m->feed_entries.removed, removed);
+	deliver(m);
+	g_assert_false(rig_has("s2"));
+	rig_run(DIR_LEFTOVER_US - 2 * FS_US_PER_S);
+	g_assert_true(rig_has("s2"));
+	rig_end();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -150,5 +193,9 @@
 			test_removal_after_a_missed_restoration);
 	g_test_add_func("/fed_peers/list_from_before_the_rewrite",
 			test_list_from_before_the_rewrite);
+	g_test_add_func("/fed_peers/start_after_a_restoration",
+			test_start_after_a_restoration);
+	g_test_add_func("/fed_peers/leftover_at_a_peer",
+			test_leftover_at_a_peer);
 	return g_test_run();
 }
