Keep the start of a removed server in one place

Now note_removal() alone keeps it, for removals of this node's reading and of peers. unit_dir passes, with the tests of both (repeated_removal_keeps_the_start, new_start_after_a_leftover_ended).

--- a/src/dir.c
+++ b/src/dir.c
@@ -301,7 +301,8 @@
 
 	if (tombstone && rev_compare(tombstone->rev, rev) >= 0)
 		return;
-	/* Most likely the same removal, told again. */
+	/* The same removal, told again, or the end of a leftover: a later start
+	 * would be a target. */
 	if (tombstone && born == DIR_BORN_UNKNOWN)
 		born = tombstone->born;
 	add_tombstone(dir, id, rev, born, now_us);
@@ -311,15 +312,10 @@
 		int64_t grace_until_us, int64_t now_us)
 {
 	struct dir_target *target = dir_target_find(dir, id);
-	const struct tombstone *tombstone =
-		g_hash_table_lookup(dir->tombstones, id);
 
 	dir_note_era(dir, rev.era, now_us);
 	if (!target) {
-		/* What ends is a leftover: a later start would be a target. */
-		note_removal(dir, id, rev,
-			     tombstone ? tombstone->born : DIR_BORN_UNKNOWN,
-			     now_us);
+		note_removal(dir, id, rev, DIR_BORN_UNKNOWN, now_us);
 		return;
 	}
 	if (rev_compare(target->entry.rev, rev) > 0)
