--- a/tests/run_soak.sh
+++ b/tests/run_soak.sh
@@ -1,13 +1,13 @@
 #!/bin/sh
-# Plays the seeds of tests/soak/SEEDS.txt for half a minute each, two at a time.
-# The argument is the build folder.
+# Plays the seeds of tests/soak/SEEDS.txt, three at a time. The argument is the
+# build folder.
 if [ "$1" = --one ]; then
 	[ "$4" = all ] && only= || only="--only $4"
 	text=$(python3 tests/soak/soak.py "$2/fescuesaddle-gateway" --seed "$3" \
-		$only --seconds 30 2>&1)
+		$only --seconds "$5" 2>&1)
 	status=$?
-	printf '%s\n' "seed $3, faults $4" "$text"
+	printf '%s\n' "seed $3, faults $4, $5 s" "$text"
 	exit $status
 fi
-sed -n 's/^\([0-9][0-9]*\) \([a-z_,]*\) .*/\1 \2/p' tests/soak/SEEDS.txt |
-	xargs -P 2 -L 1 sh "$0" --one "$1"
+sed -n 's/^\([0-9][0-9]*\) \([a-z_,]*\) \([0-9][0-9]*\) .*/\1 \2 \3/p' \
+	tests/soak/SEEDS.txt | xargs -P 3 -L 1 sh "$0" --one "$1"
