Name the reason against a retry in one place

A function gave it, but for two errors whose names stood in the middle of the retry. No change of behaviour: unit_gwy_stop and unit_gwy pass (47 tests).

--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -178,8 +178,10 @@
 	return req->parked;
 }
 
-static const char *no_retry_reason_of(const struct rty_input *n)
+static const char *no_retry_reason_of(const struct rty_input *n, int err)
 {
+	if (err == FS_E_STOPPING || err == FS_E_STOPPED)
+		return fs_err_name(err);
 	if (!n->repeatable && n->written)
 		return "may_have_run";
 	if (n->tries >= n->tries_max)
@@ -242,10 +244,7 @@
 	allowed = req->attempt_count < GWY_ATTEMPTS_MAX && rty_allowed(&n);
 	req->stop_prevents_retry = allowed && err == FS_E_STOPPING;
 	if (!allowed || (err && !park(req, &choice, err, now_us))) {
-		req->no_retry_reason = err == FS_E_STOPPING ||
-						       err == FS_E_STOPPED ?
-					       fs_err_name(err) :
-					       no_retry_reason_of(&n);
+		req->no_retry_reason = no_retry_reason_of(&n, err);
 		return false;
 	}
 	if (err)
--- a/src/gwy_stop.c
+++ b/src/gwy_stop.c
@@ -12,7 +12,9 @@
 /* Requests in flight end this much before the process is killed, so that their
  * answers can still be sent. */
 #define LAST_ANSWER_MARGIN_US (350 * FS_US_PER_MS)
+/* The exit comes this much before the kill. */
 #define EXIT_MARGIN_US (100 * FS_US_PER_MS)
+
 static bool is_drained(struct gwy *gwy, int64_t now_us)
 {
 	int64_t since_us = now_us - gwy->stop_us;
