--- a/Makefile
+++ b/Makefile
@@ -130,7 +130,7 @@
 	unit_gwy unit_gwy_late unit_gwy_leave unit_gwy_reload unit_gwy_stop \
 	unit_dir unit_plf \
 	unit_fed unit_fed_restore unit_fed_peers unit_lod unit_policy_gateway \
-	prop_msg prop_mem prop_cfg prop_flr
+	prop_dir prop_msg prop_mem prop_cfg prop_flr
 
 test-sanitized:
 	$(MAKE) ASAN=1 $(addprefix build-asan/,fescuesaddled fescuesaddle \
