--- a/src/dir.h
+++ b/src/dir.h
@@ -3,9 +3,9 @@
  * @brief Directory of targets: the servers that exist, by their own reports.
  *
  * The platform's key-value service holds one entry for each live server. A
- * directory merges entries by era and revision (rev.h), whatever their source: a list, a
- * watch, or a peer that has read them. A removal leaves a tombstone for some
- * time, so that an older entry which arrives late does not bring a server
+ * directory merges entries by era and revision (rev.h), whatever their source: a
+ * list, a watch, or a peer that has read them. A removal leaves a tombstone for
+ * some time, so that an older entry which arrives late does not bring a server
  * back.
  *
  * In a restored store the first sight of a server may be a leftover: its entry as
--- a/src/kvs.h
+++ b/src/kvs.h
@@ -6,8 +6,9 @@
  * restored from a copy begins a new era: revisions go back to those of the copy
  * and are given out again, and what was written since is lost, leases included.
  *
- * An adapter for a particular service provides the table of functions. Every call has its own
- * deadline and invokes its callback exactly once, unless it is cancelled.
+ * An adapter for a particular service provides the table of functions. Every call
+ * has its own deadline and invokes its callback exactly once, unless it is
+ * cancelled.
  *
  * Errors: FS_E_NOT_FOUND, FS_E_STALE (the requested history was compacted),
  * FS_E_UNAVAILABLE (refused or no answer; a write may have taken effect),
--- a/tests/fleet_fed.h
+++ b/tests/fleet_fed.h
@@ -3,7 +3,8 @@
  * @brief A feed task over a store in the test's process (fleet_kvs.h).
  *
  * Five targets "s0" to "s4", with the keys "t/s0" and so on; the value of a key
- * is "ready" or "leaving", with the start of the server behind a space or not. The configuration "c/config" is its version as text.
+ * is "ready" or "leaving", with the start of the server behind a space or not. The
+ * configuration "c/config" is its version as text.
  */
 #ifndef FLEET_FED_H
 #define FLEET_FED_H
