Count and log the configurations that a node sends to peers

Two hypotheses for a late configuration, bytes on the reader's link and processor time, look the same in the logs: both show late config_in_force lines. Each configuration sent to a peer is now logged with its size and the version that the peer had (config_sent), and counted (fed_configs_sent, fed_config_bytes_sent), so that the bytes a reader sends for one change can be summed up from its log or read from its metrics.

--- a/src/fed.c
+++ b/src/fed.c
@@ -107,6 +107,21 @@
 	bus_send(fed->node->bus, m);
 }
 
+static void report_config_sent(struct fed *fed, const struct msg *ask,
+			       size_t size)
+{
+	const struct mem_member *peer =
+		fed->view ? mem_view_find(fed->view, ask->from) : NULL;
+
+	ctr_count(fed->node->ctr, "fed_configs_sent", 1);
+	ctr_count(fed->node->ctr, "fed_config_bytes_sent", size);
+	fs_log_eventf("fed", G_LOG_LEVEL_INFO, "config_sent",
+		      "\"peer\":\"%s\",\"version\":%" G_GUINT64_FORMAT
+		      ",\"known\":%" G_GUINT64_FORMAT ",\"bytes\":%zu",
+		      peer ? peer->name : "", fed->cfg->version,
+		      ask->config_request.known, size);
+}
+
 static void send_config(struct fed *fed, const struct msg *ask)
 {
 	struct msg *m;
@@ -116,6 +131,7 @@
 	m = msg_new(MSG_CONFIG_TEXT, ask->from, MSG_TASK_CONFIG);
 	m->config_text.version = fed->cfg->version;
 	m->config_text.text = g_strdup(fed->cfg->text);
+	report_config_sent(fed, ask, strlen(fed->cfg->text));
 	bus_send(fed->node->bus, m);
 }
 
