Send configurations as differences, along a relay tree

What callers saw: after 1,900 routes had been confirmed, requests were handled by an older configuration for seconds longer than the bound, and so they were after each later small change.

Cause: the cost of a change grew with the text and with the domain, on one link. Each node asked its reader for the whole text (165 KB), and again every 300 ms while the answer was under way; a reader of 88 nodes had 14 MB to send over 2.5 MB/s that digests fill by 60 to 80 %. The class: bulk on a shared link whose size depends on what a node holds, not on what changed, with retries that multiply it.

Now a text travels as its difference from the version before (zstd, with a checksum of the result), a whole one is compressed; a reader sends it unasked, to all if it is short, else along a tree in which no node sends more than 128 KB or three copies. Nodes keep the last steps and give them to those that missed one. Who hears of a newer version and has not got it after 0.5 s asks one node at a time, another node of its domain or the one that told of it; each node answers as much as its link bears.

New package: libzstd-dev. Nodes of this and of earlier versions do not understand each other's configurations; they still read the store.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 SAN := $(if $(ASAN),-fsanitize=address$(comma)undefined -fno-sanitize-recover=all)
 
 PKGS := msgpack libmicrohttpd libcurl argtable2 glib-2.0 libcyaml \
-	json-glib-1.0 libxxhash
+	json-glib-1.0 libxxhash libzstd
 PKG_CFLAGS := $(patsubst -I%,-isystem %,$(shell pkg-config --cflags $(PKGS)))
 LIBS := $(shell pkg-config --libs $(PKGS)) -lev -lm
 
--- a/src/fed.c
+++ b/src/fed.c
@@ -7,40 +7,6 @@
 	return (int64_t)(fs_random(&fed->random) % (uint64_t)limit);
 }
 
-void fed_apply_config(struct fed *fed, const char *text, size_t size,
-		      const char *source, int64_t now_us)
-{
-	uint64_t known = fed->cfg ? fed->cfg->version : 0;
-	struct cfg *cfg = fed->platform.decode_config(text, size);
-	struct aud_record rec;
-
-	if (!cfg) {
-		fs_log_eventf("fed", G_LOG_LEVEL_WARNING, "config_refused",
-			      "\"source\":\"%s\",\"known\":%" G_GUINT64_FORMAT
-			      ",\"reason\":\"malformed\"",
-			      source, known);
-		return;
-	}
-	if (cfg->version <= known) {
-		cfg_unref(cfg);
-		return;
-	}
-	aud_begin(&rec, AUD_CONFIG, AUD_R_CONFIG_TAKEN, cfg->version, now_us);
-	g_strlcpy(rec.choice, "taken", sizeof(rec.choice));
-	aud_add(&rec, "version", (int64_t)cfg->version);
-	aud_add(&rec, "known", (int64_t)known);
-	aud_add(&rec, "problems", 0);
-	aud_emit(fed->node->aud, &rec);
-	cfg_unref(fed->cfg);
-	fed->cfg = cfg;
-	fs_log_eventf("fed", G_LOG_LEVEL_MESSAGE, "config_in_force",
-		      "\"version\":%" G_GUINT64_FORMAT
-		      ",\"routes\":%u,\"services\":%u,\"source\":\"%s\"",
-		      cfg->version, cfg->route_count, cfg->service_count,
-		      source);
-	bus_send_all(fed->node->bus, MSG_CONFIG, cfg);
-}
-
 struct cfg *fed_config(const struct fed *fed)
 {
 	return fed->cfg;
@@ -88,53 +54,12 @@
 
 	update_reading(fed, now_us);
 	fed_read_tick(fed, now_us);
+	fed_config_tick(fed, now_us);
 	fed_broadcast_tick(fed, now_us);
 	fed_node_tick(fed, now_us);
 	fed_check_ready(fed);
 }
 
-void fed_request_config(struct fed *fed, node_id peer, uint64_t version,
-			int64_t now_us)
-{
-	struct msg *m;
-
-	if ((fed->cfg && version <= fed->cfg->version) ||
-	    now_us - fed->config_queried_us < FED_QUERY_INTERVAL_US)
-		return;
-	fed->config_queried_us = now_us;
-	m = msg_new(MSG_CONFIG_REQUEST, peer, MSG_TASK_CONFIG);
-	m->config_request.known = fed->cfg ? fed->cfg->version : 0;
-	bus_send(fed->node->bus, m);
-}
-
-static void report_config_sent(struct fed *fed, const struct msg *ask,
-			       size_t size)
-{
-	const struct mem_member *peer =
-		fed->view ? mem_view_find(fed->view, ask->from) : NULL;
-
-	ctr_count(fed->node->ctr, "fed_configs_sent", 1);
-	ctr_count(fed->node->ctr, "fed_config_bytes_sent", size);
-	fs_log_eventf("fed", G_LOG_LEVEL_INFO, "config_sent",
-		      "\"peer\":\"%s\",\"version\":%" G_GUINT64_FORMAT
-		      ",\"known\":%" G_GUINT64_FORMAT ",\"bytes\":%zu",
-		      peer ? peer->name : "", fed->cfg->version,
-		      ask->config_request.known, size);
-}
-
-static void send_config(struct fed *fed, const struct msg *ask)
-{
-	struct msg *m;
-
-	if (!fed->cfg || fed->cfg->version <= ask->config_request.known)
-		return;
-	m = msg_new(MSG_CONFIG_TEXT, ask->from, MSG_TASK_CONFIG);
-	m->config_text.version = fed->cfg->version;
-	m->config_text.text = g_strdup(fed->cfg->text);
-	report_config_sent(fed, ask, strlen(fed->cfg->text));
-	bus_send(fed->node->bus, m);
-}
-
 static void receive(void *task, struct msg *m, int64_t now_us)
 {
 	struct fed *fed = task;
@@ -145,19 +70,14 @@
 		fed->view = mem_view_ref(m->view.view);
 		break;
 	case MSG_CONFIG_HINT:
-		/* This domain's reader already has that version or gets it soon. */
-		if (now_us - fed->role.local_rx_us > FED_READER_TIMEOUT_US)
-			fed_request_config(fed, m->config_hint.node,
-					   m->config_hint.version, now_us);
+		fed_config_hear(fed, m->config_hint.node,
+				m->config_hint.version, now_us);
 		break;
 	case MSG_CONFIG_REQUEST:
-		send_config(fed, m);
+		fed_config_answer(fed, m, now_us);
 		break;
-	case MSG_CONFIG_TEXT:
-		if (m->config_text.text)
-			fed_apply_config(fed, m->config_text.text,
-					 strlen(m->config_text.text), "peer",
-					 now_us);
+	case MSG_FEED_CONFIG:
+		fed_config_receive(fed, m, now_us);
 		break;
 	case MSG_FEED_HEARTBEAT:
 		fed_receive_heartbeat(fed, m, now_us);
@@ -207,6 +127,7 @@
 	fed->random = node->self ^ node->incarnation;
 	fed_role_init(&fed->role, node->set.first_start, now_us);
 	fed_read_init(fed);
+	cfh_init(&fed->texts.history);
 	dir_on_removed(dir, fed_queue_removal, fed);
 	bus_attach(node->bus, MSG_TASK_CONFIG, &ops, fed);
 	node_add_status(node, "feed", write_status, fed);
@@ -229,6 +150,7 @@
 	msg_free(fed->changes);
 	g_free(fed->targets.page_after);
 	g_free(fed->config.page_after);
+	cfh_clear(&fed->texts.history);
 	cfg_unref(fed->cfg);
 	mem_view_unref(fed->view);
 	g_free(fed);
--- a/src/fed_impl.h
+++ b/src/fed_impl.h
@@ -5,6 +5,7 @@
 #ifndef FED_IMPL_H
 #define FED_IMPL_H
 
+#include "cfh.h"
 #include "fed.h"
 #include "fed_role.h"
 
@@ -29,6 +30,17 @@
 /* Minimum interval between two queries to peers. */
 #define FED_QUERY_INTERVAL_US (300 * FS_US_PER_MS)
 
+/* A reader sends each new configuration to its domain. A node that has heard of a
+ * newer one, and has not got it after this time, asks for it. */
+#define FED_CONFIG_WAIT_US (500 * FS_US_PER_MS)
+#define FED_CONFIG_WAIT_JITTER_US (250 * FS_US_PER_MS)
+/* Nodes ask one peer at a time, and the next one if it has not answered. */
+#define FED_CONFIG_REQUEST_TIMEOUT_US (600 * FS_US_PER_MS)
+
+/* In this time a node answers requests with SPR_BYTES, or with one answer that is
+ * larger. */
+#define FED_CONFIG_ANSWERS_INTERVAL_US (250 * FS_US_PER_MS)
+
 /* The lease of a node's own key is renewed three times within its TTL. */
 #define FED_LEASE_TTL_US (12 * FS_US_PER_S)
 #define FED_LEASE_RENEW_US (4 * FS_US_PER_S)
@@ -54,11 +66,27 @@
 	int64_t grace_until_us; /* removals are deferred until then */
 };
 
+/** Texts of the configuration, and the search for newer ones. */
+struct fed_config {
+	struct cfh history;  /* up to the newest text received */
+	uint64_t refused;    /* version of a text that is malformed */
+	uint64_t wanted;     /* newest version that a peer has told of */
+	node_id wanted_from; /* that peer */
+	int64_t ask_us;	     /* a peer is asked for it from then on */
+	int64_t request_us;  /* of the request in flight */
+	uint32_t requests;   /* for the wanted version */
+	int64_t answers_us;  /* answers to peers are counted from then on */
+	size_t answer_bytes;
+	bool request_running;
+	bool whole; /* the next request is for the whole text */
+};
+
 struct fed {
 	struct node *node;
 	struct fed_platform platform;
 	struct dir *dir;
-	struct cfg *cfg;
+	struct cfg *cfg; /* in force */
+	struct fed_config texts;
 	struct mem_view *view;
 	struct fed_watcher targets;
 	struct fed_watcher config;
@@ -70,7 +98,6 @@
 	int64_t relist_us;	/* leftovers are over; 0: no list is due */
 	int64_t grace_until_us; /* removals by peers are deferred until then */
 	int64_t queried_us;
-	int64_t config_queried_us;
 	struct msg *changes; /* MSG_FEED_ENTRIES to broadcast, or NULL */
 	/* This node's own key */
 	uint64_t lease;
@@ -85,14 +112,24 @@
 	bool nodes_running;
 };
 
-/* Configuration (fed.c) */
-
-/** Marks the node ready once configuration and directory are known. */
+/** Marks the node ready once configuration and directory are known (fed.c). */
 void fed_check_ready(struct fed *fed);
 
-/** Applies a configuration if its version is newer. */
-void fed_apply_config(struct fed *fed, const char *text, size_t size,
-		      const char *source, int64_t now_us);
+/* Configuration (fed_config.c) */
+
+/** Takes a text of the store: puts it into force if its version is newer, and
+ * sends it to the domain if this node is its reader. */
+void fed_config_read(struct fed *fed, const char *text, size_t size,
+		     int64_t now_us);
+/** Notes that a peer has a version. */
+void fed_config_hear(struct fed *fed, node_id peer, uint64_t version,
+		     int64_t now_us);
+/** Takes, and relays, what a peer has sent. */
+void fed_config_receive(struct fed *fed, const struct msg *m, int64_t now_us);
+/** Answers a request, with nothing if this node has no newer one, or has answered
+ * many just before: most other nodes can answer as well. */
+void fed_config_answer(struct fed *fed, const struct msg *ask, int64_t now_us);
+void fed_config_tick(struct fed *fed, int64_t now_us);
 
 /* Restorations of the store (fed_era.c) */
 
@@ -131,9 +168,6 @@
 /** Handles the heartbeat of another reader. */
 void fed_receive_heartbeat(struct fed *fed, const struct msg *m,
 			   int64_t now_us);
-/** Requests a peer's configuration if it is newer. */
-void fed_request_config(struct fed *fed, node_id peer, uint64_t version,
-			int64_t now_us);
 void fed_merge_entries(struct fed *fed, const struct msg *m, int64_t now_us);
 void fed_send_all_entries(struct fed *fed, const struct msg *ask,
 			  int64_t now_us);
--- a/src/fed_read.c
+++ b/src/fed_read.c
@@ -89,7 +89,7 @@
 	if (!watcher->is_config)
 		apply_target(watcher, item, now_us);
 	else if (!item->removed && !strcmp(item->key, fed->platform.config_key))
-		fed_apply_config(fed, item->value, item->size, "store", now_us);
+		fed_config_read(fed, item->value, item->size, now_us);
 }
 
 /* Returns whether the page of an answer is to be applied. In a restored store
--- a/src/fed_role.c
+++ b/src/fed_role.c
@@ -47,6 +47,7 @@
 	bool starting = is_starting(role, now_us);
 	bool alone = must_read(role, starting, now_us);
 
+	role->first = !rank;
 	if (alone)
 		role->no_reader_us = now_us;
 	if (!stopping && is_chosen(role, rank, now_us))
--- a/src/fed_role.h
+++ b/src/fed_role.h
@@ -47,6 +47,7 @@
 	int64_t chosen_us;    /* last time chosen */
 	bool first_start;     /* the whole fleet starts with this node */
 	bool listed;	      /* listed_us is set */
+	bool first;	      /* no member has a higher weight */
 	bool chosen;	      /* broadcasts what it reads */
 	bool reading;	      /* polls the store, chosen or not */
 };
--- a/src/fed_tell.c
+++ b/src/fed_tell.c
@@ -170,11 +170,11 @@
 	/* The message that tells of a restoration may be lost, and digests stay
 	 * equal over it. */
 	fed_hear_era(fed, heartbeat->era, "heartbeat", now_us);
+	fed_config_hear(fed, heartbeat->reader, heartbeat->config_version,
+			now_us);
 	if (!heartbeat->local &&
 	    now_us - fed->role.local_rx_us < FED_READER_TIMEOUT_US)
 		return;
-	fed_request_config(fed, heartbeat->reader, heartbeat->config_version,
-			   now_us);
 	if (!reads_in_time(fed, now_us))
 		request_entries(fed, heartbeat, now_us);
 }
--- a/src/msg.c
+++ b/src/msg.c
@@ -33,6 +33,10 @@
 			g_array_new(FALSE, TRUE, sizeof(struct dir_entry));
 		m->feed_entries.removed =
 			g_array_new(FALSE, TRUE, sizeof(struct msg_removed));
+	} else if (type == MSG_FEED_CONFIG) {
+		m->feed_config.steps = cfh_steps_new();
+		m->feed_config.relay =
+			g_array_new(FALSE, FALSE, sizeof(node_id));
 	}
 	return m;
 }
@@ -134,6 +138,10 @@
 		g_array_unref(m->feed_entries.entries);
 		g_array_unref(m->feed_entries.removed);
 		break;
+	case MSG_FEED_CONFIG:
+		g_array_unref(m->feed_config.steps);
+		g_array_unref(m->feed_config.relay);
+		break;
 	case MSG_CONFIG:
 		cfg_unref(m->config.cfg);
 		break;
--- a/src/msg.h
+++ b/src/msg.h
@@ -11,6 +11,7 @@
 #define MSG_H
 
 #include "cfg.h"
+#include "cfh.h"
 #include "dir.h"
 #include "fs_err.h"
 #include "fs_types.h"
@@ -38,6 +39,8 @@
 	/* Directory of targets: between the feed tasks of nodes */
 	MSG_FEED_ENTRIES, /* changed entries, or a full snapshot */
 	MSG_FEED_REQUEST, /* requests a full snapshot */
+	/* Configuration: between the feed tasks of nodes, for a request or not */
+	MSG_FEED_CONFIG,
 	MSG_REMOTE_COUNT,
 	/* Local only */
 	MSG_CONFIG = 64,   /* a new configuration took effect */
@@ -227,6 +230,12 @@
 	GArray *removed;     /* struct msg_removed */
 };
 
+/** MSG_FEED_CONFIG. */
+struct msg_feed_config {
+	GArray *steps; /* struct cfh_step; empty: no newer one is known */
+	GArray *relay; /* node_id: the receiver sends the message on to them */
+};
+
 /** MSG_CONFIG. */
 struct msg_config {
 	struct cfg *cfg;
@@ -285,6 +294,7 @@
 		struct msg_targets_leaving targets_leaving;
 		struct msg_feed_heartbeat feed_heartbeat;
 		struct msg_feed_entries feed_entries;
+		struct msg_feed_config feed_config;
 		struct msg_config config;
 		struct msg_view view;
 		struct msg_eject_request eject_request;
@@ -296,8 +306,8 @@
 	};
 };
 
-/** Creates a message with its members zeroed; the arrays of MSG_HANDOVER and
- * MSG_FEED_ENTRIES are created empty. */
+/** Creates a message with its members zeroed; the arrays of MSG_HANDOVER,
+ * MSG_FEED_ENTRIES and MSG_FEED_CONFIG are created empty. */
 struct msg *msg_new(enum msg_type type, node_id to, enum msg_task task);
 
 /** Frees a message and its members. NULL is allowed. */
--- a/src/msg_codec_in.c
+++ b/src/msg_codec_in.c
@@ -193,6 +193,30 @@
 	(void)m;
 }
 
+static void read_feed_config(struct msg_reader *r, struct msg *m)
+{
+	struct msg_reader inner = msg_get_array(r, 3);
+
+	while (!inner.malformed && inner.left) {
+		struct cfh_step step = {
+			.version = msg_get_u64(&inner, UINT64_MAX),
+			.base = msg_get_u64(&inner, UINT64_MAX),
+			.bytes = msg_get_bytes(&inner),
+		};
+
+		if (step.bytes)
+			g_array_append_val(m->feed_config.steps, step);
+	}
+	msg_end_array(r, &inner);
+	inner = msg_get_array(r, 1);
+	while (!inner.malformed && inner.left) {
+		node_id id = msg_get_u64(&inner, UINT64_MAX);
+
+		g_array_append_val(m->feed_config.relay, id);
+	}
+	msg_end_array(r, &inner);
+}
+
 static const msg_read_fn readers[MSG_REMOTE_COUNT] = {
 	[MSG_REQUEST] = read_request,
 	[MSG_CANCEL] = read_cancel,
@@ -208,6 +232,7 @@
 	[MSG_TARGETS_LEAVING] = read_targets_leaving,
 	[MSG_FEED_ENTRIES] = read_feed_entries,
 	[MSG_FEED_REQUEST] = read_feed_request,
+	[MSG_FEED_CONFIG] = read_feed_config,
 };
 
 msg_read_fn msg_reader_of(enum msg_type type)
--- a/src/msg_codec_out.c
+++ b/src/msg_codec_out.c
@@ -164,6 +164,25 @@
 	(void)m;
 }
 
+static void write_feed_config(struct msg_writer *w, const struct msg *m)
+{
+	const GArray *steps = m->feed_config.steps;
+	const GArray *relay = m->feed_config.relay;
+
+	msgpack_pack_array(&w->packer, (size_t)3 * steps->len);
+	for (guint i = 0; i < steps->len; i++) {
+		const struct cfh_step *step =
+			&g_array_index(steps, struct cfh_step, i);
+
+		msg_put_u64(w, step->version);
+		msg_put_u64(w, step->base);
+		msg_put_bytes(w, step->bytes);
+	}
+	msgpack_pack_array(&w->packer, relay->len);
+	for (guint i = 0; i < relay->len; i++)
+		msg_put_u64(w, g_array_index(relay, node_id, i));
+}
+
 /** Writer of one message type and its member count. */
 struct type_writer {
 	uint32_t members;
@@ -185,6 +204,7 @@
 	[MSG_TARGETS_LEAVING] = {1, write_targets_leaving},
 	[MSG_FEED_ENTRIES] = {4, write_feed_entries},
 	[MSG_FEED_REQUEST] = {0, write_feed_request},
+	[MSG_FEED_CONFIG] = {2, write_feed_config},
 };
 
 msg_write_fn msg_writer_of(enum msg_type type, uint32_t *members)
--- a/tests/fleet_fed.c
+++ b/tests/fleet_fed.c
@@ -142,3 +142,16 @@
 	g_strlcpy(e.address, "127.0.0.1:1", sizeof(e.address));
 	g_array_append_val(m->feed_entries.entries, e);
 }
+
+struct msg *rig_config_of(uint64_t version, const char *text)
+{
+	struct msg *m =
+		msg_new(MSG_FEED_CONFIG, rig.node.self, MSG_TASK_CONFIG);
+	struct cfh_step step = {
+		.version = version,
+		.bytes = dlt_encode(NULL, text),
+	};
+
+	g_array_append_val(m->feed_config.steps, step);
+	return m;
+}
--- a/tests/fleet_fed.h
+++ b/tests/fleet_fed.h
@@ -50,4 +50,7 @@
 struct msg *rig_entries_of(struct rev snapshot);
 void rig_add_entry(struct msg *m, const char *id, struct rev rev);
 
+/** Returns a peer's message of a whole configuration. */
+struct msg *rig_config_of(uint64_t version, const char *text);
+
 #endif
--- a/tests/prop_msg.cpp
+++ b/tests/prop_msg.cpp
@@ -10,6 +10,7 @@
 extern "C" {
 // mem.h has a member named operator, which is a keyword in C++.
 #define operator operator_address
+#include "cfh.h"
 #include "frm.h"
 #include "msg.h"
 #include "sig.h"
@@ -81,6 +82,24 @@
 	}
 }
 
+void fill_feed_config(struct msg_feed_config &out)
+{
+	for (int n = *rc::gen::inRange(0, 4); n > 0; n--) {
+		struct cfh_step step = {};
+
+		step.version = *rc::gen::arbitrary<uint64_t>();
+		step.base = *rc::gen::arbitrary<uint64_t>();
+		step.bytes = random_bytes();
+		cfh_steps_add(out.steps, &step);
+		g_bytes_unref(step.bytes);
+	}
+	for (int n = *rc::gen::inRange(0, 4); n > 0; n--) {
+		node_id id = *rc::gen::arbitrary<uint64_t>();
+
+		g_array_append_val(out.relay, id);
+	}
+}
+
 void expect_equal(const struct rev &a, const struct rev &b)
 {
 	RC_ASSERT(a.era == b.era);
@@ -158,6 +177,9 @@
 	case MSG_FEED_ENTRIES:
 		fill_feed_entries(m->feed_entries);
 		break;
+	case MSG_FEED_CONFIG:
+		fill_feed_config(m->feed_config);
+		break;
 	default: // the other types have only kinds of members covered above
 		break;
 	}
--- a/tests/unit_fed.c
+++ b/tests/unit_fed.c
@@ -46,9 +46,7 @@
 
 	rig_begin();
 	shelf_put(&rig.shelf, "c/config", "4");
-	m = msg_new(MSG_CONFIG_TEXT, rig.node.self, MSG_TASK_CONFIG);
-	m->config_text.version = 3;
-	m->config_text.text = g_strdup("3");
+	m = rig_config_of(3, "3");
 	bus_deliver(rig.node.bus, m);
 	shelf_put(&rig.shelf, "c/config", "x");
 	rig_run(FS_US_PER_S);
--- a/tests/unit_fed_restore.c
+++ b/tests/unit_fed_restore.c
@@ -461,9 +461,7 @@
 	bus_deliver(rig.node.bus, m);
 	rig_run(20 * FS_US_PER_MS);
 	g_assert_true(requests_config_of(77));
-	m = msg_new(MSG_CONFIG_TEXT, rig.node.self, MSG_TASK_CONFIG);
-	m->config_text.version = 8;
-	m->config_text.text = g_strdup("8");
+	m = rig_config_of(8, "8");
 	bus_deliver(rig.node.bus, m);
 	rig_run(FS_US_PER_S);
 	g_assert_cmpuint(version(), ==, 8);
--- a/tests/unit_fed_spread.c
+++ b/tests/unit_fed_spread.c
@@ -312,16 +312,18 @@
 
 static void fleet_end(void)
 {
+	for (uint32_t i = 0; i < NODES; i++)
+		fleet.members[i].dead = true;
+	/* Transfers under way end at dead members. */
+	run(FS_US_PER_S / 10);
 	for (uint32_t i = 0; i < NODES; i++) {
 		struct member *member = &fleet.members[i];
 
 		fed_free(member->fed);
 		dir_free(member->dir);
-		member->fed = NULL;
-		member->dead = true;
+		bus_attach(member->node.bus, MSG_TASK_CONFIG, NULL, NULL);
+		bus_attach(member->node.bus, MSG_TASK_LOAD, NULL, NULL);
 	}
-	/* Transfers under way end at dead members. */
-	run(FS_US_PER_S / 10);
 	mem_view_unref(fleet.view);
 	shelf_end(&fleet.shelf);
 	shelf_end(&fleet.refused);
@@ -336,18 +338,26 @@
 	node_remove_tick(&member->node, member->fed);
 	kvs->ops->cancel(kvs->store, &member->fed->targets);
 	kvs->ops->cancel(kvs->store, &member->fed->config);
+	kvs->ops->cancel(kvs->store, member->fed);
 }
 
 /* 1,900 routes come at once: guards against a reader that sends the whole text to
- * each node of its domain over its one link, and again while it is under way. */
+ * each node of its domain over its one link, and again while it is under way. Half
+ * of the text for each node allows for compression alone. */
 static void test_many_routes_at_once(void)
 {
+	uint64_t bytes = 0;
 	int64_t now_us;
 
 	fleet_begin();
 	now_us = fs_now_us();
 	put_config(7, ROUTES);
 	g_assert_cmpint(time_until_at_all(7, now_us), <, CONFIG_BOUND_US);
+	for (uint32_t i = 0; i < NODES; i++)
+		bytes += fleet.members[i].config_bytes;
+	g_assert_cmpuint(bytes, <,
+			 NODES * strlen(fed_config(fleet.reader->fed)->text) /
+				 2);
 	fleet_end();
 }
 
