Keep the limits that targets name, with one bucket at all nodes

What targets saw: one that had named 1 request a second got 35 in 4 s, as the header Server-Limit was not read. The class: a bound on the sum over all nodes that no node's own share can hold, as it is below one request a second and node.

The adapter reads the header once into what a target states of itself (stm.h). Each node keeps the same bucket of a limited target (lim.h): it fills at the limit and is emptied by all nodes' sends, which are reported in datagrams of their own within 0.3 s on 16 nodes a domain, and 0.6 s on 88. While it holds something, a request draws whether it may go there, at the odds of the bucket to the requests that the fleet has in the time until sends are known; what crosses on the way is taken from the time after. A request that waits keeps its draw for that time, so asking often does not help it. All sends go through the one choice of a target, so first attempts, retries, hedges and trials count alike; a closed target counts as full. A node without reports draws by the rates alone. Statements travel with their age and the newest holds; a success that names no limit ends it. Malformed values are logged and ignored.

unit_gwy_limit (red until now) passes; unit_lim plays 1 to 442 nodes, limits of 0.5 to 40 a second and demands of 24 to 800 in virtual time, with reports 0.4 s late: never beyond the rule in any 4 s, and within 0.7 to 1 of the limit used where demand is there.

--- a/src/bal.c
+++ b/src/bal.c
@@ -88,6 +88,28 @@
 	       in_flight_of(stats) >= stats->full_at;
 }
 
+/* Each target has a draw of its own, so that a request does not go to all that are
+ * limited or to none. */
+static bool is_limited(const struct dir_target *target,
+		       const struct bal_query *query)
+{
+	const struct bal_target *stats = target->user_data;
+	struct lim_query limit = query->limit;
+
+	if (!stats || !stats->lim.named)
+		return false;
+	limit.draw ^= target->hash;
+	limit.draw = fs_random(&limit.draw);
+	return !lim_allows(&stats->lim, &limit, query->now_us);
+}
+
+/* Returns whether a target takes nothing at the moment. */
+static bool is_closed(const struct dir_target *target,
+		      const struct bal_query *query)
+{
+	return is_full(target, query->now_us) || is_limited(target, query);
+}
+
 static bool is_avoided(const struct bal_query *query,
 		       const struct dir_target *target)
 {
@@ -231,7 +253,7 @@
 				      query->domain_share;
 	int64_t last_us = stats->sent_us;
 
-	if (!is_eligible(target, query) || is_full(target, query->now_us) ||
+	if (!is_eligible(target, query) || is_closed(target, query) ||
 	    in_flight_of(stats) >= (degraded ? MAX(target->entry.slots / 2, 1) :
 					       MAX(target->entry.slots, 1)) ||
 	    (other_domain &&
@@ -289,7 +311,7 @@
 			bal_target_get(target, query->now_us);
 		uint32_t slots = target->entry.slots;
 
-		if (!is_eligible(target, query) ||
+		if (!is_eligible(target, query) || stats->lim.named ||
 		    gry_is_suspected(&stats->gry, query->now_us))
 			continue;
 		usable++;
@@ -320,7 +342,7 @@
 
 		if (!is_eligible(target, query))
 			continue;
-		if (is_full(target, query->now_us)) {
+		if (is_closed(target, query)) {
 			best.full++;
 			continue;
 		}
--- a/src/bal.h
+++ b/src/bal.h
@@ -21,10 +21,12 @@
 
 #include "dir.h"
 #include "gry.h"
+#include "lim.h"
 
 /** Load and health state of a target, as this node sees it. */
 struct bal_target {
 	struct gry gry;
+	struct lim lim;
 	uint32_t own;	  /* requests of this node in flight */
 	uint32_t others;  /* of other nodes, as last reported */
 	int64_t sent_us;  /* last known send of any node */
@@ -39,9 +41,11 @@
 	int64_t cross_domain_cost_us; /* surcharge of another domain, as time */
 	const struct dir_target *const *avoid; /* targets tried before */
 	uint32_t avoid_count;
-	bool repeatable;     /* a failure costs a retry, not the request */
-	bool no_trial;	     /* not to be used as a trial of a target */
-	double rate;	     /* requests per second for the service */
+	bool repeatable;	/* a failure costs a retry, not the request */
+	bool no_trial;		/* not to be used as a trial of a target */
+	double rate;		/* requests per second for the service */
+	struct lim_query limit; /* of requests that draw for a limited target;
+				 * its draw is that of the request */
 	double domain_share; /* share of them that nodes of this domain get */
 	int64_t now_us;
 	uint64_t random;
--- a/src/gwy.h
+++ b/src/gwy.h
@@ -20,6 +20,7 @@
 
 #include "dir.h"
 #include "node.h"
+#include "stm.h"
 #include "tgt.h"
 
 struct gwy;
@@ -29,6 +30,8 @@
 	struct tgt_dialect target;
 	const char *instance; /* the server that a request is meant for */
 	const char *not_run;  /* in an answer: the request has not run */
+	/** Reads what a target states of itself. */
+	void (*read_statement)(const GArray *headers, struct stm *out);
 };
 
 /** Creates the task; binds node->caller. @param dir  owned by the caller */
--- a/src/gwy_choose.c
+++ b/src/gwy_choose.c
@@ -49,6 +49,27 @@
 	return req->attempt_count;
 }
 
+/* A request draws anew once the sends before its last draw are known: parked ones
+ * do not get through by asking often. */
+static struct lim_query limit_query_of(struct gwy_request *req, int64_t now_us)
+{
+	struct gwy *gwy = req->gwy;
+	const char *service = gwy_service_name(req);
+	int64_t delay_us = lod_limit_delay_us(gwy->lod);
+	double own_rate = gwy_send_request_rate(req, now_us);
+	uint64_t draw = req->draw + (uint64_t)(now_us / delay_us);
+
+	return (struct lim_query){
+		.rate = MAX(lod_request_rate(gwy->lod, service, now_us),
+			    own_rate * gwy->members_alive),
+		.waiting = (double)gwy->parked * gwy->members_alive,
+		.delay_us = delay_us,
+		.reported = gwy->members_alive == 1 ||
+			    lod_is_current(gwy->lod, now_us),
+		.draw = fs_random(&draw),
+	};
+}
+
 static struct bal_query query_of(struct gwy_request *req,
 				 const struct dir_target **avoid,
 				 int64_t now_us)
@@ -74,6 +95,7 @@
 		.avoid = avoid,
 		.avoid_count = attempted_targets(req, avoid),
 		.rate = lod_request_rate(gwy->lod, service, now_us),
+		.limit = limit_query_of(req, now_us),
 		.domain_share = gwy->domain_share,
 		.now_us = now_us,
 		.random = gwy_random(gwy),
--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -84,6 +84,7 @@
 	uint32_t attempts_sent; /* attempts that may have reached a server */
 	bool may_have_run;
 	bool parked;		     /* deferred until a target has capacity */
+	uint64_t draw;		     /* random number of the request */
 	bool stop_prevents_retry;    /* a target was there, and nothing else */
 	const char *no_retry_reason; /* why there was no retry, for the log */
 	ev_timer timer;
@@ -113,6 +114,7 @@
 	struct bud_rule budget_rule;
 	GHashTable *requests; /* struct gwy_request */
 	uint64_t random_state;
+	uint32_t parked;     /* requests that wait for a target */
 	uint64_t id_counter; /* of requests without an id */
 	size_t body_bytes;
 	size_t body_bytes_max;
@@ -181,6 +183,8 @@
 /* Attempts (gwy_send.c) */
 /** Retries a request or parks it, if the retry rule allows it. */
 bool gwy_send_retry(struct gwy_request *req, int64_t now_us);
+/** Returns the rate of callers' requests that this node has for the service. */
+double gwy_send_request_rate(struct gwy_request *req, int64_t now_us);
 /** Starts the first attempt for a complete request. */
 void gwy_send_first(struct gwy_request *req, int64_t now_us);
 /** Handles the deadline, overdue answers and parked requests. */
@@ -188,6 +192,9 @@
 /** Frees the slot of an attempt at its target. */
 void gwy_send_release_slot(struct gwy_attempt *t);
 
+/** Marks a request as parked, or not. */
+void gwy_request_park(struct gwy_request *req, bool parked);
+
 /* Answers (gwy_answer.c) */
 /** Forwards a completely buffered answer of a target. */
 void gwy_answer_buffered(struct gwy_attempt *t, int64_t now_us);
--- a/src/gwy_request.c
+++ b/src/gwy_request.c
@@ -46,6 +46,7 @@
 	req->target = g_strdup(target);
 	req->body = g_byte_array_new();
 	req->route = req->service = FS_NONE;
+	req->draw = gwy_random(gwy);
 	ev_init(&req->timer, on_timer);
 	req->timer.data = req;
 	htd_gone_init(&req->disconnect_watch, on_caller_disconnected, req);
@@ -58,6 +59,7 @@
 	struct gwy *gwy = req->gwy;
 
 	gwy_request_cancel_attempts(req);
+	gwy_request_park(req, false);
 	for (uint32_t i = 0; i < req->attempt_count; i++)
 		dir_target_unref(req->attempts[i].target);
 	ev_timer_stop(gwy->node->loop, &req->timer);
@@ -74,6 +76,13 @@
 	g_free(req);
 }
 
+void gwy_request_park(struct gwy_request *req, bool parked)
+{
+	req->gwy->parked += parked;
+	req->gwy->parked -= req->parked;
+	req->parked = parked;
+}
+
 void gwy_request_suspend(struct gwy_request *req)
 {
 	if (req->suspended)
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -50,6 +50,11 @@
 	return bud;
 }
 
+double gwy_send_request_rate(struct gwy_request *req, int64_t now_us)
+{
+	return bud_request_rate(budget_of(req), &req->gwy->budget_rule, now_us);
+}
+
 void gwy_send_release_slot(struct gwy_attempt *t)
 {
 	if (!t->in_flight)
@@ -123,6 +128,7 @@
 	bal_target_get(t->target, now_us)->own++;
 	bal_target_get(t->target, now_us)->sent_us = now_us;
 	lod_in_flight_changed(req->gwy->lod, t->target);
+	lod_record_send(req->gwy->lod, t->target, now_us);
 	if (req->attempts_sent) {
 		bud_count_retry(budget_of(req), &req->gwy->budget_rule, now_us);
 		lod_record_requests(req->gwy->lod, gwy_service_name(req), 0, 1,
@@ -168,9 +174,10 @@
 {
 	struct adm_input n = admission_input(req, choice, now_us);
 
-	req->parked = !req->attempts_in_flight &&
-		      (err == FS_E_QUEUE_FULL || err == FS_E_WAIT_TOO_LONG) &&
-		      adm_decide(&n) == ADM_PARK;
+	gwy_request_park(req, !req->attempts_in_flight &&
+				      (err == FS_E_QUEUE_FULL ||
+				       err == FS_E_WAIT_TOO_LONG) &&
+				      adm_decide(&n) == ADM_PARK);
 	if (req->parked) {
 		ctr_count(req->gwy->node->ctr, "gwy_parked", 1);
 		gwy_request_timer(req, now_us + PARK_POLL_US, now_us);
@@ -326,6 +333,21 @@
 	       msg_headers_get(headers, t->req->gwy->fields.not_run);
 }
 
+/* An answer that is no success may have been made before the target's work, so it
+ * does not end a limit. */
+static void report_statement(struct gwy_attempt *t, const GArray *headers,
+			     int64_t now_us)
+{
+	struct gwy *gwy = t->req->gwy;
+	struct stm stm = {0};
+
+	gwy->fields.read_statement(headers, &stm);
+	if (t->target->removed_from_dir ||
+	    (!stm.has_limit && (t->status < 200 || t->status >= 300)))
+		return;
+	lod_record_statement(gwy->lod, t->target, &stm, now_us);
+}
+
 /* Returns the error for the caller if no attempt gave an answer to forward. */
 static int final_err(const struct gwy_attempt *t)
 {
@@ -401,6 +423,8 @@
 	else if (!t->not_run)
 		req->may_have_run = true;
 	report_outcome(t);
+	if (!t->err && headers)
+		report_statement(t, headers, now_us);
 	gwy_send_release_slot(t);
 	if (streaming) {
 		on_stream_end(t);
@@ -428,6 +452,7 @@
 	if (req->state != GWY_WAITING)
 		return;
 	t->status = tgt_status(tgt);
+	report_statement(t, tgt_peek_headers(tgt), fs_now_us());
 	gwy_answer_stream(t, fs_now_us());
 }
 
@@ -515,7 +540,7 @@
 		return;
 	}
 	if (req->parked) {
-		req->parked = false;
+		gwy_request_park(req, false);
 		retry_parked(req, now_us);
 		return;
 	}
--- a/src/lod.c
+++ b/src/lod.c
@@ -332,7 +332,7 @@
 		packet.feed = lod->feeds.own;
 	if (lod->hubs[0] == lod->node->self || lod->hubs[1] == lod->node->self)
 		lod_hub_receive_report(lod, &packet, now_us);
-	if (!lod_wire_encode(&packet, lod->node->set.fleet_key, data)) {
+	if (!lod_wire_encode(&packet, lod->node->set.fleet_key, now_us, data)) {
 		lod_send_to_node(lod, data, lod->hubs[0]);
 		lod_send_to_node(lod, data, lod->hubs[1]);
 	}
@@ -359,6 +359,7 @@
 	struct lod *lod = timer->data;
 	int64_t now_us = fs_now_us();
 	int64_t next_us;
+	int64_t limit_us;
 
 	(void)loop;
 	(void)events;
@@ -367,6 +368,9 @@
 	if (lod->urgent)
 		send_report(lod, now_us);
 	next_us = lod_hub_flush(lod, now_us);
+	limit_us = lod_limit_flush(lod, now_us);
+	if (limit_us && (!next_us || limit_us < next_us))
+		next_us = limit_us;
 	if (lod->urgent)
 		next_us = now_us + LOD_URGENT_REPORT_INTERVAL_US;
 	if (next_us)
@@ -393,6 +397,7 @@
 	    now_us - lod->reported_us >= report_interval_us(lod))
 		send_report(lod, now_us);
 	lod_hub_tick(lod, now_us);
+	lod_limit_flush(lod, now_us);
 }
 
 /* The hub learns at once that this node became a reader. */
@@ -454,6 +459,8 @@
 	lod->unreported_targets = g_hash_table_new(NULL, NULL);
 	lod_queue_init(&lod->evidence);
 	lod->service_counts = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	lod->limits = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	lod->hub_limits = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	lod->domains = g_hash_table_new_full(NULL, NULL, NULL, domain_free);
 	lod->path_fault_shares = g_hash_table_new_full(
 		g_int64_hash, g_int64_equal, g_free, g_free);
@@ -507,6 +514,8 @@
 	g_hash_table_unref(lod->unreported_targets);
 	lod_queue_clear(&lod->evidence);
 	g_hash_table_unref(lod->service_counts);
+	g_hash_table_unref(lod->limits);
+	g_hash_table_unref(lod->hub_limits);
 	g_hash_table_unref(lod->domains);
 	g_hash_table_unref(lod->path_fault_shares);
 	g_hash_table_unref(lod->mean_latencies);
--- a/src/lod.h
+++ b/src/lod.h
@@ -18,6 +18,10 @@
  * outcomes: its own network path is at fault then. Failures are sent at once
  * and first (lod_queue.h).
  *
+ * Targets that name a limit (lim.h) are few, or the fleet sends them little: each
+ * send to one and each statement of theirs goes the same way in datagrams of their
+ * own, with less delay.
+ *
  * Datagrams may be lost. Counts are resent periodically and expire after
  * LOD_COUNT_EXPIRY_US otherwise; a lost outcome is not resent.
  */
@@ -46,6 +50,17 @@
 void lod_record_outcome(struct lod *lod, struct dir_target *target,
 			enum gry_outcome outcome, int64_t latency_us);
 
+/** Applies what a target states of itself, and queues it for other nodes. */
+void lod_record_statement(struct lod *lod, struct dir_target *target,
+			  const struct stm *stm, int64_t now_us);
+
+/** Counts a send to a target, and queues it for other nodes if it is limited. */
+void lod_record_send(struct lod *lod, struct dir_target *target,
+		     int64_t now_us);
+
+/** Returns after how long nodes know of each other's sends to limited targets. */
+int64_t lod_limit_delay_us(const struct lod *lod);
+
 /** Counts requests and retries that this node sent to a service, and requests
  *  that ended unserved. */
 void lod_record_requests(struct lod *lod, const char *service,
--- a/src/lod_hub.c
+++ b/src/lod_hub.c
@@ -6,7 +6,7 @@
 		mem_view_hubs(lod->view, lod->node->set.domain, lod->hubs);
 }
 
-static bool is_hub(const struct lod *lod)
+bool lod_is_hub(const struct lod *lod)
 {
 	return lod->hubs[0] == lod->node->self ||
 	       lod->hubs[1] == lod->node->self;
@@ -229,10 +229,8 @@
 	}
 }
 
-/* Sends a digest to the active hubs of the other domains, and one in
- * LOD_STANDBY_DIGEST_RATIO to their standbys, which forward none while
- * passive. */
-static void send_to_other_domains(struct lod *lod, const GByteArray *data)
+/* Standbys forward no digests while they are passive. */
+void lod_send_to_other_hubs(struct lod *lod, const GByteArray *data)
 {
 	g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
 
@@ -261,9 +259,9 @@
 	lod_queue_dequeue(&lod->hub_evidence, packet.evidence,
 			  LOD_EVIDENCE_MAX);
 	move_service_counts(lod->hub_service_counts, packet.service_counts);
-	if (!lod_wire_encode(&packet, lod->node->set.fleet_key, data)) {
+	if (!lod_wire_encode(&packet, lod->node->set.fleet_key, now_us, data)) {
 		lod_broadcast_domain(lod, data);
-		send_to_other_domains(lod, data);
+		lod_send_to_other_hubs(lod, data);
 		lod->digests_sent++;
 	}
 	lod_apply_digest(lod, &packet, now_us);
@@ -273,7 +271,7 @@
 
 void lod_hub_tick(struct lod *lod, int64_t now_us)
 {
-	if (!is_hub(lod))
+	if (!lod_is_hub(lod))
 		return;
 	/* While passive, the standby drops what the active hub broadcasts. */
 	if (!lod_hub_is_active(lod, now_us)) {
@@ -290,7 +288,7 @@
 {
 	int64_t due_us = lod->digest_us + urgent_interval_us(lod);
 
-	if (!is_hub(lod) || !lod_hub_is_active(lod, now_us) ||
+	if (!lod_is_hub(lod) || !lod_hub_is_active(lod, now_us) ||
 	    !lod_queue_pending(&lod->hub_evidence))
 		return 0;
 	if (now_us < due_us)
--- /dev/null
+++ b/src/lod_limit.c
@@ -0,0 +1,192 @@
+#include "lod_impl.h"
+
+#include "fs_log.h"
+
+static struct lod_limit *row_of(GHashTable *table, uint32_t target)
+{
+	void *key = GUINT_TO_POINTER(target);
+	struct lod_limit *row = g_hash_table_lookup(table, key);
+
+	if (!row) {
+		row = g_new0(struct lod_limit, 1);
+		row->target = target;
+		row->stated_us = INT64_MIN / 2;
+		g_hash_table_insert(table, key, row);
+	}
+	return row;
+}
+
+/* Adds a row to those that wait: sends add up, the newest statement counts. */
+static void merge_row(GHashTable *table, const struct lod_limit *from)
+{
+	struct lod_limit *row = row_of(table, from->target);
+
+	row->sends += from->sends;
+	if (from->stated_us < row->stated_us)
+		return;
+	row->stated_us = from->stated_us;
+	row->stm = from->stm;
+}
+
+static void log_change(struct lod *lod, const struct dir_target *target,
+		       const struct stm *stm, bool own)
+{
+	ctr_count(lod->node->ctr, "lod_limits_changed", 1);
+	fs_log_eventf("lod", G_LOG_LEVEL_INFO, "target_limit",
+		      "\"target\":\"%s\",\"service\":\"%s\",\"named\":%s,"
+		      "\"per_s\":%.3f,\"source\":\"%s\"",
+		      target->entry.id, target->entry.service,
+		      stm->has_limit ? "true" : "false", stm->limit_per_s,
+		      own ? "own" : "peer");
+}
+
+void lod_record_statement(struct lod *lod, struct dir_target *target,
+			  const struct stm *stm, int64_t now_us)
+{
+	struct lim *lim = &bal_target_get(target, now_us)->lim;
+	struct lod_limit row = {
+		.target = target->hash,
+		.stm = *stm,
+		.stated_us = now_us,
+	};
+
+	if (!stm->has_limit && !lim->named)
+		return;
+	if (lim_state(lim, stm, now_us, now_us))
+		log_change(lod, target, stm, true);
+	merge_row(lod->limits, &row);
+}
+
+void lod_record_send(struct lod *lod, struct dir_target *target, int64_t now_us)
+{
+	struct lim *lim = &bal_target_get(target, now_us)->lim;
+
+	if (!lim->named)
+		return;
+	lim_send(lim, now_us);
+	row_of(lod->limits, target->hash)->sends++;
+	lod_schedule_flush(lod, now_us + LOD_URGENT_REPORT_INTERVAL_US, now_us);
+}
+
+/* Moves rows to a packet; their statements' times become ages on the way. */
+static void move_rows(GHashTable *table, struct lod_packet *packet)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, table);
+	while (packet->limits->len < LOD_LIMITS_MAX &&
+	       g_hash_table_iter_next(&iter, NULL, &value)) {
+		g_array_append_val(packet->limits, *(struct lod_limit *)value);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+static void receive_rows(struct lod *lod, const struct lod_packet *packet)
+{
+	for (guint i = 0; i < packet->limits->len; i++)
+		merge_row(lod->hub_limits,
+			  &g_array_index(packet->limits, struct lod_limit, i));
+}
+
+static void apply_row(struct lod *lod, const struct lod_limit *row, bool local,
+		      int64_t now_us)
+{
+	struct dir_target *target = dir_target_by_hash(lod->dir, row->target);
+	struct lim *lim;
+
+	if (!target)
+		return;
+	lim = &bal_target_get(target, now_us)->lim;
+	if (row->stated_us > now_us - LOD_STATED_AGO_MAX_US &&
+	    lim_state(lim, &row->stm, row->stated_us, now_us))
+		log_change(lod, target, &row->stm, false);
+	lim_report(lim, row->sends, local, now_us);
+}
+
+static void apply_rows(struct lod *lod, const struct lod_packet *packet,
+		       int64_t now_us)
+{
+	for (guint i = 0; i < packet->limits->len; i++)
+		apply_row(lod,
+			  &g_array_index(packet->limits, struct lod_limit, i),
+			  packet->domain == lod->domain, now_us);
+}
+
+/* Returns the interval between digests of limits: it grows with the domain, to each
+ * node of which a hub sends them. */
+static int64_t digest_interval_us(const struct lod *lod)
+{
+	return LOD_LIMIT_DIGEST_INTERVAL_US +
+	       lod->domain_nodes * LOD_LIMIT_DIGEST_PER_NODE_US;
+}
+
+int64_t lod_limit_delay_us(const struct lod *lod)
+{
+	return LOD_URGENT_REPORT_INTERVAL_US + digest_interval_us(lod) +
+	       LOD_LIMIT_TRANSIT_US;
+}
+
+static void send_report(struct lod *lod, int64_t now_us)
+{
+	g_autoptr(GByteArray) data = g_byte_array_new();
+	struct lod_packet packet;
+
+	lod_start_packet(lod, &packet, LOD_LIMIT_REPORT);
+	move_rows(lod->limits, &packet);
+	if (lod_is_hub(lod))
+		receive_rows(lod, &packet);
+	if (!lod_wire_encode(&packet, lod->node->set.fleet_key, now_us, data)) {
+		lod_send_to_node(lod, data, lod->hubs[0]);
+		lod_send_to_node(lod, data, lod->hubs[1]);
+	}
+	lod_packet_clear(&packet);
+}
+
+static void broadcast_digest(struct lod *lod, int64_t now_us)
+{
+	g_autoptr(GByteArray) data = g_byte_array_new();
+	struct lod_packet packet;
+
+	lod_start_packet(lod, &packet, LOD_LIMIT_DIGEST);
+	move_rows(lod->hub_limits, &packet);
+	if (!lod_wire_encode(&packet, lod->node->set.fleet_key, now_us, data)) {
+		lod_broadcast_domain(lod, data);
+		lod_send_to_other_hubs(lod, data);
+	}
+	apply_rows(lod, &packet, now_us);
+	lod_packet_clear(&packet);
+	lod->limit_digest_us = now_us;
+}
+
+int64_t lod_limit_flush(struct lod *lod, int64_t now_us)
+{
+	int64_t due_us = lod->limit_digest_us + digest_interval_us(lod);
+
+	if (g_hash_table_size(lod->limits))
+		send_report(lod, now_us);
+	if (!lod_is_hub(lod) || !g_hash_table_size(lod->hub_limits))
+		return 0;
+	if (!lod_hub_is_active(lod, now_us)) {
+		g_hash_table_remove_all(lod->hub_limits);
+		return 0;
+	}
+	if (now_us < due_us)
+		return due_us;
+	broadcast_digest(lod, now_us);
+	return g_hash_table_size(lod->hub_limits) ?
+		       now_us + digest_interval_us(lod) :
+		       0;
+}
+
+void lod_limit_receive(struct lod *lod, const struct lod_packet *packet,
+		       int64_t now_us)
+{
+	if (packet->type == LOD_LIMIT_DIGEST) {
+		apply_rows(lod, packet, now_us);
+		return;
+	}
+	receive_rows(lod, packet);
+	if (g_hash_table_size(lod->hub_limits))
+		lod_schedule_flush(lod, now_us, now_us);
+}
--- a/src/lod_net.c
+++ b/src/lod_net.c
@@ -45,11 +45,12 @@
 {
 	bool local = packet->domain == lod->domain;
 
-	if (packet->type == LOD_REPORT) {
+	if (packet->type == LOD_REPORT)
 		lod_hub_receive_report(lod, packet, now_us);
-		return;
-	}
-	if (packet->type != LOD_DIGEST || packet->sender == lod->node->self)
+	if (packet->type == LOD_LIMIT_REPORT)
+		lod_limit_receive(lod, packet, now_us);
+	if ((packet->type != LOD_DIGEST && packet->type != LOD_LIMIT_DIGEST) ||
+	    packet->sender == lod->node->self)
 		return;
 	/* The active hub forwards digests of other domains to its own. */
 	if (!local && lod_hub_is_active(lod, now_us)) {
@@ -58,7 +59,10 @@
 		g_byte_array_append(forwarded, data, (guint)size);
 		lod_broadcast_domain(lod, forwarded);
 	}
-	lod_apply_digest(lod, packet, now_us);
+	if (packet->type == LOD_DIGEST)
+		lod_apply_digest(lod, packet, now_us);
+	else
+		lod_limit_receive(lod, packet, now_us);
 }
 
 static void on_datagram(struct ev_loop *loop, ev_io *io, int events)
@@ -76,7 +80,7 @@
 		if (n < 0)
 			return;
 		if (lod_wire_decode(data, (size_t)n, lod->node->set.fleet_key,
-				    &packet))
+				    now_us, &packet))
 			ctr_add(lod->node->ctr, lod->refused, 1);
 		else
 			handle_packet(lod, &packet, data, (size_t)n, now_us);
--- a/src/lod_wire.c
+++ b/src/lod_wire.c
@@ -6,9 +6,11 @@
 #include "fs_err.h"
 #include "sig.h"
 
-/* Type to domain, feed, three lists, reader and era. Nodes of earlier versions send
- * no era, and a reader only if it is not the sender. */
-#define PACKET_MEMBERS 13
+/* Type to domain, feed, three lists, reader, era and limits. Nodes of earlier
+ * versions send no limits. */
+#define PACKET_MEMBERS 14
+#define LIMIT_MILLI_MAX 1000000000 /* thousandths of a request a second */
+#define MILLI 1000.0
 #define EVIDENCE_COUNT_MAX 64
 #define REQUESTS_MAX 100000
 #define LATENCY_SUM_MAX_US (600 * FS_US_PER_S)
@@ -23,6 +25,7 @@
 		g_array_new(FALSE, TRUE, sizeof(struct lod_evidence));
 	packet->service_counts =
 		g_array_new(FALSE, TRUE, sizeof(struct lod_service_counts));
+	packet->limits = g_array_new(FALSE, TRUE, sizeof(struct lod_limit));
 }
 
 void lod_packet_clear(struct lod_packet *packet)
@@ -30,6 +33,7 @@
 	g_clear_pointer(&packet->counts, g_array_unref);
 	g_clear_pointer(&packet->evidence, g_array_unref);
 	g_clear_pointer(&packet->service_counts, g_array_unref);
+	g_clear_pointer(&packet->limits, g_array_unref);
 }
 
 static int append(void *data, const char *buf, size_t size)
@@ -79,8 +83,28 @@
 	}
 }
 
+/* A limit is encoded as one more than its thousandths; 0: none. */
+static void pack_limits(msgpack_packer *packer, const struct lod_packet *packet,
+			int64_t now_us)
+{
+	msgpack_pack_array(packer, (size_t)4 * packet->limits->len);
+	for (guint i = 0; i < packet->limits->len; i++) {
+		const struct lod_limit *l =
+			&g_array_index(packet->limits, struct lod_limit, i);
+		double milli = CLAMP(l->stm.limit_per_s * MILLI, 0.0,
+				     (double)LIMIT_MILLI_MAX);
+
+		pack_uint(packer, l->target);
+		pack_uint(packer, l->sends);
+		pack_uint(packer, l->stm.has_limit ? (uint64_t)milli + 1 : 0);
+		pack_uint(packer, (uint64_t)(CLAMP(now_us - l->stated_us, 0,
+						   LOD_STATED_AGO_MAX_US) /
+					     LOD_STATED_AGO_STEP_US));
+	}
+}
+
 int lod_wire_encode(const struct lod_packet *packet, const char *key,
-		    GByteArray *out)
+		    int64_t now_us, GByteArray *out)
 {
 	msgpack_packer packer;
 	uint8_t signature[SIG_SIZE];
@@ -98,6 +122,7 @@
 	pack_lists(&packer, packet);
 	pack_uint(&packer, packet->feed.reader);
 	pack_uint(&packer, packet->feed.era);
+	pack_limits(&packer, packet, now_us);
 	if (sig_sign(key, out->data, out->len, signature))
 		return FS_E_INVALID;
 	g_byte_array_append(out, signature, SIG_SIZE);
@@ -202,7 +227,32 @@
 	r->invalid |= list.invalid;
 }
 
-static int read_packet(const msgpack_object *root, struct lod_packet *packet)
+static void read_limits(struct reader *r, int64_t now_us,
+			struct lod_packet *packet)
+{
+	struct reader list = read_list(r, 4);
+
+	while (!list.invalid && list.remaining) {
+		struct lod_limit l = {0};
+		uint64_t milli;
+
+		l.target = (uint32_t)read_uint(&list, UINT32_MAX);
+		l.sends = (uint32_t)read_uint(&list, REQUESTS_MAX);
+		milli = read_uint(&list, LIMIT_MILLI_MAX + 1);
+		l.stm.has_limit = milli > 0;
+		l.stm.limit_per_s = milli ? (double)(milli - 1) / MILLI : 0;
+		l.stated_us = now_us -
+			      (int64_t)read_uint(
+				      &list, LOD_STATED_AGO_MAX_US /
+						     LOD_STATED_AGO_STEP_US) *
+				      LOD_STATED_AGO_STEP_US;
+		g_array_append_val(packet->limits, l);
+	}
+	r->invalid |= list.invalid;
+}
+
+static int read_packet(const msgpack_object *root, int64_t now_us,
+		       struct lod_packet *packet)
 {
 	struct reader r = {.next = root->via.array.ptr,
 			   .remaining = root->via.array.size};
@@ -222,11 +272,13 @@
 		packet->feed.reader = read_uint(&r, UINT64_MAX);
 	if (r.remaining)
 		packet->feed.era = read_uint(&r, UINT64_MAX);
+	if (r.remaining)
+		read_limits(&r, now_us, packet);
 	return r.invalid ? FS_E_PROTOCOL : 0;
 }
 
 int lod_wire_decode(const uint8_t *data, size_t size, const char *key,
-		    struct lod_packet *packet)
+		    int64_t now_us, struct lod_packet *packet)
 {
 	msgpack_unpacked unpacked;
 	size_t at = 0;
@@ -240,7 +292,7 @@
 	if (msgpack_unpack_next(&unpacked, (const char *)data, size - SIG_SIZE,
 				&at) == MSGPACK_UNPACK_SUCCESS &&
 	    unpacked.data.type == MSGPACK_OBJECT_ARRAY)
-		err = read_packet(&unpacked.data, packet);
+		err = read_packet(&unpacked.data, now_us, packet);
 	msgpack_unpacked_destroy(&unpacked);
 	return err;
 }
--- a/src/lod_wire.h
+++ b/src/lod_wire.h
@@ -11,10 +11,14 @@
 
 #include "fs_types.h"
 #include "gry.h"
+#include "stm.h"
 
 enum lod_type {
 	LOD_REPORT = 1, /* of one node, to its hub */
 	LOD_DIGEST,	/* of one failure domain, to all nodes */
+	/* The same for limited targets */
+	LOD_LIMIT_REPORT,
+	LOD_LIMIT_DIGEST,
 };
 
 /** Requests at a target. */
@@ -42,6 +46,14 @@
 	uint32_t unserved;
 };
 
+/** Sends to a target that names a limit, or its newest statement. */
+struct lod_limit {
+	uint32_t target; /* dir_target.hash */
+	uint32_t sends;	 /* since the last report or digest */
+	struct stm stm;
+	int64_t stated_us; /* LOD_STATED_AGO_MAX_US ago or more: none */
+};
+
 /** State of a feed task; see fed.h and lod_feed.h. */
 struct lod_feed {
 	uint64_t digest;
@@ -62,6 +74,7 @@
 	GArray *counts;		/* struct lod_target_count */
 	GArray *evidence;	/* struct lod_evidence */
 	GArray *service_counts; /* struct lod_service_counts */
+	GArray *limits;		/* struct lod_limit */
 };
 
 /** Times since the last send are encoded in these steps, and as unknown from
@@ -69,21 +82,28 @@
 #define LOD_SENT_AGO_STEP_US (10 * FS_US_PER_MS)
 #define LOD_SENT_AGO_MAX_US (255 * LOD_SENT_AGO_STEP_US)
 
+/** The same of statements. */
+#define LOD_STATED_AGO_STEP_US (10 * FS_US_PER_MS)
+#define LOD_STATED_AGO_MAX_US (2000 * LOD_STATED_AGO_STEP_US)
+
 /** Rows that fit in one datagram at their largest size. */
 #define LOD_COUNTS_MAX 48
 #define LOD_EVIDENCE_MAX 24
 #define LOD_SERVICE_COUNTS_MAX 16
+/** The same in a datagram of limits. */
+#define LOD_LIMITS_MAX 64
 
 void lod_packet_init(struct lod_packet *packet, enum lod_type type);
 void lod_packet_clear(struct lod_packet *packet);
 
-/** Encodes and signs. @param out  bytes are appended @return 0 or an error */
+/** Encodes and signs; times become ages. @param out  bytes are appended
+ *  @return 0 or an error */
 int lod_wire_encode(const struct lod_packet *packet, const char *key,
-		    GByteArray *out);
+		    int64_t now_us, GByteArray *out);
 
-/** Checks and decodes. @param packet  out: to be cleared, also after an error
- *  @return 0 or FS_E_PROTOCOL */
+/** Checks and decodes; ages become times. @param packet  out: to be cleared, also
+ *  after an error @return 0 or FS_E_PROTOCOL */
 int lod_wire_decode(const uint8_t *data, size_t size, const char *key,
-		    struct lod_packet *packet);
+		    int64_t now_us, struct lod_packet *packet);
 
 #endif
--- a/tests/fleet_gwy.c
+++ b/tests/fleet_gwy.c
@@ -9,6 +9,7 @@
 
 #include "cfg_draft.h"
 #include "gwy_impl.h"
+#include "plf_statement.h"
 
 /* Bytes of a socket. A receive buffer below a segment of the loopback device would
  * be refilled by window probes only, which take seconds. */
@@ -26,6 +27,7 @@
 		},
 	.instance = "X-For",
 	.not_run = "X-Not-Run",
+	.read_statement = plf_statement_read,
 };
 
 static void receive(void *task, struct msg *m, int64_t now_us)
--- a/tests/unit_lod.c
+++ b/tests/unit_lod.c
@@ -9,6 +9,7 @@
 #include "lod_wire.h"
 
 #define KEY "0123456789abcdef"
+#define NOW_US (100 * FS_US_PER_S)
 
 static void fill(struct lod_packet *packet)
 {
@@ -21,6 +22,12 @@
 		.latency_sum_us = 1500,
 	};
 	struct lod_service_counts service_counts = {9, 10, 2, 1};
+	struct lod_limit limit = {
+		.target = 7,
+		.sends = 3,
+		.stm = {.has_limit = true, .limit_per_s = 8.25},
+		.stated_us = NOW_US - 50 * FS_US_PER_MS,
+	};
 
 	lod_packet_init(packet, LOD_DIGEST);
 	packet->sender = 42;
@@ -35,6 +42,7 @@
 	g_array_append_val(packet->counts, count);
 	g_array_append_val(packet->evidence, evidence);
 	g_array_append_val(packet->service_counts, service_counts);
+	g_array_append_val(packet->limits, limit);
 }
 
 /* Guards against a decoder that reads a number twice, as an argument of a
@@ -43,12 +51,14 @@
 {
 	g_autoptr(GByteArray) data = g_byte_array_new();
 	const struct lod_evidence *e;
+	const struct lod_limit *l;
 	struct lod_packet in, out;
 
 	fill(&in);
-	g_assert_cmpint(lod_wire_encode(&in, KEY, data), ==, 0);
-	g_assert_cmpint(lod_wire_decode(data->data, data->len, KEY, &out), ==,
-			0);
+	g_assert_cmpint(lod_wire_encode(&in, KEY, NOW_US, data), ==, 0);
+	g_assert_cmpint(
+		lod_wire_decode(data->data, data->len, KEY, NOW_US, &out), ==,
+		0);
 	g_assert_cmpint(out.type, ==, LOD_DIGEST);
 	g_assert_cmpuint(out.sender, ==, 42);
 	g_assert_cmpuint(out.serial, ==, UINT32_MAX);
@@ -67,6 +77,12 @@
 	g_assert_cmpmem(
 		out.service_counts->data, sizeof(struct lod_service_counts),
 		in.service_counts->data, sizeof(struct lod_service_counts));
+	l = &g_array_index(out.limits, struct lod_limit, 0);
+	g_assert_cmpuint(l->target, ==, 7);
+	g_assert_cmpuint(l->sends, ==, 3);
+	g_assert_true(l->stm.has_limit);
+	g_assert_cmpfloat(l->stm.limit_per_s, ==, 8.25);
+	g_assert_cmpint(l->stated_us, ==, NOW_US - 50 * FS_US_PER_MS);
 	lod_packet_clear(&in);
 	lod_packet_clear(&out);
 }
@@ -77,9 +93,10 @@
 	struct lod_packet in, out;
 
 	fill(&in);
-	lod_wire_encode(&in, "fedcba9876543210", data);
-	g_assert_cmpint(lod_wire_decode(data->data, data->len, KEY, &out), ==,
-			FS_E_PROTOCOL);
+	lod_wire_encode(&in, "fedcba9876543210", NOW_US, data);
+	g_assert_cmpint(
+		lod_wire_decode(data->data, data->len, KEY, NOW_US, &out), ==,
+		FS_E_PROTOCOL);
 	lod_packet_clear(&in);
 	lod_packet_clear(&out);
 }
@@ -90,6 +107,7 @@
 	struct lod_packet packet;
 
 	fill(&packet);
+	g_array_set_size(packet.limits, 0);
 	for (int i = 1; i < LOD_COUNTS_MAX; i++) {
 		struct lod_target_count c = {UINT32_MAX, 1000,
 					     LOD_SENT_AGO_MAX_US};
@@ -109,7 +127,29 @@
 
 		g_array_append_val(packet.service_counts, s);
 	}
-	g_assert_cmpint(lod_wire_encode(&packet, KEY, data), ==, 0);
+	g_assert_cmpint(lod_wire_encode(&packet, KEY, NOW_US, data), ==, 0);
+	lod_packet_clear(&packet);
+}
+
+static void test_largest_datagram_of_limits_fits(void)
+{
+	g_autoptr(GByteArray) data = g_byte_array_new();
+	struct lod_packet packet;
+
+	lod_packet_init(&packet, LOD_LIMIT_DIGEST);
+	packet.sender = packet.incarnation = UINT64_MAX;
+	packet.serial = packet.domain = UINT32_MAX;
+	for (int i = 0; i < LOD_LIMITS_MAX; i++) {
+		struct lod_limit l = {
+			.target = UINT32_MAX,
+			.sends = UINT16_MAX,
+			.stm = {.has_limit = true, .limit_per_s = 1e6},
+			.stated_us = NOW_US - LOD_STATED_AGO_MAX_US,
+		};
+
+		g_array_append_val(packet.limits, l);
+	}
+	g_assert_cmpint(lod_wire_encode(&packet, KEY, NOW_US, data), ==, 0);
 	lod_packet_clear(&packet);
 }
 
@@ -119,10 +159,11 @@
 	struct lod_packet in, out;
 
 	fill(&in);
-	lod_wire_encode(&in, KEY, data);
+	lod_wire_encode(&in, KEY, NOW_US, data);
 	for (guint size = 0; size < data->len; size++) {
-		g_assert_cmpint(lod_wire_decode(data->data, size, KEY, &out),
-				==, FS_E_PROTOCOL);
+		g_assert_cmpint(
+			lod_wire_decode(data->data, size, KEY, NOW_US, &out),
+			==, FS_E_PROTOCOL);
 		lod_packet_clear(&out);
 	}
 	lod_packet_clear(&in);
@@ -299,6 +340,8 @@
 	g_test_add_func("/lod/foreign_key", test_foreign_key);
 	g_test_add_func("/lod/largest_datagram_fits",
 			test_largest_datagram_fits);
+	g_test_add_func("/lod/largest_datagram_of_limits_fits",
+			test_largest_datagram_of_limits_fits);
 	g_test_add_func("/lod/cut_datagrams", test_cut_datagrams);
 	g_test_add_func("/lod/failures_are_told_first",
 			test_failures_are_told_first);
