Refuse JSON that is nested deeply, before it is parsed

Another operator's report: one odd entry among those of the servers ended the machines that read the list, again and again. It could happen here: json-glib uses the stack for each level, and nothing checked the depth.

The depth is checked before the parser sees the text, in one place that all callers of the parser use: configuration, servers' entries and answers of the store, and the daemon's records, replies and logs, which had the same fault.

--- a/src/aud_parse.c
+++ b/src/aud_parse.c
@@ -3,6 +3,8 @@
 
 #include "aud_replay.h"
 
+#include "fs_json.h"
+
 static bool get_number(JsonObject *object, const char *name, gint64 *out)
 {
 	JsonNode *node = json_object_get_member(object, name);
@@ -123,7 +125,7 @@
 	JsonNode *root;
 	int err;
 
-	if (!json_parser_load_from_data(parser, json, -1, NULL))
+	if (!fs_json_load(parser, json, -1))
 		return FS_E_PROTOCOL;
 	root = json_parser_get_root(parser);
 	if (!root || !JSON_NODE_HOLDS_OBJECT(root))
--- a/src/aud_replay_log.c
+++ b/src/aud_replay_log.c
@@ -4,6 +4,8 @@
 
 #include "aud_replay.h"
 
+#include "fs_json.h"
+
 /** What is known of one process of a node. */
 struct replay_node {
 	uint64_t serial;      /* last seen */
@@ -60,7 +62,7 @@
 	g_autoptr(JsonParser) parser = json_parser_new();
 	JsonObject *object;
 
-	if (!json_parser_load_from_data(parser, line, -1, NULL))
+	if (!fs_json_load(parser, line, -1))
 		return g_strdup("");
 	object = json_node_get_object(json_parser_get_root(parser));
 	if (!json_object_has_member(object, "node"))
--- a/src/cfg_record.c
+++ b/src/cfg_record.c
@@ -4,6 +4,7 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "fs_json.h"
 #include "fs_log.h"
 
 static const char *text_member(JsonObject *object, const char *name)
@@ -62,7 +63,7 @@
 	const char *text;
 
 	memset(out, 0, sizeof(*out));
-	if (!json_parser_load_from_data(parser, json, -1, NULL))
+	if (!fs_json_load(parser, json, -1))
 		return FS_E_PROTOCOL;
 	root = json_parser_get_root(parser);
 	if (!root || !JSON_NODE_HOLDS_OBJECT(root))
--- a/src/cli_explain_log.c
+++ b/src/cli_explain_log.c
@@ -5,6 +5,7 @@
 
 #include "cli.h"
 #include "fs_err.h"
+#include "fs_json.h"
 
 /** The last lines on targets, by node and target. */
 struct beliefs {
@@ -102,7 +103,7 @@
 	JsonNode *root;
 	JsonObject *line;
 
-	if (!json_parser_load_from_data(parser, data, -1, NULL))
+	if (!fs_json_load(parser, data, -1))
 		return false;
 	root = json_parser_get_root(parser);
 	if (!root || !JSON_NODE_HOLDS_OBJECT(root))
--- a/src/cli_http.c
+++ b/src/cli_http.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "cli.h"
+#include "fs_json.h"
 #include "set.h"
 
 #define CONNECT_TIMEOUT_MS 2000L
@@ -71,8 +72,7 @@
 	if (cli_http("GET", address, path, NULL, 0, EXCHANGE_TIMEOUT_MS,
 		     &status, answer) ||
 	    status != 200 ||
-	    !json_parser_load_from_data(parser, answer->str,
-					(gssize)answer->len, NULL))
+	    !fs_json_load(parser, answer->str, (gssize)answer->len))
 		return NULL;
 	return json_parser_steal_root(parser);
 }
@@ -84,7 +84,7 @@
 	JsonNode *root;
 	const char *value;
 
-	if (!json_parser_load_from_data(parser, json, -1, NULL))
+	if (!fs_json_load(parser, json, -1))
 		return FS_E_PROTOCOL;
 	root = json_parser_get_root(parser);
 	if (!root || !JSON_NODE_HOLDS_OBJECT(root))
--- a/src/cnf_store.c
+++ b/src/cnf_store.c
@@ -1,5 +1,7 @@
 #include "cnf_store.h"
 
+#include "fs_json.h"
+
 #include <json-glib/json-glib.h>
 
 void cnf_store_clear(struct cnf_store *store)
@@ -78,7 +80,7 @@
 	JsonObject *object;
 
 	out->text = NULL;
-	if (!json_parser_load_from_data(parser, json, -1, NULL))
+	if (!fs_json_load(parser, json, -1))
 		return FS_E_PROTOCOL;
 	root = json_parser_get_root(parser);
 	if (!root || !JSON_NODE_HOLDS_OBJECT(root))
--- a/src/flr_json.c
+++ b/src/flr_json.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "flr.h"
+#include "fs_json.h"
 #include "fs_log.h"
 
 #define ENTRIES_MAX 1024 /* per record */
@@ -160,7 +161,7 @@
 	struct flr_record *record;
 
 	*out = NULL;
-	if (!json_parser_load_from_data(parser, json, -1, NULL))
+	if (!fs_json_load(parser, json, -1))
 		return FS_E_PROTOCOL;
 	record = flr_record_new();
 	if (!parse_record(json_parser_get_root(parser), record)) {
--- a/src/plt_json.c
+++ b/src/plt_json.c
@@ -1,5 +1,7 @@
 #include "plt_json.h"
 
+#include "fs_json.h"
+
 #include <json-glib/json-glib.h>
 #include <string.h>
 
@@ -8,7 +10,7 @@
 {
 	JsonNode *root;
 
-	if (!json_parser_load_from_data(parser, json, -1, NULL))
+	if (!fs_json_load(parser, json, -1))
 		return NULL;
 	root = json_parser_get_root(parser);
 	return root && JSON_NODE_HOLDS_OBJECT(root) ?
--- a/tests/unit_plf.c
+++ b/tests/unit_plf.c
@@ -122,6 +122,38 @@
 	g_assert_false(decode("servers/", "{}", &e));
 }
 
+/* Guards against one odd entry that ends each process which reads the list: nested so
+ * deeply that the parser's stack is full, or so long that it takes seconds. */
+static void test_deeply_nested_entry(void)
+{
+	static const char open[] = "[{";
+	struct dir_entry e;
+
+	for (size_t kind = 0; kind < 2; kind++) {
+		g_autoptr(GString) text = g_string_new("{\"service\":");
+
+		for (int i = 0; i < 400000; i++)
+			g_string_append_printf(text, "%c%s", open[kind],
+					       kind ? "\"a\":" : "");
+		g_assert_false(decode("servers/i-1", text->str, &e));
+		g_assert_null(plf_decode_config(text->str, text->len));
+	}
+}
+
+/* Brackets inside a string are no nesting. */
+static void test_brackets_in_a_string(void)
+{
+	g_autoptr(GString) text = g_string_new(
+		"{\"service\":\"a\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		"\"capacity\":4,\"state\":\"ready\",\"version\":\"\\\"");
+	struct dir_entry e;
+
+	for (int i = 0; i < 1000; i++)
+		g_string_append_c(text, '[');
+	g_string_append(text, "\"}");
+	g_assert_true(decode("servers/i-1", text->str, &e));
+}
+
 /** One call to a scripted store. */
 struct call {
 	struct ev_loop *loop;
@@ -365,6 +397,8 @@
 	g_test_add_func("/plf/silence", test_silence);
 	g_test_add_func("/plf/lease", test_lease);
 	g_test_add_func("/plf/era_is_read", test_era_is_read);
+	g_test_add_func("/plf/deeply_nested_entry", test_deeply_nested_entry);
+	g_test_add_func("/plf/brackets_in_a_string", test_brackets_in_a_string);
 	g_test_add_func("/plf/malformed_era_is_not_stated",
 			test_malformed_era_is_not_stated);
 	g_test_add_func("/plf/era_of_a_write", test_era_of_a_write);
