--- a/tests/unit_plf.c
+++ b/tests/unit_plf.c
@@ -114,6 +114,16 @@
 		"\"capacity\":4,\"state\":\"ready\"}",
 		"{\"service\":\"a\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
 		"\"capacity\":4,\"state\":\"ready\",\"born\":1.5}",
+		"{\"service\":\"a\",\"address\":\"10.0.0.1:0\",\"zone\":\"z\","
+		"\"capacity\":4,\"state\":\"ready\"}",
+		"{\"service\":\"a\",\"address\":\"10.0.0.1:65536\",\"zone\":\"z\","
+		"\"capacity\":4,\"state\":\"ready\"}",
+		"{\"service\":\"a\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		"\"capacity\":2000000000,\"state\":\"ready\"}",
+		"{\"service\":\"a\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		"\"capacity\":9999999999999999999999,\"state\":\"ready\"}",
+		"{\"service\":\"a\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		"\"capacity\":1e400,\"state\":\"ready\"}",
 	};
 	struct dir_entry e;
 
