Test answers that are written again, and heads that end early

Two reports of other operators: a server wrote an earlier refusal once more on a kept connection, and callers were told "not run" of the next request; a server ended in the middle of an answer's head, and callers got a 200 with an empty body. Neither can happen here, so these tests passed from the start: answers name their request, what may not be repeated has a connection of its own, and an answer without the end of its head is none, wherever it ends (tried at each byte).

--- /dev/null
+++ b/tests/unit_gwy_faulty.c
@@ -0,0 +1,107 @@
+/* The gateway task before targets that write answers again, or end in the middle of
+ * one: what callers are told of their requests. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet_gwy.h"
+#include "fs_log.h"
+
+#define HEAD \
+	"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: z\r\nContent-Length: 5\r\n\r\n"
+#define AGAIN_US (20 * FS_US_PER_MS) /* after the first copy */
+
+static struct yard y;
+
+/* Refuses the request "r1", and writes that once more, late. Answers others. */
+static void serve_refusal_again(void *arg, struct fake_conn *conn,
+				const struct fake_request *request)
+{
+	static const char refusal[] = "HTTP/1.1 503 Full\r\nX-Id: r1\r\n"
+				      "X-Not-Run: 1\r\n"
+				      "Content-Length: 0\r\n\r\n";
+	g_autofree char *id = yard_field(request, "X-Id");
+
+	(void)arg;
+	if (g_strcmp0(id, "r1") != 0) {
+		yard_ok(conn, request, "hello");
+		return;
+	}
+	fake_send_text(conn, refusal);
+	fake_send_later(conn, refusal, AGAIN_US);
+}
+
+/* Returns the status of the answer to a request. */
+static int call_once(const char *method, const char *path, const char *id)
+{
+	g_autofree char *request = g_strdup_printf(
+		"%s %s HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nX-Left: 3000\r\n"
+		"Content-Length: 0\r\n\r\n",
+		method, path, id);
+	struct yard_caller c;
+	int status;
+
+	yard_call(&y, &c, request);
+	yard_until(&y, (yard_read(&c), strstr(c.got->str, "\r\n\r\n")));
+	status = atoi(c.got->str + strlen("HTTP/1.1 "));
+	yard_hang_up(&c);
+	return status;
+}
+
+static void check_refusal_again(const char *service, const char *method,
+				int64_t pause_us)
+{
+	g_autofree char *path = g_strdup_printf("/%s/1", service);
+
+	yard_begin(&y);
+	yard_target(&y, service, serve_refusal_again, NULL);
+	for (int i = 0; i < 5; i++) {
+		g_assert_cmpint(call_once(method, path, "r1"), ==, 503);
+		yard_run(&y, pause_us);
+		g_assert_cmpint(call_once(method, path, "r2"), !=, 503);
+	}
+	yard_end(&y);
+}
+
+/* Guards against a late copy of a refusal that is taken for the answer to the next
+ * request: its caller would be told that it has not run. */
+static void test_refusal_written_again(void)
+{
+	check_refusal_again("list", "GET", 0);
+	check_refusal_again("list", "GET", AGAIN_US);
+	check_refusal_again("list", "GET", 2 * AGAIN_US);
+	check_refusal_again("pay", "POST", 0);
+	check_refusal_again("pay", "POST", 2 * AGAIN_US);
+}
+
+/* Writes the first *arg bytes of an answer's head, and closes. */
+static void serve_part_of_head(void *arg, struct fake_conn *conn,
+			       const struct fake_request *request)
+{
+	(void)request;
+	fake_send(conn, HEAD, *(size_t *)arg);
+	fake_close_after(conn);
+}
+
+/* Guards against a head without its end that is taken for an answer with an empty
+ * body: a caller got a 200, framed as whole. */
+static void test_end_in_the_middle_of_a_head(void)
+{
+	size_t bytes;
+
+	yard_begin(&y);
+	yard_target(&y, "pay", serve_part_of_head, &bytes);
+	for (bytes = 0; bytes < strlen(HEAD); bytes++)
+		g_assert_cmpint(call_once("POST", "/pay/1", "r1"), ==, 502);
+	yard_end(&y);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	fs_log_init("test", 2);
+	g_test_add_func("/gwy_faulty/refusal_written_again",
+			test_refusal_written_again);
+	g_test_add_func("/gwy_faulty/end_in_the_middle_of_a_head",
+			test_end_in_the_middle_of_a_head);
+	return g_test_run();
+}
