Keep targets' own word on leaving and on when to come back

The adapter reads three header fields in one place into what an answer states (plf_statement, stm.h); one state a target holds what still stands (tst.h), and the one choice of a target asks it, so first attempts, retries, hedges and trials do. That a target leaves travels to other nodes with the limits; when to come back is said to one node and stays there. Neither is a failure of the target. If all targets of a service want nothing for a time, callers are told at once, with the end of that time. Malformed fields, and fields given twice, are logged and ignored; a failure or a malformed field does not end a limit.

--- a/src/bal.c
+++ b/src/bal.c
@@ -90,24 +90,32 @@
 
 /* Each target has a draw of its own, so that a request does not go to all that are
  * limited or to none. */
-static bool is_limited(const struct dir_target *target,
-		       const struct bal_query *query)
+static enum tst_verdict statement_on(const struct dir_target *target,
+				     const struct bal_query *query)
 {
 	const struct bal_target *stats = target->user_data;
 	struct lim_query limit = query->limit;
 
-	if (!stats || !stats->lim.named)
-		return false;
+	if (!stats || !tst_has_statement(&stats->tst, query->now_us))
+		return TST_ACCEPTS;
 	limit.draw ^= target->hash;
 	limit.draw = fs_random(&limit.draw);
-	return !lim_allows(&stats->lim, &limit, query->now_us);
+	return tst_decide(&stats->tst, &limit, query->now_us);
 }
 
 /* Returns whether a target takes nothing at the moment. */
 static bool is_closed(const struct dir_target *target,
 		      const struct bal_query *query)
 {
-	return is_full(target, query->now_us) || is_limited(target, query);
+	return is_full(target, query->now_us) ||
+	       statement_on(target, query) != TST_ACCEPTS;
+}
+
+static bool is_leaving(const struct dir_target *target)
+{
+	const struct bal_target *stats = target->user_data;
+
+	return target->entry.leaving || (stats && stats->tst.leaving);
 }
 
 static bool is_avoided(const struct bal_query *query,
@@ -162,7 +170,7 @@
 {
 	const struct bal_target *stats = target->user_data;
 
-	return !target->entry.leaving && !is_avoided(query, target) &&
+	return !is_leaving(target) && !is_avoided(query, target) &&
 	       (!stats || query->now_us - stats->gry.wrong_server_us >=
 				  WRONG_SERVER_COOLDOWN_US);
 }
@@ -311,7 +319,8 @@
 			bal_target_get(target, query->now_us);
 		uint32_t slots = target->entry.slots;
 
-		if (!is_eligible(target, query) || stats->lim.named ||
+		if (!is_eligible(target, query) ||
+		    tst_has_statement(&stats->tst, query->now_us) ||
 		    gry_is_suspected(&stats->gry, query->now_us))
 			continue;
 		usable++;
@@ -324,6 +333,21 @@
 	       (1.0 - free_slots / unreported);
 }
 
+/* Counts a target that takes nothing. */
+static void note_closed(const struct dir_target *target,
+			const struct bal_query *query,
+			struct bal_choice *choice)
+{
+	const struct bal_target *stats = target->user_data;
+
+	if (is_full(target, query->now_us) ||
+	    statement_on(target, query) != TST_NOT_BEFORE)
+		choice->full++;
+	else if (!choice->not_before_us ||
+		 stats->tst.not_before_us < choice->not_before_us)
+		choice->not_before_us = stats->tst.not_before_us;
+}
+
 /* Returns the cheapest target; each one is skipped with probability @p skip. */
 static struct bal_choice choose_cheapest(const struct dir_service *service,
 					 const struct bal_query *query,
@@ -343,7 +367,7 @@
 		if (!is_eligible(target, query))
 			continue;
 		if (is_closed(target, query)) {
-			best.full++;
+			note_closed(target, query, &best);
 			continue;
 		}
 		best.usable++;
@@ -355,10 +379,13 @@
 			continue;
 		one.usable = best.usable;
 		one.full = best.full;
+		one.not_before_us = best.not_before_us;
 		best = one;
 		best_us = us;
 	}
 	best.cost_us = (int64_t)best_us;
+	if (best.usable || best.full)
+		best.not_before_us = 0;
 	return best;
 }
 
--- a/src/bal.h
+++ b/src/bal.h
@@ -21,12 +21,12 @@
 
 #include "dir.h"
 #include "gry.h"
-#include "lim.h"
+#include "tst.h"
 
 /** Load and health state of a target, as this node sees it. */
 struct bal_target {
 	struct gry gry;
-	struct lim lim;
+	struct tst tst;
 	uint32_t own;	  /* requests of this node in flight */
 	uint32_t others;  /* of other nodes, as last reported */
 	int64_t sent_us;  /* last known send of any node */
@@ -59,6 +59,9 @@
 	double failure;	 /* probability of a failure */
 	uint32_t usable; /* candidates */
 	uint32_t full;	 /* skipped for lack of capacity */
+	/* If all others want nothing for some time, the earliest end of that, as
+	 * they stated; else 0. */
+	int64_t not_before_us;
 };
 
 /** Returns the state of a target; creates it on first use. */
--- a/src/gwy.h
+++ b/src/gwy.h
@@ -31,7 +31,8 @@
 	const char *instance; /* the server that a request is meant for */
 	const char *not_run;  /* in an answer: the request has not run */
 	/** Reads what a target states of itself. */
-	void (*read_statement)(const GArray *headers, struct stm *out);
+	void (*read_statement)(uint32_t status, const GArray *headers,
+			       struct stm *out);
 };
 
 /** Creates the task; binds node->caller. @param dir  owned by the caller */
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -33,6 +33,9 @@
 
 	if (err == FS_E_STOPPING)
 		return GWY_STOPPING_RETRY_AFTER_US;
+	if (choice->not_before_us > now_us)
+		return choice->not_before_us - now_us +
+		       (int64_t)(gwy_random(req->gwy) % RETRY_AFTER_JITTER_US);
 	return adm_retry_after(&n) +
 	       (int64_t)(gwy_random(req->gwy) % RETRY_AFTER_JITTER_US);
 }
@@ -162,6 +165,8 @@
 
 	if (n.left_us < GWY_TIME_LEFT_MIN_US || is_too_late_in_stop(req, &n))
 		return gwy_deadline_err(req);
+	if (!choice->target && choice->not_before_us)
+		return FS_E_TARGET_REFUSED;
 	if (!choice->target)
 		return choice->full ? FS_E_QUEUE_FULL : FS_E_NO_TARGET;
 	return adm_decide(&n) == ADM_SEND ? 0 : FS_E_WAIT_TOO_LONG;
@@ -333,19 +338,15 @@
 	       msg_headers_get(headers, t->req->gwy->fields.not_run);
 }
 
-/* An answer that is no success may have been made before the target's work, so it
- * does not end a limit. */
 static void report_statement(struct gwy_attempt *t, const GArray *headers,
 			     int64_t now_us)
 {
 	struct gwy *gwy = t->req->gwy;
 	struct stm stm = {0};
 
-	gwy->fields.read_statement(headers, &stm);
-	if (t->target->removed_from_dir ||
-	    (!stm.has_limit && (t->status < 200 || t->status >= 300)))
-		return;
-	lod_record_statement(gwy->lod, t->target, &stm, now_us);
+	gwy->fields.read_statement(t->status, headers, &stm);
+	if (!t->target->removed_from_dir)
+		lod_record_statement(gwy->lod, t->target, &stm, now_us);
 }
 
 /* Returns the error for the caller if no attempt gave an answer to forward. */
--- a/src/lim.c
+++ b/src/lim.c
@@ -31,10 +31,10 @@
 	       int64_t now_us)
 {
 	double per_s = MAX(stm->limit_per_s, LIM_PER_S_MIN);
-	bool changed = lim->named != stm->has_limit ||
-		       (stm->has_limit && lim->per_s != per_s);
+	bool named = stm->limit == STM_LIMIT_NAMED;
+	bool changed = lim->named != named || (named && lim->per_s != per_s);
 
-	if (stated_us < lim->stated_us)
+	if (stm->limit == STM_LIMIT_UNKNOWN || stated_us < lim->stated_us)
 		return false;
 	lim->stated_us = stated_us;
 	if (!changed)
@@ -44,8 +44,8 @@
 	else
 		lim->level = lim->unreported = 0;
 	lim->level_us = now_us;
-	lim->named = stm->has_limit;
-	lim->per_s = stm->has_limit ? per_s : 0;
+	lim->named = named;
+	lim->per_s = named ? per_s : 0;
 	return true;
 }
 
--- a/src/lod_limit.c
+++ b/src/lod_limit.c
@@ -16,50 +16,65 @@
 	return row;
 }
 
-/* Adds a row to those that wait: sends add up, the newest statement counts. */
+/* Adds a row to those that wait: sends add up, the newest word on a limit counts. */
 static void merge_row(GHashTable *table, const struct lod_limit *from)
 {
 	struct lod_limit *row = row_of(table, from->target);
 
 	row->sends += from->sends;
-	if (from->stated_us < row->stated_us)
+	row->stm.leaving |= from->stm.leaving;
+	if (from->stm.limit == STM_LIMIT_UNKNOWN ||
+	    from->stated_us < row->stated_us)
 		return;
 	row->stated_us = from->stated_us;
-	row->stm = from->stm;
+	row->stm.limit = from->stm.limit;
+	row->stm.limit_per_s = from->stm.limit_per_s;
 }
 
 static void log_change(struct lod *lod, const struct dir_target *target,
 		       const struct stm *stm, bool own)
 {
-	ctr_count(lod->node->ctr, "lod_limits_changed", 1);
-	fs_log_eventf("lod", G_LOG_LEVEL_INFO, "target_limit",
-		      "\"target\":\"%s\",\"service\":\"%s\",\"named\":%s,"
-		      "\"per_s\":%.3f,\"source\":\"%s\"",
+	ctr_count(lod->node->ctr, "lod_statements_changed", 1);
+	fs_log_eventf("lod", G_LOG_LEVEL_INFO, "target_statement",
+		      "\"target\":\"%s\",\"service\":\"%s\",\"limited\":%s,"
+		      "\"per_s\":%.3f,\"leaving\":%s,\"source\":\"%s\"",
 		      target->entry.id, target->entry.service,
-		      stm->has_limit ? "true" : "false", stm->limit_per_s,
+		      stm->limit == STM_LIMIT_NAMED ? "true" : "false",
+		      stm->limit_per_s, stm->leaving ? "true" : "false",
 		      own ? "own" : "peer");
 }
 
 void lod_record_statement(struct lod *lod, struct dir_target *target,
 			  const struct stm *stm, int64_t now_us)
 {
-	struct lim *lim = &bal_target_get(target, now_us)->lim;
+	struct tst *tst = &bal_target_get(target, now_us)->tst;
 	struct lod_limit row = {
 		.target = target->hash,
 		.stm = *stm,
 		.stated_us = now_us,
 	};
-
-	if (!stm->has_limit && !lim->named)
-		return;
-	if (lim_state(lim, stm, now_us, now_us))
+	bool changed;
+
+	if (stm->retry_after_us > 0)
+		fs_log_eventf("lod", G_LOG_LEVEL_INFO, "target_not_before",
+			      "\"target\":\"%s\",\"service\":\"%s\","
+			      "\"retry_after_ms\":%lld",
+			      target->entry.id, target->entry.service,
+			      (long long)(stm->retry_after_us / FS_US_PER_MS));
+	changed = tst_apply(tst, stm, true, now_us, now_us);
+	if (changed)
 		log_change(lod, target, stm, true);
+	/* Also while nothing changes: the newest word holds, and others may have
+	 * missed the change. */
+	if (!changed && !tst->limit.named && !tst->leaving)
+		return;
 	merge_row(lod->limits, &row);
+	lod_schedule_flush(lod, now_us + LOD_URGENT_REPORT_INTERVAL_US, now_us);
 }
 
 void lod_record_send(struct lod *lod, struct dir_target *target, int64_t now_us)
 {
-	struct lim *lim = &bal_target_get(target, now_us)->lim;
+	struct lim *lim = &bal_target_get(target, now_us)->tst.limit;
 
 	if (!lim->named)
 		return;
@@ -93,15 +108,17 @@
 		      int64_t now_us)
 {
 	struct dir_target *target = dir_target_by_hash(lod->dir, row->target);
-	struct lim *lim;
+	struct stm stm = row->stm;
+	struct tst *tst;
 
 	if (!target)
 		return;
-	lim = &bal_target_get(target, now_us)->lim;
-	if (row->stated_us > now_us - LOD_STATED_AGO_MAX_US &&
-	    lim_state(lim, &row->stm, row->stated_us, now_us))
-		log_change(lod, target, &row->stm, false);
-	lim_report(lim, row->sends, local, now_us);
+	tst = &bal_target_get(target, now_us)->tst;
+	if (row->stated_us <= now_us - LOD_STATED_AGO_MAX_US)
+		stm.limit = STM_LIMIT_UNKNOWN;
+	if (tst_apply(tst, &stm, false, row->stated_us, now_us))
+		log_change(lod, target, &stm, false);
+	lim_report(&tst->limit, row->sends, local, now_us);
 }
 
 static void apply_rows(struct lod *lod, const struct lod_packet *packet,
--- a/src/lod_use.c
+++ b/src/lod_use.c
@@ -39,7 +39,7 @@
 	bool suspected = state && gry_is_suspected(&state->gry, survey->now_us);
 	struct service_use *use;
 
-	if (target->entry.leaving)
+	if (target->entry.leaving || (state && state->tst.leaving))
 		return;
 	use = service_use_of(survey, target->entry.service);
 	use->targets++;
--- a/src/lod_wire.c
+++ b/src/lod_wire.c
@@ -11,6 +11,9 @@
 #define PACKET_MEMBERS 14
 #define LIMIT_MILLI_MAX 1000000000 /* thousandths of a request a second */
 #define MILLI 1000.0
+#define LIMIT_CODE_UNKNOWN 0
+#define LIMIT_CODE_NONE 1
+#define LIMIT_CODE_NAMED 2
 #define EVIDENCE_COUNT_MAX 64
 #define REQUESTS_MAX 100000
 #define LATENCY_SUM_MAX_US (600 * FS_US_PER_S)
@@ -83,20 +86,39 @@
 	}
 }
 
-/* A limit is encoded as one more than its thousandths; 0: none. */
+static uint64_t limit_code(const struct stm *stm)
+{
+	double milli =
+		CLAMP(stm->limit_per_s * MILLI, 0.0, (double)LIMIT_MILLI_MAX);
+
+	if (stm->limit == STM_LIMIT_NAMED)
+		return LIMIT_CODE_NAMED + (uint64_t)milli;
+	return stm->limit == STM_LIMIT_NONE ? LIMIT_CODE_NONE :
+					      LIMIT_CODE_UNKNOWN;
+}
+
+static void set_limit(struct stm *stm, uint64_t code)
+{
+	stm->limit = code >= LIMIT_CODE_NAMED ? STM_LIMIT_NAMED :
+		     code == LIMIT_CODE_NONE  ? STM_LIMIT_NONE :
+						STM_LIMIT_UNKNOWN;
+	if (stm->limit == STM_LIMIT_NAMED)
+		stm->limit_per_s = (double)(code - LIMIT_CODE_NAMED) / MILLI;
+}
+
+/* A limit is encoded as its thousandths beyond LIMIT_CODE_NAMED. */
 static void pack_limits(msgpack_packer *packer, const struct lod_packet *packet,
 			int64_t now_us)
 {
-	msgpack_pack_array(packer, (size_t)4 * packet->limits->len);
+	msgpack_pack_array(packer, (size_t)5 * packet->limits->len);
 	for (guint i = 0; i < packet->limits->len; i++) {
 		const struct lod_limit *l =
 			&g_array_index(packet->limits, struct lod_limit, i);
-		double milli = CLAMP(l->stm.limit_per_s * MILLI, 0.0,
-				     (double)LIMIT_MILLI_MAX);
 
 		pack_uint(packer, l->target);
 		pack_uint(packer, l->sends);
-		pack_uint(packer, l->stm.has_limit ? (uint64_t)milli + 1 : 0);
+		pack_uint(packer, limit_code(&l->stm));
+		pack_uint(packer, l->stm.leaving);
 		pack_uint(packer, (uint64_t)(CLAMP(now_us - l->stated_us, 0,
 						   LOD_STATED_AGO_MAX_US) /
 					     LOD_STATED_AGO_STEP_US));
@@ -230,17 +252,16 @@
 static void read_limits(struct reader *r, int64_t now_us,
 			struct lod_packet *packet)
 {
-	struct reader list = read_list(r, 4);
+	struct reader list = read_list(r, 5);
 
 	while (!list.invalid && list.remaining) {
 		struct lod_limit l = {0};
-		uint64_t milli;
 
 		l.target = (uint32_t)read_uint(&list, UINT32_MAX);
 		l.sends = (uint32_t)read_uint(&list, REQUESTS_MAX);
-		milli = read_uint(&list, LIMIT_MILLI_MAX + 1);
-		l.stm.has_limit = milli > 0;
-		l.stm.limit_per_s = milli ? (double)(milli - 1) / MILLI : 0;
+		set_limit(&l.stm,
+			  read_uint(&list, LIMIT_CODE_NAMED + LIMIT_MILLI_MAX));
+		l.stm.leaving = read_uint(&list, 1);
 		l.stated_us = now_us -
 			      (int64_t)read_uint(
 				      &list, LOD_STATED_AGO_MAX_US /
--- a/tests/unit_lim.c
+++ b/tests/unit_lim.c
@@ -32,7 +32,7 @@
 
 static void begin(uint32_t nodes, double per_s, double demand)
 {
-	const struct stm stm = {.has_limit = true, .limit_per_s = per_s};
+	const struct stm stm = {.limit = STM_LIMIT_NAMED, .limit_per_s = per_s};
 
 	memset(&s, 0, sizeof(s));
 	s.node_count = nodes;
@@ -186,8 +186,9 @@
 
 static void test_newest_statement_holds(void)
 {
-	const struct stm one = {.has_limit = true, .limit_per_s = 1};
-	const struct stm none = {0};
+	const struct stm one = {.limit = STM_LIMIT_NAMED, .limit_per_s = 1};
+	const struct stm none = {.limit = STM_LIMIT_NONE};
+	const struct stm silent = {0};
 	struct lim lim = {0};
 	const struct lim_query query = {.rate = 24, .reported = true};
 
@@ -196,6 +197,7 @@
 	g_assert_false(lim_state(&lim, &one, 6, SECOND));
 	g_assert_false(lim_allows(&lim, &query, SECOND));
 	g_assert_false(lim_state(&lim, &none, 4, SECOND));
+	g_assert_false(lim_state(&lim, &silent, 7, SECOND));
 	g_assert_true(lim.named);
 	g_assert_true(lim_state(&lim, &none, 7, SECOND));
 	g_assert_true(lim_allows(&lim, &query, SECOND));
@@ -204,7 +206,7 @@
 /* A burst that crossed on the way is taken from the time after it. */
 static void test_debt_is_paid(void)
 {
-	const struct stm one = {.has_limit = true, .limit_per_s = 1};
+	const struct stm one = {.limit = STM_LIMIT_NAMED, .limit_per_s = 1};
 	const struct lim_query query = {.reported = true};
 	struct lim lim = {0};
 
@@ -217,7 +219,7 @@
 /* Its own sends come back in the reports of a node's domain. */
 static void test_own_sends_count_once(void)
 {
-	const struct stm one = {.has_limit = true, .limit_per_s = 1};
+	const struct stm one = {.limit = STM_LIMIT_NAMED, .limit_per_s = 1};
 	struct lim lim = {0};
 
 	lim_state(&lim, &one, 0, 0);
--- a/tests/unit_lod.c
+++ b/tests/unit_lod.c
@@ -25,7 +25,9 @@
 	struct lod_limit limit = {
 		.target = 7,
 		.sends = 3,
-		.stm = {.has_limit = true, .limit_per_s = 8.25},
+		.stm = {.leaving = true,
+			.limit = STM_LIMIT_NAMED,
+			.limit_per_s = 8.25},
 		.stated_us = NOW_US - 50 * FS_US_PER_MS,
 	};
 
@@ -80,7 +82,8 @@
 	l = &g_array_index(out.limits, struct lod_limit, 0);
 	g_assert_cmpuint(l->target, ==, 7);
 	g_assert_cmpuint(l->sends, ==, 3);
-	g_assert_true(l->stm.has_limit);
+	g_assert_cmpint(l->stm.limit, ==, STM_LIMIT_NAMED);
+	g_assert_true(l->stm.leaving);
 	g_assert_cmpfloat(l->stm.limit_per_s, ==, 8.25);
 	g_assert_cmpint(l->stated_us, ==, NOW_US - 50 * FS_US_PER_MS);
 	lod_packet_clear(&in);
@@ -143,7 +146,7 @@
 		struct lod_limit l = {
 			.target = UINT32_MAX,
 			.sends = UINT16_MAX,
-			.stm = {.has_limit = true, .limit_per_s = 1e6},
+			.stm = {.limit = STM_LIMIT_NAMED, .limit_per_s = 1e6},
 			.stated_us = NOW_US - LOD_STATED_AGO_MAX_US,
 		};
 
--- a/tests/unit_plf.c
+++ b/tests/unit_plf.c
@@ -6,6 +6,7 @@
 #include "fleet_fake.h"
 #include "fs_log.h"
 #include "plf_decode.h"
+#include "plf_statement.h"
 #include "plf_store.h"
 
 #define CONFIG                                                               \
@@ -164,6 +165,73 @@
 	g_assert_true(decode("servers/i-1", text->str, &e));
 }
 
+/** An answer's field, and what is read from it. */
+struct statement_case {
+	uint32_t status;
+	const char *name;
+	const char *value;
+	const char *again; /* the same field once more, or NULL */
+	struct stm expected;
+};
+
+/* Guards against values that are malformed, or given twice, and taken for a
+ * statement. */
+static void test_statements(void)
+{
+	const struct stm none = {.limit = STM_LIMIT_NONE};
+	const struct stm unknown = {.limit = STM_LIMIT_UNKNOWN};
+	const struct stm leaving = {.leaving = true, .limit = STM_LIMIT_NONE};
+	const struct stm one_and_a_half = {.limit = STM_LIMIT_NAMED,
+					   .limit_per_s = 1.5};
+	const struct stm no_work = {.limit = STM_LIMIT_NAMED};
+	const struct stm soon = {.retry_after_us = 3 * FS_US_PER_S};
+	const struct statement_case cases[] = {
+		{200, "Other", "1", NULL, none},
+		{500, "Other", "1", NULL, unknown},
+		{200, "server-leaving", "1", NULL, leaving},
+		{200, "Server-Leaving", "0", NULL, none},
+		{200, "Server-Leaving", "yes", NULL, none},
+		{200, "Server-Leaving", "1", "1", none},
+		{200, "Server-Limit", "1.5", NULL, one_and_a_half},
+		{503, "Server-Limit", "1.5", NULL, one_and_a_half},
+		{200, "Server-Limit", "0", NULL, no_work},
+		{200, "Server-Limit", "-1", NULL, unknown},
+		{200, "Server-Limit", "1e3", NULL, unknown},
+		{200, "Server-Limit", "1 2", NULL, unknown},
+		{200, "Server-Limit", "", NULL, unknown},
+		{200, "Server-Limit", "99999999999999", NULL, unknown},
+		{200, "Server-Limit", "nan", NULL, unknown},
+		{200, "Server-Limit", "1", "2", unknown},
+		{503, "Retry-After", "3", NULL, soon},
+		{200, "Retry-After", "3", NULL, none},
+		{500, "Retry-After", "3", NULL, unknown},
+		{503, "Retry-After", "-3", NULL, unknown},
+		{503, "Retry-After", "0.5", NULL, unknown},
+		{503, "Retry-After", "99999999999", NULL, unknown},
+		{503, "Retry-After", "Wed, 21 Oct 2026 07:28:00 GMT", NULL,
+		 unknown},
+		{503, "Retry-After", "3", "4", unknown},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const struct statement_case *one = &cases[i];
+		g_autoptr(GArray) headers = msg_headers_new();
+		struct stm stm;
+
+		msg_headers_add(headers, one->name, one->value);
+		if (one->again)
+			msg_headers_add(headers, one->name, one->again);
+		plf_statement_read(one->status, headers, &stm);
+		g_test_message("%s: %s", one->name, one->value);
+		g_assert_cmpint(stm.leaving, ==, one->expected.leaving);
+		g_assert_cmpint(stm.limit, ==, one->expected.limit);
+		g_assert_cmpfloat(stm.limit_per_s, ==,
+				  one->expected.limit_per_s);
+		g_assert_cmpint(stm.retry_after_us, ==,
+				one->expected.retry_after_us);
+	}
+}
+
 /** One call to a scripted store. */
 struct call {
 	struct ev_loop *loop;
@@ -407,6 +475,7 @@
 	g_test_add_func("/plf/silence", test_silence);
 	g_test_add_func("/plf/lease", test_lease);
 	g_test_add_func("/plf/era_is_read", test_era_is_read);
+	g_test_add_func("/plf/statements", test_statements);
 	g_test_add_func("/plf/deeply_nested_entry", test_deeply_nested_entry);
 	g_test_add_func("/plf/brackets_in_a_string", test_brackets_in_a_string);
 	g_test_add_func("/plf/malformed_era_is_not_stated",
