Let the soak's targets tell of themselves, and judge what reaches them

A fault of the soak makes a target name a limit, refuse with a time to come back, or say that it leaves while the store knows nothing; the checker judges from what the target sees which node it has told, and when.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -90,6 +90,7 @@
             self.report("UNASKED", "%s got request %s" % (target.name, request_id))
             return
         self.arrivals[request_id].append((time.monotonic(), target))
+        target.says.arrived(request)
         late = time.monotonic() - (target.leaving_at or time.monotonic())
         known = self.store.calm_for(STABLE_S + late)
         bound = DRAIN_S
@@ -407,6 +408,25 @@
         await asyncio.sleep(1.0)
         await target.leave()
 
+    async def fault_target_says(self, rng):
+        """A target tells of itself in its answers, and the store knows nothing."""
+        target = self.pick_target(rng)
+        what = rng.choice(("limit", "wait", "leaving"))
+        if what == "limit":
+            target.says.name_limit(rng.choice((0.5, 1, 2, 4)))
+            await asyncio.sleep(rng.uniform(8.0, 12.0))
+            target.says.limit = None
+        elif what == "wait":
+            target.says.wait_s, target.says.refuse_share = rng.choice((1, 2, 4)), rng.choice((0.2, 1.0))
+            await asyncio.sleep(rng.uniform(2.0, 6.0))
+            target.says.wait_s = 0
+        else:
+            await self.add_target(target.service, target.zone)
+            await asyncio.sleep(1.0)
+            target.says.leaving = True
+            await asyncio.sleep(rng.uniform(4.0, 8.0))
+            await target.leave()
+
     async def fault_unsafe(self, rng):
         """Targets run what may run only once, and give no answer."""
         pay = [t for t in self.targets if t.alive and not t.leaving_at and t.service == "pay"]
--- /dev/null
+++ b/tests/soak/statement.py
@@ -0,0 +1,86 @@
+"""What a target says of itself in its answers: that it leaves, how many requests a
+second it takes, and when to come back. Notes which node it has told, and judges what
+reaches it afterwards."""
+
+import collections
+import time
+
+DRAIN_S = 2.0  # a node that was told sends nothing that came later than this after
+TOLD_S = 0.5  # a node counts as told that long after the answer
+SETTLE_S = 3.0  # a limit holds from then on
+WINDOW_S = 4.0  # over any such time
+REFUSED_MAX = 2  # requests of a node before the time that it was told to wait
+
+
+class Statement:
+    def __init__(self, world, target):
+        self.world, self.target = world, target
+        self.leaving = False
+        self.limit, self.limit_at = None, 0.0
+        self.wait_s = 0  # with each refusal
+        self.refuse_share = 0.0
+        self.told_leaving, self.told_limit = {}, {}  # (node, incarnation) to time
+        self.told_wait = {}  # to (time, seconds, arrivals)
+        self.arrivals = collections.deque()  # (time, node key)
+
+    def name_limit(self, limit):
+        self.limit, self.limit_at = limit, time.monotonic()
+        self.told_limit, self.arrivals = {}, collections.deque()
+
+    def fields(self, request_id):
+        """The fields of an answer, whose node counts as told from now on."""
+        key = self._key(request_id)
+        out = {}
+        if self.leaving:
+            out["Server-Leaving"] = "1"
+            self.told_leaving.setdefault(key, time.monotonic())
+        if self.limit is not None:
+            out["Server-Limit"] = "%g" % self.limit
+            self.told_limit.setdefault(key, time.monotonic())
+        return out
+
+    def refusal(self, request_id):
+        """The fields of a 503 that says when to come back."""
+        self.told_wait[self._key(request_id)] = [time.monotonic(), self.wait_s, 0]
+        return dict(self.fields(request_id), **{"Retry-After": str(self.wait_s)})
+
+    def refuses(self):
+        return self.wait_s and self.world.rng.random() < self.refuse_share
+
+    def _key(self, request_id):
+        request = self.world.requests.get(request_id)
+        return (request.node.name, request.incarnation) if request else None
+
+    def arrived(self, request):
+        now, key = time.monotonic(), (request.node.name, request.incarnation)
+        self._judge_leaving(request, key, now)
+        self._judge_wait(request, key, now)
+        self._judge_limit(request, key, now)
+
+    def _judge_leaving(self, request, key, now):
+        told = self.told_leaving.get(key)
+        if told and request.sent > told + DRAIN_S and request.node.calm_for(now - told):
+            self.world.report("DRAIN", "%s got %s %.1f s after it had told %s that it leaves"
+                              % (self.target.name, request.id, now - told, key[0]))
+
+    def _judge_wait(self, request, key, now):
+        told = self.told_wait.get(key)
+        if not told or not told[0] + TOLD_S < now < told[0] + told[1]:
+            return
+        told[2] += 1
+        if told[2] > REFUSED_MAX and request.node.calm_for(now - told[0]):
+            self.world.report("BUDGET", "%s got %s from %s, %.1f s after it had said to wait %d s"
+                              % (self.target.name, request.id, key[0], now - told[0], told[1]))
+
+    def _judge_limit(self, request, key, now):
+        if self.limit is None or now < self.limit_at + SETTLE_S:
+            return
+        told = self.told_limit.get(key)
+        if not told or now < told + TOLD_S or not request.node.calm_for(WINDOW_S + SETTLE_S):
+            return
+        self.arrivals.append(now)
+        while self.arrivals[0] < now - WINDOW_S:
+            self.arrivals.popleft()
+        if len(self.arrivals) > 1.5 * self.limit * WINDOW_S + 5 and self.world.on_time():
+            self.world.report("LIMIT", "%s named %g a second and got %d in %g s"
+                              % (self.target.name, self.limit, len(self.arrivals), WINDOW_S))
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -9,6 +9,7 @@
 import time
 
 import wire
+from statement import Statement
 
 BEAT_S = 1.5
 QUEUE = 16
@@ -38,6 +39,7 @@
         self.share = 1.0  # of requests that the fault hits
         self.leaving_at = None  # when the store took "draining"
         self.leaving_known = False  # the nodes have read it
+        self.says = Statement(world, self)
         self.served = 0
         self.has_successor = False  # another instance has its id
         self.alive = True
@@ -140,6 +142,10 @@
             self._send(writer, 400, {"X-Not-Executed": "1"})
             return True
         self.world.arrived(self, request_id, path, fields)
+        if self.says.refuses():
+            told = dict(base, **self.says.refusal(request_id))
+            self._send(writer, 503, dict(told, **{"X-Not-Executed": "1"}))
+            return True
         if self.waiting >= QUEUE:
             self._send(writer, 503, dict(base, **{"X-Not-Executed": "1"}))
             return True
@@ -186,6 +192,7 @@
         gone.cancel()
         await asyncio.wait([gone])
         whole = body_of(request_id, path)
+        base = dict(base, **self.says.fields(request_id))
         proved = dict(base, **{"X-Response-Seal": seal_of(request_id)})
         if work_s >= left_s:
             self._send(writer, 504, proved)
