--- a/src/fed_config.c
+++ b/src/fed_config.c
@@ -239,11 +239,15 @@
 		     int64_t now_us)
 {
 	struct fed_config *texts = &fed->texts;
+	bool searching = texts->wanted > texts->history.version;
 
 	if (version <= texts->history.version || version <= texts->wanted)
 		return;
 	texts->wanted = version;
 	texts->wanted_from = peer;
+	/* One version more does not begin the wait anew. */
+	if (searching)
+		return;
 	texts->requests = 0;
 	texts->ask_us = now_us + wait_us(fed, now_us);
 	fed_config_tick(fed, now_us);
--- a/tests/unit_fed.c
+++ b/tests/unit_fed.c
@@ -215,6 +215,34 @@
 	rig_end();
 }
 
+/* Tells the node of another member of its domain. */
+static void add_member(node_id id)
+{
+	struct mem_view *view =
+		g_malloc0(sizeof(*view) + sizeof(struct mem_member));
+
+	view->refs = 1;
+	view->count = 1;
+	view->members[0].id = id;
+	g_strlcpy(view->members[0].domain, "z", FS_DOMAIN_MAX);
+	bus_send_all(rig.node.bus, MSG_VIEW, view);
+	mem_view_unref(view);
+}
+
+/* Each heartbeat names a newer version, and none arrives: guards against a node that
+ * waits anew each time, and asks for none while the series lasts. */
+static void test_series_does_not_postpone_the_request(void)
+{
+	rig_begin();
+	add_member(76);
+	for (uint64_t version = 8; version < 18; version++) {
+		receive_heartbeat(dir_digest(rig.dir), version, true);
+		rig_run(100 * FS_US_PER_MS);
+	}
+	g_assert_true(was_queried_at(MSG_CONFIG_REQUEST, 76));
+	rig_end();
+}
+
 /* The reader itself: guards against one that trusts its last answer while the
  * store is lost and others have the change. */
 static void test_reader_without_store_asks_peers(void)
@@ -311,6 +339,8 @@
 	g_test_add_func("/fed/first_page_serves", test_first_page_serves);
 	g_test_add_func("/fed/other_domains_replace_a_reader_at_once",
 			test_other_domains_replace_a_reader_at_once);
+	g_test_add_func("/fed/series_does_not_postpone_the_request",
+			test_series_does_not_postpone_the_request);
 	g_test_add_func("/fed/reader_without_store_asks_peers",
 			test_reader_without_store_asks_peers);
 	g_test_add_func("/fed/peers_replace_silent_store",
