--- a/tests/unit_lim.c
+++ b/tests/unit_lim.c
@@ -88,11 +88,16 @@
 
 static void play(void)
 {
+	double due = 0;
+
 	for (int64_t now_us = TICK_US; now_us < DAY_US; now_us += TICK_US) {
-		double due = s.demand * TICK_US / SECOND;
+		uint32_t callers;
 
 		tell_all(now_us);
-		for (; next_fraction() < due; due -= 1.0)
+		due += s.demand * TICK_US / SECOND;
+		callers = (uint32_t)(2 * due * next_fraction());
+		due -= callers;
+		for (uint32_t i = 0; i < callers; i++)
 			try_send(
 				(uint32_t)(fs_random(&s.random) % s.node_count),
 				fs_random(&s.random), now_us);
