--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -144,6 +144,8 @@
 void gwy_request_resume(struct gwy_request *req);
 /** Sets the one timer of a request. */
 void gwy_request_timer(struct gwy_request *req, int64_t at_us, int64_t now_us);
+/** Marks a request as parked, or not. */
+void gwy_request_park(struct gwy_request *req, bool parked);
 /** Cancels all attempts; their answers are not needed any more. */
 void gwy_request_cancel_attempts(struct gwy_request *req);
 /** Logs the outcome of a request, once. */
@@ -192,8 +194,12 @@
 /** Frees the slot of an attempt at its target. */
 void gwy_send_release_slot(struct gwy_attempt *t);
 
-/** Marks a request as parked, or not. */
-void gwy_request_park(struct gwy_request *req, bool parked);
+/* Outcomes of attempts (gwy_outcome.c) */
+/** Reports the end of an attempt as evidence on its target. */
+void gwy_outcome_report(struct gwy_attempt *t);
+/** Reports what the target states of itself in an answer's header fields. */
+void gwy_outcome_report_statement(struct gwy_attempt *t, const GArray *headers,
+				  int64_t now_us);
 
 /* Answers (gwy_answer.c) */
 /** Forwards a completely buffered answer of a target. */
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -302,33 +302,6 @@
 	send_or_refuse(req, now_us);
 }
 
-/* Classifies the outcome of an attempt as evidence on its target. */
-static enum gry_outcome outcome_of(const struct gwy_attempt *t)
-{
-	if (t->err == FS_E_CONNECT)
-		return GRY_UNREACHABLE;
-	if (t->err == FS_E_DEADLINE || (!t->err && t->status == 504))
-		return GRY_OVERDUE;
-	if (t->err)
-		return GRY_BROKEN;
-	if (t->not_run)
-		return t->status == 421 ? GRY_WRONG_SERVER : GRY_FULL;
-	return t->status >= 500 ? GRY_FAILED : GRY_SUCCESS;
-}
-
-static void report_outcome(struct gwy_attempt *t)
-{
-	enum gry_outcome outcome = outcome_of(t);
-
-	if (outcome == GRY_OVERDUE &&
-	    (t->overdue || gwy_ends_with_node(t->req)))
-		return;
-	t->overdue |= outcome == GRY_OVERDUE;
-	/* The wait for a slot is not part of the service time of the target. */
-	lod_record_outcome(t->req->gwy->lod, t->target, outcome,
-			   MAX(t->took_us - t->wait_us, t->took_us / 4));
-}
-
 static bool is_not_run(const struct gwy_attempt *t,
 		       const struct tgt_result *result, const GArray *headers)
 {
@@ -338,17 +311,6 @@
 	       msg_headers_get(headers, t->req->gwy->fields.not_run);
 }
 
-static void report_statement(struct gwy_attempt *t, const GArray *headers,
-			     int64_t now_us)
-{
-	struct gwy *gwy = t->req->gwy;
-	struct stm stm = {0};
-
-	gwy->fields.read_statement(t->status, headers, &stm);
-	if (!t->target->removed_from_dir)
-		lod_record_statement(gwy->lod, t->target, &stm, now_us);
-}
-
 /* Returns the error for the caller if no attempt gave an answer to forward. */
 static int final_err(const struct gwy_attempt *t)
 {
@@ -423,9 +385,9 @@
 		req->attempts_sent--;
 	else if (!t->not_run)
 		req->may_have_run = true;
-	report_outcome(t);
+	gwy_outcome_report(t);
 	if (!t->err && headers)
-		report_statement(t, headers, now_us);
+		gwy_outcome_report_statement(t, headers, now_us);
 	gwy_send_release_slot(t);
 	if (streaming) {
 		on_stream_end(t);
@@ -449,11 +411,12 @@
 {
 	struct gwy_attempt *t = arg;
 	struct gwy_request *req = t->req;
+	g_autoptr(GArray) headers = tgt_peek_headers(tgt);
 
 	if (req->state != GWY_WAITING)
 		return;
 	t->status = tgt_status(tgt);
-	report_statement(t, tgt_peek_headers(tgt), fs_now_us());
+	gwy_outcome_report_statement(t, headers, fs_now_us());
 	gwy_answer_stream(t, fs_now_us());
 }
 
--- a/src/lod.c
+++ b/src/lod.c
@@ -368,7 +368,7 @@
 	if (lod->urgent)
 		send_report(lod, now_us);
 	next_us = lod_hub_flush(lod, now_us);
-	limit_us = lod_limit_flush(lod, now_us);
+	limit_us = lod_statement_flush(lod, now_us);
 	if (limit_us && (!next_us || limit_us < next_us))
 		next_us = limit_us;
 	if (lod->urgent)
@@ -397,7 +397,7 @@
 	    now_us - lod->reported_us >= report_interval_us(lod))
 		send_report(lod, now_us);
 	lod_hub_tick(lod, now_us);
-	lod_limit_flush(lod, now_us);
+	lod_statement_flush(lod, now_us);
 }
 
 /* The hub learns at once that this node became a reader. */
@@ -459,8 +459,8 @@
 	lod->unreported_targets = g_hash_table_new(NULL, NULL);
 	lod_queue_init(&lod->evidence);
 	lod->service_counts = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-	lod->limits = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-	lod->hub_limits = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	lod->statements = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	lod->hub_statements = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	lod->domains = g_hash_table_new_full(NULL, NULL, NULL, domain_free);
 	lod->path_fault_shares = g_hash_table_new_full(
 		g_int64_hash, g_int64_equal, g_free, g_free);
@@ -514,8 +514,8 @@
 	g_hash_table_unref(lod->unreported_targets);
 	lod_queue_clear(&lod->evidence);
 	g_hash_table_unref(lod->service_counts);
-	g_hash_table_unref(lod->limits);
-	g_hash_table_unref(lod->hub_limits);
+	g_hash_table_unref(lod->statements);
+	g_hash_table_unref(lod->hub_statements);
 	g_hash_table_unref(lod->domains);
 	g_hash_table_unref(lod->path_fault_shares);
 	g_hash_table_unref(lod->mean_latencies);
--- a/src/lod.h
+++ b/src/lod.h
@@ -59,7 +59,7 @@
 		     int64_t now_us);
 
 /** Returns after how long nodes know of each other's sends to limited targets. */
-int64_t lod_limit_delay_us(const struct lod *lod);
+int64_t lod_statement_delay_us(const struct lod *lod);
 
 /** Counts requests and retries that this node sent to a service, and requests
  *  that ended unserved. */
--- a/src/lod_impl.h
+++ b/src/lod_impl.h
@@ -28,9 +28,9 @@
 #define LOD_URGENT_DIGEST_PER_NODE_US (2 * FS_US_PER_MS)
 /* Sends to limited targets and their statements: interval between digests, and the
  * time that datagrams need from node to node at most, usually. */
-#define LOD_LIMIT_DIGEST_INTERVAL_US (60 * FS_US_PER_MS)
-#define LOD_LIMIT_DIGEST_PER_NODE_US (5 * FS_US_PER_MS)
-#define LOD_LIMIT_TRANSIT_US (60 * FS_US_PER_MS)
+#define LOD_STATEMENT_INTERVAL_US (60 * FS_US_PER_MS)
+#define LOD_STATEMENT_PER_NODE_US (5 * FS_US_PER_MS)
+#define LOD_STATEMENT_TRANSIT_US (60 * FS_US_PER_MS)
 /* The standby hub of another domain gets one in so many digests: one each
  * 0.8 s at LOD_DIGEST_INTERVAL_US, so that its data is hardly older than
  * LOD_HUB_TIMEOUT_US. */
@@ -90,7 +90,8 @@
 	ev_timer flush_timer;		/* sends failures between ticks */
 	/* service hash to struct lod_service_counts */
 	GHashTable *service_counts;
-	GHashTable *limits; /* target hash to struct lod_limit, to be reported */
+	/* target hash to struct lod_statement, to be reported */
+	GHashTable *statements;
 	bool changed;
 	bool urgent; /* evidence waits that is to be reported at once */
 	int64_t reported_us;
@@ -110,9 +111,9 @@
 	struct lod_queue hub_evidence; /* to be broadcast */
 	/* service hash to struct lod_service_counts */
 	GHashTable *hub_service_counts;
-	GHashTable *hub_limits; /* as limits, to be broadcast */
+	GHashTable *hub_statements; /* to be broadcast */
 	int64_t digest_us;
-	int64_t limit_digest_us;
+	int64_t statement_digest_us;
 	int64_t use_logged_us;
 	uint32_t digests_sent;
 	int64_t hub_last_rx_us; /* last digest of this domain's hub */
@@ -155,13 +156,13 @@
  *  LOD_STANDBY_DIGEST_RATIO to their standbys. */
 void lod_send_to_other_hubs(struct lod *lod, const GByteArray *data);
 
-/* Limited targets (lod_limit.c) */
+/* Statements of targets (lod_statement.c) */
 
 /** Reports sends and statements, and broadcasts them as a hub.
  *  @return when to call again, 0: none wait */
-int64_t lod_limit_flush(struct lod *lod, int64_t now_us);
-void lod_limit_receive(struct lod *lod, const struct lod_packet *packet,
-		       int64_t now_us);
+int64_t lod_statement_flush(struct lod *lod, int64_t now_us);
+void lod_statement_receive(struct lod *lod, const struct lod_packet *packet,
+			   int64_t now_us);
 
 /** Periodically logs how the targets of each service are used (lod_use.c). */
 void lod_log_service_use(struct lod *lod, int64_t now_us);
--- a/src/lod_net.c
+++ b/src/lod_net.c
@@ -47,9 +47,10 @@
 
 	if (packet->type == LOD_REPORT)
 		lod_hub_receive_report(lod, packet, now_us);
-	if (packet->type == LOD_LIMIT_REPORT)
-		lod_limit_receive(lod, packet, now_us);
-	if ((packet->type != LOD_DIGEST && packet->type != LOD_LIMIT_DIGEST) ||
+	if (packet->type == LOD_STATEMENT_REPORT)
+		lod_statement_receive(lod, packet, now_us);
+	if ((packet->type != LOD_DIGEST &&
+	     packet->type != LOD_STATEMENT_DIGEST) ||
 	    packet->sender == lod->node->self)
 		return;
 	/* The active hub forwards digests of other domains to its own. */
@@ -62,7 +63,7 @@
 	if (packet->type == LOD_DIGEST)
 		lod_apply_digest(lod, packet, now_us);
 	else
-		lod_limit_receive(lod, packet, now_us);
+		lod_statement_receive(lod, packet, now_us);
 }
 
 static void on_datagram(struct ev_loop *loop, ev_io *io, int events)
--- a/src/lod_wire.c
+++ b/src/lod_wire.c
@@ -6,8 +6,8 @@
 #include "fs_err.h"
 #include "sig.h"
 
-/* Type to domain, feed, three lists, reader, era and limits. Nodes of earlier
- * versions send no limits. */
+/* Type to domain, feed, three lists, reader, era and statements. Nodes of
+ * earlier versions send none of the last. */
 #define PACKET_MEMBERS 14
 #define LIMIT_MILLI_MAX 1000000000 /* thousandths of a request a second */
 #define MILLI 1000.0
@@ -28,7 +28,8 @@
 		g_array_new(FALSE, TRUE, sizeof(struct lod_evidence));
 	packet->service_counts =
 		g_array_new(FALSE, TRUE, sizeof(struct lod_service_counts));
-	packet->limits = g_array_new(FALSE, TRUE, sizeof(struct lod_limit));
+	packet->statements =
+		g_array_new(FALSE, TRUE, sizeof(struct lod_statement));
 }
 
 void lod_packet_clear(struct lod_packet *packet)
@@ -36,7 +37,7 @@
 	g_clear_pointer(&packet->counts, g_array_unref);
 	g_clear_pointer(&packet->evidence, g_array_unref);
 	g_clear_pointer(&packet->service_counts, g_array_unref);
-	g_clear_pointer(&packet->limits, g_array_unref);
+	g_clear_pointer(&packet->statements, g_array_unref);
 }
 
 static int append(void *data, const char *buf, size_t size)
@@ -107,13 +108,13 @@
 }
 
 /* A limit is encoded as its thousandths beyond LIMIT_CODE_NAMED. */
-static void pack_limits(msgpack_packer *packer, const struct lod_packet *packet,
-			int64_t now_us)
+static void pack_statements(msgpack_packer *packer,
+			    const struct lod_packet *packet, int64_t now_us)
 {
-	msgpack_pack_array(packer, (size_t)5 * packet->limits->len);
-	for (guint i = 0; i < packet->limits->len; i++) {
-		const struct lod_limit *l =
-			&g_array_index(packet->limits, struct lod_limit, i);
+	msgpack_pack_array(packer, (size_t)5 * packet->statements->len);
+	for (guint i = 0; i < packet->statements->len; i++) {
+		const struct lod_statement *l = &g_array_index(
+			packet->statements, struct lod_statement, i);
 
 		pack_uint(packer, l->target);
 		pack_uint(packer, l->sends);
@@ -144,7 +145,7 @@
 	pack_lists(&packer, packet);
 	pack_uint(&packer, packet->feed.reader);
 	pack_uint(&packer, packet->feed.era);
-	pack_limits(&packer, packet, now_us);
+	pack_statements(&packer, packet, now_us);
 	if (sig_sign(key, out->data, out->len, signature))
 		return FS_E_INVALID;
 	g_byte_array_append(out, signature, SIG_SIZE);
@@ -249,13 +250,13 @@
 	r->invalid |= list.invalid;
 }
 
-static void read_limits(struct reader *r, int64_t now_us,
-			struct lod_packet *packet)
+static void read_statements(struct reader *r, int64_t now_us,
+			    struct lod_packet *packet)
 {
 	struct reader list = read_list(r, 5);
 
 	while (!list.invalid && list.remaining) {
-		struct lod_limit l = {0};
+		struct lod_statement l = {0};
 
 		l.target = (uint32_t)read_uint(&list, UINT32_MAX);
 		l.sends = (uint32_t)read_uint(&list, REQUESTS_MAX);
@@ -267,7 +268,7 @@
 				      &list, LOD_STATED_AGO_MAX_US /
 						     LOD_STATED_AGO_STEP_US) *
 				      LOD_STATED_AGO_STEP_US;
-		g_array_append_val(packet->limits, l);
+		g_array_append_val(packet->statements, l);
 	}
 	r->invalid |= list.invalid;
 }
@@ -294,7 +295,7 @@
 	if (r.remaining)
 		packet->feed.era = read_uint(&r, UINT64_MAX);
 	if (r.remaining)
-		read_limits(&r, now_us, packet);
+		read_statements(&r, now_us, packet);
 	return r.invalid ? FS_E_PROTOCOL : 0;
 }
 
--- a/src/lod_wire.h
+++ b/src/lod_wire.h
@@ -16,9 +16,9 @@
 enum lod_type {
 	LOD_REPORT = 1, /* of one node, to its hub */
 	LOD_DIGEST,	/* of one failure domain, to all nodes */
-	/* The same for limited targets */
-	LOD_LIMIT_REPORT,
-	LOD_LIMIT_DIGEST,
+	/* The same for statements of targets */
+	LOD_STATEMENT_REPORT,
+	LOD_STATEMENT_DIGEST,
 };
 
 /** Requests at a target. */
@@ -47,7 +47,7 @@
 };
 
 /** Sends to a target that names a limit, or its newest statement. */
-struct lod_limit {
+struct lod_statement {
 	uint32_t target; /* dir_target.hash */
 	uint32_t sends;	 /* since the last report or digest */
 	struct stm stm;
@@ -74,7 +74,7 @@
 	GArray *counts;		/* struct lod_target_count */
 	GArray *evidence;	/* struct lod_evidence */
 	GArray *service_counts; /* struct lod_service_counts */
-	GArray *limits;		/* struct lod_limit */
+	GArray *statements;	/* struct lod_statement */
 };
 
 /** Times since the last send are encoded in these steps, and as unknown from
@@ -90,8 +90,8 @@
 #define LOD_COUNTS_MAX 48
 #define LOD_EVIDENCE_MAX 24
 #define LOD_SERVICE_COUNTS_MAX 16
-/** The same in a datagram of limits. */
-#define LOD_LIMITS_MAX 64
+/** The same in a datagram of statements. */
+#define LOD_STATEMENTS_MAX 64
 
 void lod_packet_init(struct lod_packet *packet, enum lod_type type);
 void lod_packet_clear(struct lod_packet *packet);
--- a/tests/unit_lod.c
+++ b/tests/unit_lod.c
@@ -22,7 +22,7 @@
 		.latency_sum_us = 1500,
 	};
 	struct lod_service_counts service_counts = {9, 10, 2, 1};
-	struct lod_limit limit = {
+	struct lod_statement limit = {
 		.target = 7,
 		.sends = 3,
 		.stm = {.leaving = true,
@@ -44,7 +44,7 @@
 	g_array_append_val(packet->counts, count);
 	g_array_append_val(packet->evidence, evidence);
 	g_array_append_val(packet->service_counts, service_counts);
-	g_array_append_val(packet->limits, limit);
+	g_array_append_val(packet->statements, limit);
 }
 
 /* Guards against a decoder that reads a number twice, as an argument of a
@@ -53,7 +53,7 @@
 {
 	g_autoptr(GByteArray) data = g_byte_array_new();
 	const struct lod_evidence *e;
-	const struct lod_limit *l;
+	const struct lod_statement *l;
 	struct lod_packet in, out;
 
 	fill(&in);
@@ -79,7 +79,7 @@
 	g_assert_cmpmem(
 		out.service_counts->data, sizeof(struct lod_service_counts),
 		in.service_counts->data, sizeof(struct lod_service_counts));
-	l = &g_array_index(out.limits, struct lod_limit, 0);
+	l = &g_array_index(out.statements, struct lod_statement, 0);
 	g_assert_cmpuint(l->target, ==, 7);
 	g_assert_cmpuint(l->sends, ==, 3);
 	g_assert_cmpint(l->stm.limit, ==, STM_LIMIT_NAMED);
@@ -110,7 +110,7 @@
 	struct lod_packet packet;
 
 	fill(&packet);
-	g_array_set_size(packet.limits, 0);
+	g_array_set_size(packet.statements, 0);
 	for (int i = 1; i < LOD_COUNTS_MAX; i++) {
 		struct lod_target_count c = {UINT32_MAX, 1000,
 					     LOD_SENT_AGO_MAX_US};
@@ -139,18 +139,18 @@
 	g_autoptr(GByteArray) data = g_byte_array_new();
 	struct lod_packet packet;
 
-	lod_packet_init(&packet, LOD_LIMIT_DIGEST);
+	lod_packet_init(&packet, LOD_STATEMENT_DIGEST);
 	packet.sender = packet.incarnation = UINT64_MAX;
 	packet.serial = packet.domain = UINT32_MAX;
-	for (int i = 0; i < LOD_LIMITS_MAX; i++) {
-		struct lod_limit l = {
+	for (int i = 0; i < LOD_STATEMENTS_MAX; i++) {
+		struct lod_statement l = {
 			.target = UINT32_MAX,
 			.sends = UINT16_MAX,
 			.stm = {.limit = STM_LIMIT_NAMED, .limit_per_s = 1e6},
 			.stated_us = NOW_US - LOD_STATED_AGO_MAX_US,
 		};
 
-		g_array_append_val(packet.limits, l);
+		g_array_append_val(packet.statements, l);
 	}
 	g_assert_cmpint(lod_wire_encode(&packet, KEY, NOW_US, data), ==, 0);
 	lod_packet_clear(&packet);
