Take a limit that peers tell rounded for the same one

A target that names more digits, or 8.3, which is 8299.99 thousandths, had another limit by its own answers than by peers, so each answer counted as a change and was logged. Messages round now, and limits closer than 0.002 a second are the same. rounded_limit_is_no_change failed before.

--- a/src/lim.c
+++ b/src/lim.c
@@ -1,5 +1,9 @@
 #include "lim.h"
 
+#include <math.h>
+
+/* Limits that differ by less are the same: messages carry thousandths. */
+#define PER_S_STEP 0.002
 /* Debts of earlier times are forgotten. */
 #define DEBT_MAX_S 4.0
 #define DEBT_MAX_REQUESTS 5.0
@@ -32,7 +36,8 @@
 {
 	double per_s = MAX(stm->limit_per_s, LIM_PER_S_MIN);
 	bool named = stm->limit == STM_LIMIT_NAMED;
-	bool changed = lim->named != named || (named && lim->per_s != per_s);
+	bool changed = lim->named != named ||
+		       (named && fabs(lim->per_s - per_s) > PER_S_STEP);
 
 	if (stm->limit == STM_LIMIT_UNKNOWN || stated_us < lim->stated_us)
 		return false;
--- a/src/lod_wire.c
+++ b/src/lod_wire.c
@@ -93,7 +93,7 @@
 		CLAMP(stm->limit_per_s * MILLI, 0.0, (double)LIMIT_MILLI_MAX);
 
 	if (stm->limit == STM_LIMIT_NAMED)
-		return LIMIT_CODE_NAMED + (uint64_t)milli;
+		return LIMIT_CODE_NAMED + (uint64_t)(milli + 0.5);
 	return stm->limit == STM_LIMIT_NONE ? LIMIT_CODE_NONE :
 					      LIMIT_CODE_UNKNOWN;
 }
--- a/tests/unit_lim.c
+++ b/tests/unit_lim.c
@@ -208,6 +208,21 @@
 	g_assert_true(lim_allows(&lim, &query, SECOND));
 }
 
+/* Peers tell of a limit in thousandths: guards against a change, and a log line, with
+ * each answer of a target that names more digits. */
+static void test_rounded_limit_is_no_change(void)
+{
+	const struct stm exact = {.limit = STM_LIMIT_NAMED,
+				  .limit_per_s = 1.0 / 3.0};
+	const struct stm rounded = {.limit = STM_LIMIT_NAMED,
+				    .limit_per_s = 0.333};
+	struct lim lim = {0};
+
+	g_assert_true(lim_state(&lim, &exact, 1, SECOND));
+	g_assert_false(lim_state(&lim, &rounded, 2, SECOND));
+	g_assert_false(lim_state(&lim, &exact, 3, SECOND));
+}
+
 /* A burst that crossed on the way is taken from the time after it. */
 static void test_debt_is_paid(void)
 {
@@ -245,6 +260,8 @@
 	g_test_add_func("/lim/limit_of_nothing", test_limit_of_nothing);
 	g_test_add_func("/lim/newest_statement_holds",
 			test_newest_statement_holds);
+	g_test_add_func("/lim/rounded_limit_is_no_change",
+			test_rounded_limit_is_no_change);
 	g_test_add_func("/lim/debt_is_paid", test_debt_is_paid);
 	g_test_add_func("/lim/own_sends_count_once", test_own_sends_count_once);
 	return g_test_run();
