Review: gateways keep the address of a store that has moved

Order of events: the settings name a new address of the store and SIGHUP tells of it; ten seconds later the old address is closed; over stable_ms later the store acknowledges a version that moves a route. Code: reload() in platform/plf_main.c takes over five settings only.

--- a/review/lib/gateway.py
+++ b/review/lib/gateway.py
@@ -83,12 +83,18 @@
         self.ordered = False
         self.starts = 0
 
-    def start(self):
+    def write_settings(self):
+        """Fills in the template, as at every start and whenever settings change."""
         path = os.path.join(self.folder, self.name + ".yaml")
         with open(os.path.join(ROOT, deploy_value("template"))) as file:
             text = render(file.read(), self.settings)
-        with open(path, "w") as file:
+        with open(path + ".new", "w") as file:
             file.write(text)
+        os.rename(path + ".new", path)
+        return path
+
+    def start(self):
+        path = self.write_settings()
         self.settings["bootstrap"] = False
         environment = {k: v for k, v in os.environ.items() if k in ("PATH", "HOME", "LANG")}
         environment["FESCUESADDLE_NODE_FILE"] = path
