--- a/review/5/run.py
+++ b/review/5/run.py
@@ -18,6 +18,9 @@
 LATE_MIN_S, LATE_MAX_S = 1.0, 6.0  # "late (done 1 to 6 s later)"
 DRAIN_AFTER_S = 3.3  # after the end of the disruption: over stable_ms
 AFTER_S = 8.0
+WORK_S = 0.3
+EXIT_S = 2.4  # at least, after the acknowledgement: drain_ms and a little longer
+EXIT_AFTER_WRITE_S = 1.0  # and after the late write
 EXECUTE_AFTER_S = 4.35  # the earliest, after the end of the disruption
 CALLERS = 4  # to each gateway
 
@@ -37,7 +40,7 @@
 
 
 async def execute_late(w, server, entry, written, over):
-    """Executes the write in the pause between two heartbeats of the server."""
+    """Executes the write just after a heartbeat of the server; returns when."""
     await asyncio.sleep(over + EXECUTE_AFTER_S - time.monotonic())
     seq = server.seq
     while server.seq == seq:
@@ -47,11 +50,12 @@
     assert LATE_MIN_S <= late_s <= LATE_MAX_S
     w.store.put_server("servers/" + server.id, entry)
     w.record("write_executed", server=server.id, late_s=round(late_s, 3))
+    return time.monotonic()
 
 
 async def play(w):
     for i in range(4):
-        await w.add_server("i-%d" % i, "checkout", ZONES[i % 3])
+        await w.add_server("i-%d" % i, "checkout", ZONES[i % 3], WORK_S)
     w.store.put("op/config", config(5, [("r-pay", "/pay/", "unsafe", "checkout")], ["checkout"]))
     await w.add_gateways(ZONES)
     await asyncio.sleep(1.0)
@@ -68,10 +72,15 @@
         leaving.seq += 1
         entry = leaving.entry()
         w.record("write_unanswered", server=leaving.id, state=leaving.state, call_seq=leaving.seq)
-        w.spawn(execute_late(w, leaving, entry, written, over))
+        executed = w.spawn(execute_late(w, leaving, entry, written, over))
     await asyncio.sleep(0.1 + DRAIN_AFTER_S)
     acked = leaving.drain()
     w.record("draining_acknowledged", server=leaving.id, call_seq=leaving.seq)
+    exits = acked + EXIT_S
+    if world.trouble():
+        exits = max(exits, await executed + EXIT_AFTER_WRITE_S)
+    await asyncio.sleep(exits - time.monotonic())
+    leaving.exit()
     await asyncio.gather(*callers)
 
     drain_s = BOUNDS["drain_ms"] / 1000.0
@@ -79,10 +88,13 @@
     for at, request in late:
         w.record("late_arrival", server=leaving.id, request=request,
                  after_ack_s=round(at - acked, 3))
+    cut = [r for at, r in late if r in results and results[r].own is not True]
+    for request in cut:
+        w.record("work_lost", request=request, status=results[request].status)
     print("%d requests; %d reached the leaving server later than %g s after the "
-          "acknowledgement, from %.1f to %.1f s after it"
+          "acknowledgement, from %.1f to %.1f s after it; %d of them were lost by its exit"
           % (len(results), len(late), drain_s, late[0][0] - acked if late else 0,
-             late[-1][0] - acked if late else 0))
+             late[-1][0] - acked if late else 0, len(cut)))
     return ["DRAIN: %d requests reached %s later than %g s after its leaving was acknowledged"
             % (len(late), leaving.id, drain_s)] if late else []
 
--- a/review/lib/server.py
+++ b/review/lib/server.py
@@ -39,6 +39,7 @@
         self.behave = None  # async fn(server, request, reader, writer) -> bool
         self.arrivals, self.runs = [], []  # (time, request id)
         self.registered = True
+        self.connections = set()
 
     async def start(self, ip):
         self.listener = await asyncio.start_server(self._connection, ip, 0, limit=1 << 20)
@@ -70,6 +71,7 @@
         return self.store.delete("servers/" + self.id)
 
     async def _connection(self, reader, writer):
+        self.connections.add(writer)
         try:
             while True:
                 start, fields = await wire.read_head(reader)
@@ -81,6 +83,7 @@
         except (wire.Broken, OSError):
             pass
         finally:
+            self.connections.discard(writer)
             writer.close()
 
     async def _serve(self, request, reader, writer):
@@ -120,6 +123,14 @@
         return wire.message("HTTP/1.1 200 OK", [("X-Request-Id", request.id),
                                                 ("X-Response-Seal", seal_of(request.id, body))], body)
 
+    def exit(self):
+        """Ends as a process does: its entry goes, its connections are reset."""
+        self.record("server_exits", server=self.id, at_work=self.busy)
+        self.unregister()
+        self.stop()
+        for writer in list(self.connections):
+            writer.transport.abort()
+
     def stop(self):
         self.registered = False
         self.beats.cancel()
