Parse JSON of other writers with a parser that does not recurse

Cause: json-glib recurses once a level, and takes strings in single quotes and comments, which the check of the depth before it did not know: a double quote inside them hid all brackets behind it. Every text went through that check: entries, configurations, answers of the store, records, log lines.

Now yajl parses, with a stack of its own, and reports each level as it opens; the tree is built from its events, so nothing can be deeper than what is counted. json-glib still holds the trees.

Ruled out: escapes in double quotes, refused before.

--- a/src/aud_parse.c
+++ b/src/aud_parse.c
@@ -120,17 +120,13 @@
 
 int aud_record_parse(const char *json, struct aud_record *out)
 {
-	g_autoptr(JsonParser) parser = json_parser_new();
+	g_autoptr(JsonObject) line = fs_json_parse_object(json, -1);
 	JsonObject *object;
-	JsonNode *root;
 	int err;
 
-	if (!fs_json_load(parser, json, -1))
+	if (!line)
 		return FS_E_PROTOCOL;
-	root = json_parser_get_root(parser);
-	if (!root || !JSON_NODE_HOLDS_OBJECT(root))
-		return FS_E_PROTOCOL;
-	err = find_record(json_node_get_object(root), &object);
+	err = find_record(line, &object);
 	if (err)
 		return err;
 	return parse_record(object, out) ? 0 : FS_E_PROTOCOL;
--- a/src/aud_replay_log.c
+++ b/src/aud_replay_log.c
@@ -59,13 +59,9 @@
 /* The member "node" of a log line; a bare record has none. */
 static char *node_name(const char *line)
 {
-	g_autoptr(JsonParser) parser = json_parser_new();
-	JsonObject *object;
+	g_autoptr(JsonObject) object = fs_json_parse_object(line, -1);
 
-	if (!fs_json_load(parser, line, -1))
-		return g_strdup("");
-	object = json_node_get_object(json_parser_get_root(parser));
-	if (!json_object_has_member(object, "node"))
+	if (!object || !json_object_has_member(object, "node"))
 		return g_strdup("");
 	return g_strdup(
 		json_object_get_string_member_with_default(object, "node", ""));
--- a/src/cfg_record.c
+++ b/src/cfg_record.c
@@ -57,18 +57,12 @@
 
 int cfg_record_parse(const char *json, struct cfg_record *out)
 {
-	g_autoptr(JsonParser) parser = json_parser_new();
-	JsonNode *root;
-	JsonObject *object;
+	g_autoptr(JsonObject) object = fs_json_parse_object(json, -1);
 	const char *text;
 
 	memset(out, 0, sizeof(*out));
-	if (!fs_json_load(parser, json, -1))
+	if (!object)
 		return FS_E_PROTOCOL;
-	root = json_parser_get_root(parser);
-	if (!root || !JSON_NODE_HOLDS_OBJECT(root))
-		return FS_E_PROTOCOL;
-	object = json_node_get_object(root);
 	text = text_member(object, "text");
 	if (!text || !parse_put(object, &out->put) ||
 	    !parse_history(object, out))
--- a/src/cli_explain_log.c
+++ b/src/cli_explain_log.c
@@ -99,16 +99,10 @@
 static bool take_line(struct beliefs *b, const char *data, const char *request,
 		      GString *out)
 {
-	g_autoptr(JsonParser) parser = json_parser_new();
-	JsonNode *root;
-	JsonObject *line;
+	g_autoptr(JsonObject) line = fs_json_parse_object(data, -1);
 
-	if (!fs_json_load(parser, data, -1))
+	if (!line)
 		return false;
-	root = json_parser_get_root(parser);
-	if (!root || !JSON_NODE_HOLDS_OBJECT(root))
-		return false;
-	line = json_node_get_object(root);
 	note_belief(b, line);
 	if (g_strcmp0(cli_json_text(line, "request"), request) != 0 ||
 	    strcmp(text(line, "event"), "request") != 0)
--- a/src/cli_http.c
+++ b/src/cli_http.c
@@ -66,32 +66,25 @@
 JsonNode *cli_get_json(const char *address, const char *path)
 {
 	g_autoptr(GString) answer = g_string_new(NULL);
-	g_autoptr(JsonParser) parser = json_parser_new();
 	long status = 0;
 
 	if (cli_http("GET", address, path, NULL, 0, EXCHANGE_TIMEOUT_MS,
 		     &status, answer) ||
-	    status != 200 ||
-	    !fs_json_load(parser, answer->str, (gssize)answer->len))
+	    status != 200)
 		return NULL;
-	return json_parser_steal_root(parser);
+	return fs_json_parse(answer->str, (gssize)answer->len);
 }
 
 static int parse_value(const char *json, uint64_t *revision,
 		       struct cfg_record *record)
 {
-	g_autoptr(JsonParser) parser = json_parser_new();
-	JsonNode *root;
+	g_autoptr(JsonObject) object = fs_json_parse_object(json, -1);
 	const char *value;
 
-	if (!fs_json_load(parser, json, -1))
+	if (!object)
 		return FS_E_PROTOCOL;
-	root = json_parser_get_root(parser);
-	if (!root || !JSON_NODE_HOLDS_OBJECT(root))
-		return FS_E_PROTOCOL;
-	value = cli_json_text(json_node_get_object(root), "value");
-	*revision =
-		(uint64_t)cli_json_int(json_node_get_object(root), "revision");
+	value = cli_json_text(object, "value");
+	*revision = (uint64_t)cli_json_int(object, "revision");
 	return value ? cfg_record_parse(value, record) : FS_E_PROTOCOL;
 }
 
--- a/src/cnf_store.c
+++ b/src/cnf_store.c
@@ -75,17 +75,12 @@
 
 int cnf_value_parse(const char *json, struct cnf_value *out)
 {
-	g_autoptr(JsonParser) parser = json_parser_new();
-	JsonNode *root, *version, *text;
-	JsonObject *object;
+	g_autoptr(JsonObject) object = fs_json_parse_object(json, -1);
+	JsonNode *version, *text;
 
 	out->text = NULL;
-	if (!fs_json_load(parser, json, -1))
+	if (!object)
 		return FS_E_PROTOCOL;
-	root = json_parser_get_root(parser);
-	if (!root || !JSON_NODE_HOLDS_OBJECT(root))
-		return FS_E_PROTOCOL;
-	object = json_node_get_object(root);
 	version = json_object_get_member(object, "version");
 	text = json_object_get_member(object, "text");
 	if (!version || json_node_get_value_type(version) != G_TYPE_INT64 ||
--- a/src/flr_json.c
+++ b/src/flr_json.c
@@ -157,14 +157,14 @@
 
 int flr_record_parse(const char *json, struct flr_record **out)
 {
-	g_autoptr(JsonParser) parser = json_parser_new();
+	g_autoptr(JsonNode) root = fs_json_parse(json, -1);
 	struct flr_record *record;
 
 	*out = NULL;
-	if (!fs_json_load(parser, json, -1))
+	if (!root)
 		return FS_E_PROTOCOL;
 	record = flr_record_new();
-	if (!parse_record(json_parser_get_root(parser), record)) {
+	if (!parse_record(root, record)) {
 		flr_record_free(record);
 		return FS_E_PROTOCOL;
 	}
--- a/src/fs_json.h
+++ b/src/fs_json.h
@@ -1,21 +1,30 @@
 /**
  * @file fs_json.h
  * @brief Parses JSON texts that other writers may have made.
+ *
+ * A streaming parser builds the tree, so its own events count what is limited.
+ * Limit: FS_JSON_DEPTH_MAX levels.
  */
 #ifndef FS_JSON_H
 #define FS_JSON_H
 
 #include <json-glib/json-glib.h>
-#include <stdbool.h>
 
-/* The parser uses the stack for each level; the fleet's texts have a few. */
+/* The fleet's own texts have a few; trees are freed recursively. */
 #define FS_JSON_DEPTH_MAX 32
 
 /**
  * Parses a text.
  * @param size  bytes, or -1 if it ends with a NUL
- * @return false if it is malformed or nested more than FS_JSON_DEPTH_MAX deep
+ * @return its root, to be freed with json_node_unref(), or NULL if the text is
+ *         malformed or too deep
  */
-bool fs_json_load(JsonParser *parser, const char *text, gssize size);
+JsonNode *fs_json_parse(const char *text, gssize size);
+
+/**
+ * Parses a text whose root is an object.
+ * @return the object, to be freed with json_object_unref(), or NULL
+ */
+JsonObject *fs_json_parse_object(const char *text, gssize size);
 
 #endif
--- a/src/plt_json.c
+++ b/src/plt_json.c
@@ -5,19 +5,6 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
-/* Returns the top-level object of a JSON document, or NULL. */
-static JsonObject *parse_object(JsonParser *parser, const char *json)
-{
-	JsonNode *root;
-
-	if (!fs_json_load(parser, json, -1))
-		return NULL;
-	root = json_parser_get_root(parser);
-	return root && JSON_NODE_HOLDS_OBJECT(root) ?
-		       json_node_get_object(root) :
-		       NULL;
-}
-
 /* Returns a member if it is a scalar of the given type, else NULL. */
 static JsonNode *scalar_member(JsonObject *object, const char *name, GType type)
 {
@@ -39,8 +26,7 @@
 int plt_parse_value(const char *json, struct plt_value *value, char **data,
 		    bool with_value)
 {
-	g_autoptr(JsonParser) parser = json_parser_new();
-	JsonObject *object = parse_object(parser, json);
+	g_autoptr(JsonObject) object = fs_json_parse_object(json, -1);
 	JsonNode *revision = NULL;
 	const char *text;
 
@@ -86,8 +72,7 @@
 
 int plt_parse_vms(const char *json, GArray *vms)
 {
-	g_autoptr(JsonParser) parser = json_parser_new();
-	JsonObject *object = parse_object(parser, json);
+	g_autoptr(JsonObject) object = fs_json_parse_object(json, -1);
 	JsonNode *list = object ? json_object_get_member(object, "vms") : NULL;
 	JsonArray *array;
 
