Bound the work of parsing an entry of another writer

Cause: json-glib walks through the list of an object's names for each one that repeats, on the loop that serves callers. The same comes of names that differ and share a hash, since GLib's hash of strings has no key: 5.8 s for 541 KB.

Such entries are logged, with key and size.

Ruled out by the users' plays: distinct names, many numbers, bytes that are no text.

--- a/src/fed_read.c
+++ b/src/fed_read.c
@@ -58,6 +58,17 @@
 	watcher->answered_us = now_us;
 }
 
+/* Another writer's entry, or a malformed one, names no target. */
+static void report_malformed(struct fed *fed, const struct kvs_item *item)
+{
+	g_autoptr(GString) fields = g_string_new("\"key\":");
+
+	ctr_count(fed->node->ctr, "fed_entries_malformed", 1);
+	fs_json_string(fields, item->key);
+	g_string_append_printf(fields, ",\"bytes\":%zu", item->size);
+	fs_log_event("fed", G_LOG_LEVEL_INFO, "entry_malformed", fields->str);
+}
+
 static void apply_target(struct fed_watcher *watcher,
 			 const struct kvs_item *item, int64_t now_us)
 {
@@ -70,9 +81,8 @@
 		dir_remove(fed->dir, id, rev, watcher->grace_until_us, now_us);
 		return;
 	}
-	/* Another writer's entry, or a malformed one. */
 	if (!fed->platform.decode_target(item, &entry)) {
-		ctr_count(fed->node->ctr, "fed_entries_malformed", 1);
+		report_malformed(fed, item);
 		return;
 	}
 	entry.rev.era = fed->era;
--- a/src/fs_json.c
+++ b/src/fs_json.c
@@ -105,10 +105,14 @@
 static int on_member(void *arg, const unsigned char *text, size_t size)
 {
 	struct builder *b = arg;
+	JsonObject *object = json_node_get_object(b->open[b->depth - 1]);
 	char *name = copy_text(text, size);
 
-	if (!name)
+	if (!name || json_object_has_member(object, name) ||
+	    json_object_get_size(object) == FS_JSON_MEMBERS_MAX) {
+		g_free(name);
 		return 0;
+	}
 	g_free(b->member[b->depth - 1]);
 	b->member[b->depth - 1] = name;
 	return 1;
