Fit names and numbers of the platform into the fleet's own

Cause: the limits of the product's own texts refused the platform's. The same refused services' names, weights that are no whole numbers, servers by the length of their id or zone, or by a warm-up with a fraction; a time-out with a fraction became none; a long zone kept a gateway from starting.

Names now pass fs_name_fit() at the boundary, which shortens any that does not fit and ends it with a hash of the whole, so no limit behind it can refuse one. Ids stay as they are, with room for what a key allows.

--- a/src/cfg.h
+++ b/src/cfg.h
@@ -93,7 +93,7 @@
 /** One part of a route whose requests go to several services. */
 struct cfg_share {
 	handle service;
-	uint32_t weight; /* share of the route's requests, relative */
+	double weight; /* share of the route's requests, relative */
 };
 
 /** A route: which requests go to which service, under which rules. */
--- a/src/cfg_read.c
+++ b/src/cfg_read.c
@@ -179,20 +179,24 @@
 bool cfg_read_name(struct cfg_reader *r, const char *key, const char *text,
 		   size_t size)
 {
+	g_autofree char *most = NULL;
 	bool right;
 
 	if (!cfg_read_present(r, key, text))
 		return false;
-	right = g_ascii_isalnum(*text) && strlen(text) < size;
+	right = g_ascii_isalnum(*text) &&
+		(size == CFG_ANY_SIZE || strlen(text) < size);
 	for (const char *c = text; *c && right; c++)
 		right = g_ascii_isalnum(*c) || strchr("-_.", *c);
-	if (!right)
-		cfg_problem(r, key,
-			    "\"%.64s\" is not a name: at most %zu letters, "
-			    "digits, \"-\", \"_\" or \".\", first a letter or "
-			    "digit",
-			    text, size - 1);
-	return right;
+	if (right)
+		return true;
+	most = size == CFG_ANY_SIZE ? g_strdup("") :
+				      g_strdup_printf("at most %zu ", size - 1);
+	cfg_problem(r, key,
+		    "\"%.64s\" is not a name: %sletters, digits, \"-\", \"_\" "
+		    "or \".\", first a letter or digit",
+		    text, most);
+	return false;
 }
 
 /* Whether no segment is empty, "." or "..". */
--- a/src/cfg_read.h
+++ b/src/cfg_read.h
@@ -64,10 +64,13 @@
 void cfg_read_word(struct cfg_reader *r, const char *key, const char *text,
 		   const char *const *words, uint32_t count, uint32_t *out);
 
+/* For names that are fitted into the fleet's own, see fs_name.h. */
+#define CFG_ANY_SIZE 0
+
 /**
  * Checks a name: letters, digits, "-", "_" and ".", with a letter or digit
  * first.
- * @param size  bytes it may take with NUL
+ * @param size  bytes it may take with NUL, or CFG_ANY_SIZE
  * @return whether the name is present and right
  */
 bool cfg_read_name(struct cfg_reader *r, const char *key, const char *text,
--- a/src/dir.h
+++ b/src/dir.h
@@ -40,7 +40,7 @@
 
 /** One server's entry, decoded. */
 struct dir_entry {
-	char id[FS_NAME_MAX];
+	char id[FS_TARGET_ID_MAX];
 	char service[FS_NAME_MAX];
 	char address[FS_ADDRESS_MAX]; /* "ip:port" */
 	char domain[FS_DOMAIN_MAX];   /* failure domain */
--- a/src/fs_limits.h
+++ b/src/fs_limits.h
@@ -10,10 +10,11 @@
 #define FS_LIMITS_H
 
 /* Names and addresses */
-#define FS_NAME_MAX 48	 /* bytes of a node, server or service name, with NUL */
-#define FS_DOMAIN_MAX 32 /* bytes of a region or failure domain, with NUL */
-#define FS_ADDRESS_MAX 48 /* bytes of "ip:port", with NUL */
-#define FS_KEY_MAX 128	  /* bytes of an Idempotency-Key, with NUL */
+#define FS_NAME_MAX 48 /* bytes of a node, server or service name, with NUL */
+#define FS_TARGET_ID_MAX 200 /* bytes of a target's id, with NUL */
+#define FS_DOMAIN_MAX 32     /* bytes of a region or failure domain, with NUL */
+#define FS_ADDRESS_MAX 48    /* bytes of "ip:port", with NUL */
+#define FS_KEY_MAX 128	     /* bytes of an Idempotency-Key, with NUL */
 
 /* Frames between nodes */
 #define FS_FRAME_MAX (1280 * 1024)   /* bytes of a frame's payload */
--- a/src/gwy_http.c
+++ b/src/gwy_http.c
@@ -82,27 +82,6 @@
 			MIN(req->deadline_us, req->started_us + limit_us);
 }
 
-/* Route shares hold on average: each request draws a service by weight. */
-static handle draw_service(struct gwy *gwy, const struct cfg_route *route)
-{
-	uint64_t total = 0;
-	uint64_t at;
-
-	for (uint32_t i = 0; i < route->share_count; i++)
-		total += route->shares[i].weight;
-	if (!total)
-		return route->service;
-	gwy->random_state = gwy->random_state * 6364136223846793005ULL +
-			    1442695040888963407ULL;
-	at = (gwy->random_state >> 33) % total;
-	for (uint32_t i = 0; i < route->share_count; i++) {
-		if (at < route->shares[i].weight)
-			return route->shares[i].service;
-		at -= route->shares[i].weight;
-	}
-	return route->service;
-}
-
 static int find_route(struct gwy_request *req, const char *host,
 		      const char *path, int64_t body_length)
 {
@@ -112,7 +91,8 @@
 
 	if (err)
 		return err;
-	req->service = draw_service(req->gwy, gwy_route_of(req));
+	req->service =
+		rte_draw_service(gwy_route_of(req), gwy_random(req->gwy));
 	if (cfg->limits.body_bytes && body_length > 0 &&
 	    (uint64_t)body_length > cfg->limits.body_bytes)
 		return FS_E_BODY_TOO_LARGE;
--- a/src/msg.h
+++ b/src/msg.h
@@ -215,7 +215,7 @@
 
 /** A target removed from the directory. */
 struct msg_removed {
-	char id[FS_NAME_MAX];
+	char id[FS_TARGET_ID_MAX];
 	uint64_t born; /* see dir_merge_removal() */
 	struct rev rev;
 };
--- a/src/rte.c
+++ b/src/rte.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#define RANDOM_RANGE 0x1p64 /* values of a random number */
+
 uint32_t rte_method(const char *method)
 {
 	static const struct {
@@ -87,3 +89,19 @@
 	}
 	return 0;
 }
+
+handle rte_draw_service(const struct cfg_route *route, uint64_t random)
+{
+	double total = 0;
+	double at;
+
+	for (uint32_t i = 0; i < route->share_count; i++)
+		total += route->shares[i].weight;
+	at = total * ((double)random / RANDOM_RANGE);
+	for (uint32_t i = 0; i < route->share_count; i++) {
+		if (at < route->shares[i].weight)
+			return route->shares[i].service;
+		at -= route->shares[i].weight;
+	}
+	return route->service;
+}
--- a/src/rte.h
+++ b/src/rte.h
@@ -29,4 +29,11 @@
 int rte_find(const struct cfg *cfg, const char *host, const char *path,
 	     uint32_t method, handle *route);
 
+/**
+ * Returns the service of a request. Routes with shares draw it by their weights, which
+ * hold on average.
+ * @param random  evenly distributed over all values
+ */
+handle rte_draw_service(const struct cfg_route *route, uint64_t random);
+
 #endif
--- a/src/set.c
+++ b/src/set.c
@@ -6,6 +6,7 @@
 #include "cfg_raw.h"
 #include "cfg_read.h"
 #include "cfg_scan.h"
+#include "fs_name.h"
 
 #define TTL_DEFAULT_MS 30000
 #define TTL_MIN_MS 1000
@@ -96,13 +97,14 @@
 static void read_names(struct cfg_reader *r, const struct set_raw *raw,
 		       struct set *out)
 {
-	if (cfg_read_name(r, "name", raw->name, FS_NAME_MAX))
-		g_strlcpy(out->name, raw->name, FS_NAME_MAX);
-	if (cfg_read_name(r, "region", raw->region, FS_DOMAIN_MAX))
-		g_strlcpy(out->region, raw->region, FS_DOMAIN_MAX);
+	if (cfg_read_name(r, "name", raw->name, CFG_ANY_SIZE))
+		fs_name_fit(raw->name, out->name, sizeof(out->name));
+	if (cfg_read_name(r, "region", raw->region, CFG_ANY_SIZE))
+		fs_name_fit(raw->region, out->region, sizeof(out->region));
 	if (cfg_read_name(r, "failure_domain", raw->failure_domain,
-			  FS_DOMAIN_MAX))
-		g_strlcpy(out->domain, raw->failure_domain, FS_DOMAIN_MAX);
+			  CFG_ANY_SIZE))
+		fs_name_fit(raw->failure_domain, out->domain,
+			    sizeof(out->domain));
 	if (!cfg_read_present(r, "fleet_key", raw->fleet_key))
 		return;
 	if (strlen(raw->fleet_key) < FLEET_KEY_MIN_BYTES ||
--- a/tests/unit_rte.c
+++ b/tests/unit_rte.c
@@ -48,6 +48,29 @@
 	g_assert_cmpuint(found, ==, FS_NONE);
 }
 
+/* Guards against a split of fractions that is refused, or not kept: draws over the
+ * range of random numbers go to each service in proportion. */
+static void test_draws_by_weight(void)
+{
+	static const struct cfg_share shares[] = {
+		{.service = 4, .weight = 0.01},
+		{.service = 5, .weight = 0},
+		{.service = 6, .weight = 0.99},
+	};
+	const struct cfg_route route = {
+		.service = 4,
+		.shares = (struct cfg_share *)shares,
+		.share_count = G_N_ELEMENTS(shares),
+	};
+	uint32_t counts[8] = {0};
+
+	for (uint64_t i = 0; i < 1000; i++)
+		counts[rte_draw_service(&route, i * (UINT64_MAX / 1000))]++;
+	g_assert_cmpuint(counts[4], ==, 10);
+	g_assert_cmpuint(counts[5], ==, 0);
+	g_assert_cmpuint(counts[6], ==, 990);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -55,5 +78,6 @@
 	g_test_add_func("/rte/refused_method_goes_nowhere_else",
 			test_refused_method_goes_nowhere_else);
 	g_test_add_func("/rte/no_route", test_no_route);
+	g_test_add_func("/rte/draws_by_weight", test_draws_by_weight);
 	return g_test_run();
 }
--- a/tests/unit_set.c
+++ b/tests/unit_set.c
@@ -69,6 +69,29 @@
 	g_assert_cmpstr(address, ==, "10.0.0.1:7000");
 }
 
+/* Guards against a node that does not start since its failure domain or its name is
+ * longer than the fleet's tables hold; those of two nodes stay apart. */
+static void test_long_names(void)
+{
+	static const char text[] =
+		"name: entry-vm-in-a-failure-domain-of-many-words-%d\n"
+		"region: region-of-many-words-which-is-long\n"
+		"failure_domain: failure-domain-of-many-words-%d\n"
+		"%s";
+	const char *rest = strstr(valid_text, "caller_listen");
+	struct set sets[2];
+
+	for (int i = 0; i < 2; i++) {
+		g_autofree char *whole = g_strdup_printf(text, i, i, rest);
+		g_autofree char *error = NULL;
+
+		g_assert_cmpint(load_text(whole, &sets[i], &error), ==, 0);
+	}
+	g_assert_cmpstr(sets[0].name, !=, sets[1].name);
+	g_assert_cmpstr(sets[0].domain, !=, sets[1].domain);
+	g_assert_cmpstr(sets[0].region, ==, sets[1].region);
+}
+
 static void test_each_error(void)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(invalid_cases); i++) {
@@ -104,5 +127,6 @@
 	g_test_add_func("/set/good", test_valid);
 	g_test_add_func("/set/each_error", test_each_error);
 	g_test_add_func("/set/no_file", test_no_file);
+	g_test_add_func("/set/long_names", test_long_names);
 	return g_test_run();
 }
