End exchanges whose answers do not come to their end

Cause: a refusal was recognised when its body had ended. libcurl drops chunk extensions without a callback, and nothing bounded what was read and dropped.

The head of a refusal is now acted upon: the body gets 20 ms, in which the connection stays in use if it arrives, and may be cut. Framing of more than 256 KiB and eight bytes for each one of the body makes an answer invalid.

--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -302,13 +302,18 @@
 	send_or_refuse(req, now_us);
 }
 
+static bool says_not_run(const struct gwy *gwy, uint32_t status,
+			 const GArray *headers)
+{
+	return status == 421 || msg_headers_get(headers, gwy->fields.not_run);
+}
+
 static bool is_not_run(const struct gwy_attempt *t,
 		       const struct tgt_result *result, const GArray *headers)
 {
 	if (result->err)
 		return !result->written;
-	return t->status == 421 ||
-	       msg_headers_get(headers, t->req->gwy->fields.not_run);
+	return says_not_run(t->req->gwy, t->status, headers);
 }
 
 /* Returns the error for the caller if no attempt gave an answer to forward. */
@@ -452,7 +457,18 @@
 	return false;
 }
 
+/* Another target is tried, or the caller told, as soon as it is known that this one
+ * has not run the request. */
+static bool on_needs_body(void *arg, struct tgt *tgt)
+{
+	const struct gwy_attempt *t = arg;
+	g_autoptr(GArray) headers = tgt_peek_headers(tgt);
+
+	return !says_not_run(t->req->gwy, tgt_status(tgt), headers);
+}
+
 static const struct tgt_ops attempt_ops = {
+	.needs_body = on_needs_body,
 	.stream_started = on_stream_started,
 	.body_available = on_body_available,
 	.headers_overdue = on_headers_overdue,
--- a/src/tgt.c
+++ b/src/tgt.c
@@ -85,8 +85,12 @@
 		if (!crl_start(tgt->crl, easy, on_done, tgt))
 			return;
 	}
-	finish(tgt,
-	       code == CURLE_OK ? check_complete(tgt) : error_of(tgt, code));
+	/* What the head says holds, also if the body is cut. */
+	if (tgt->body_unneeded)
+		finish(tgt, 0);
+	else
+		finish(tgt, code == CURLE_OK ? check_complete(tgt) :
+					       error_of(tgt, code));
 }
 
 /* Returns whether the connection may be written to. */
@@ -130,6 +134,12 @@
 	struct tgt *tgt = arg;
 	size_t bytes = size * n;
 
+	if (tgt->invalid)
+		return 0;
+	if (tgt->body_unneeded) {
+		tgt->received += (int64_t)bytes;
+		return bytes;
+	}
 	if (tgt->streaming && tgt->buffer->len + bytes > FS_ANSWER_WINDOW) {
 		tgt->paused = true;
 		return CURL_WRITEFUNC_PAUSE;
@@ -145,7 +155,16 @@
 	return bytes;
 }
 
-/* Counts every byte behind the header fields, also those that libcurl discards. */
+static bool is_framing_excessive(const struct tgt *tgt)
+{
+	return tgt->chunked &&
+	       tgt->raw_received - tgt->received >
+		       TGT_FRAMING_BYTES_MAX +
+			       TGT_FRAMING_PER_BYTE_MAX * tgt->received;
+}
+
+/* Counts every byte behind the header fields, also those that libcurl discards. Only
+ * the timer can stop a transfer that gives nothing to its callbacks. */
 static int on_debug(CURL *easy, curl_infotype type, char *data, size_t size,
 		    void *arg)
 {
@@ -153,18 +172,34 @@
 
 	(void)easy;
 	(void)data;
-	if (type == CURLINFO_DATA_IN)
-		tgt->raw_received += (int64_t)size;
+	if (type != CURLINFO_DATA_IN)
+		return 0;
+	tgt->raw_received += (int64_t)size;
+	if (!tgt->invalid && is_framing_excessive(tgt)) {
+		tgt->invalid = true;
+		tgt_set_timer(tgt, fs_now_us());
+	}
 	return 0;
 }
 
-/* One timer serves both limits: the header fields, then the deadline. */
-static void set_timer(struct tgt *tgt, int64_t now_us)
+/* Returns when the exchange is over, whatever has arrived. */
+static int64_t end_us(const struct tgt *tgt)
+{
+	if (tgt->invalid)
+		return 0;
+	if (tgt->body_unneeded)
+		return MIN(tgt->headers_at_us + TGT_UNNEEDED_BODY_MAX_US,
+			   tgt->deadline_us);
+	return tgt->deadline_us;
+}
+
+/* One timer serves all limits: the header fields, then the end. */
+void tgt_set_timer(struct tgt *tgt, int64_t now_us)
 {
 	struct ev_loop *loop = crl_loop(tgt->crl);
-	int64_t until_us = tgt->headers_complete ? tgt->deadline_us :
-						   MIN(tgt->headers_deadline_us,
-						       tgt->deadline_us);
+	int64_t until_us = tgt->headers_complete ?
+				   end_us(tgt) :
+				   MIN(tgt->headers_deadline_us, end_us(tgt));
 
 	ev_timer_stop(loop, &tgt->timer);
 	ev_timer_set(&tgt->timer, (double)MAX(until_us - now_us, 0) / 1e6, 0.0);
@@ -174,7 +209,8 @@
 /* Waits a turn of the loop, in which libcurl reads what has arrived. */
 static bool waits_a_turn(struct tgt *tgt)
 {
-	if (tgt->late_turns == TGT_LATE_TURNS_MAX || !tgt_has_unread(tgt))
+	if (tgt->invalid || tgt->body_unneeded ||
+	    tgt->late_turns == TGT_LATE_TURNS_MAX || !tgt_has_unread(tgt))
 		return false;
 	tgt->late_turns++;
 	ev_timer_set(&tgt->timer, 0.0, 0.0);
@@ -182,6 +218,17 @@
 	return true;
 }
 
+/* Returns how an exchange ends that a time limit stops. */
+static int time_limit_err(const struct tgt *tgt, int64_t now_us)
+{
+	if (tgt->invalid)
+		return FS_E_ANSWER_INVALID;
+	if (tgt->body_unneeded)
+		return 0;
+	return tgt->written || now_us >= tgt->deadline_us ? FS_E_DEADLINE :
+							    FS_E_CONNECT;
+}
+
 static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct tgt *tgt = timer->data;
@@ -192,18 +239,17 @@
 	if (waits_a_turn(tgt))
 		return;
 	tgt->late_turns = 0;
-	if (now_us < tgt->deadline_us && !tgt->headers_complete &&
+	if (now_us < end_us(tgt) && !tgt->headers_complete &&
 	    now_us >= tgt->headers_deadline_us &&
 	    !tgt->ops->headers_overdue(tgt->arg, tgt))
 		tgt->headers_deadline_us = tgt->deadline_us;
-	if (now_us < tgt->deadline_us &&
+	if (now_us < end_us(tgt) &&
 	    (tgt->headers_complete || now_us < tgt->headers_deadline_us)) {
-		set_timer(tgt, now_us);
+		tgt_set_timer(tgt, now_us);
 		return;
 	}
 	crl_stop(tgt->crl, tgt->easy);
-	finish(tgt, tgt->written || now_us >= tgt->deadline_us ? FS_E_DEADLINE :
-								 FS_E_CONNECT);
+	finish(tgt, time_limit_err(tgt, now_us));
 }
 
 static void set_options(struct tgt *tgt, const struct tgt_request *request,
@@ -274,7 +320,7 @@
 		tgt_free(tgt);
 		return NULL;
 	}
-	set_timer(tgt, now_us);
+	tgt_set_timer(tgt, now_us);
 	return tgt;
 }
 
--- a/src/tgt.h
+++ b/src/tgt.h
@@ -23,6 +23,9 @@
  *
  * With a dialect (see struct tgt_dialect) some of this differs.
  *
+ * Bytes without end: a body is read until the deadline, as fast as the caller takes
+ * it; framing is limited (TGT_FRAMING_BYTES_MAX).
+ *
  * Limits: an answer's header fields are limited by TGT_HEADERS_MAX and
  * TGT_HEADER_BYTES_MAX. A body is buffered up to FS_ANSWER_WHOLE_MAX; a longer
  * one is streamed, with at most FS_ANSWER_WINDOW bytes buffered here.
@@ -36,7 +39,14 @@
 #define TGT_HEADERS_MAX 128		 /* header fields of an answer */
 #define TGT_HEADER_BYTES_MAX (64 * 1024) /* bytes of all of them */
 #define TGT_CONNECT_MAX_US 1000000LL	 /* longest time to connect */
-#define TGT_POOL_CONNECTIONS 512	 /* idle connections at most */
+/* Framing of a body in chunks that libcurl drops: this much, and this much for each
+ * byte of the body. A chunk of one byte takes 5 bytes more. */
+#define TGT_FRAMING_BYTES_MAX (256 * 1024)
+#define TGT_FRAMING_PER_BYTE_MAX 8
+/* A short body arrives with its head; one that is not needed is not waited for
+ * longer, which costs the connection. */
+#define TGT_UNNEEDED_BODY_MAX_US (20 * FS_US_PER_MS)
+#define TGT_POOL_CONNECTIONS 512 /* idle connections at most */
 /* Turns of the loop after a time limit in which what has arrived is still read:
  * libcurl reads 16 KiB of an answer in a turn. */
 #define TGT_LATE_TURNS_MAX \
@@ -57,6 +67,12 @@
 
 /** Callbacks to the owner of an exchange; never called inside tgt_start(). */
 struct tgt_ops {
+	/**
+	 * The header fields were read.
+	 * @return whether the body is needed; if not, the answer counts as complete
+	 *         without it
+	 */
+	bool (*needs_body)(void *arg, struct tgt *tgt);
 	/** The body is too long to be buffered: its first part can be read. */
 	void (*stream_started)(void *arg, struct tgt *tgt);
 	/** After stream_started(): more bytes can be read. */
--- a/src/tgt_answer.c
+++ b/src/tgt_answer.c
@@ -83,6 +83,10 @@
 	    (!tgt->request_id_matched ||
 	     !msg_headers_get(tgt->headers, tgt->dialect->response_seal)))
 		tgt->invalid = true;
+	tgt->body_unneeded = !tgt->invalid && tgt->ops->needs_body &&
+			     !tgt->ops->needs_body(tgt->arg, tgt);
+	if (tgt->body_unneeded)
+		tgt_set_timer(tgt, fs_now_us());
 }
 
 size_t tgt_read_header(char *data, size_t size, size_t n, void *arg)
--- a/src/tgt_impl.h
+++ b/src/tgt_impl.h
@@ -38,6 +38,7 @@
 	/* The answer */
 	bool headers_complete;
 	bool invalid;
+	bool body_unneeded; /* see needs_body() */
 	bool chunked;
 	bool draining;
 	uint32_t status;
@@ -58,6 +59,9 @@
 /** Parses one line of the answer's header; CURLOPT_HEADERFUNCTION. */
 size_t tgt_read_header(char *data, size_t size, size_t n, void *arg);
 
+/** Sets the timer to the next time limit of the exchange. */
+void tgt_set_timer(struct tgt *tgt, int64_t now_us);
+
 /** Returns whether the answer has a body by its method and status. */
 bool tgt_has_body(const struct tgt *tgt);
 
--- a/tests/unit_gwy_faulty.c
+++ b/tests/unit_gwy_faulty.c
@@ -95,6 +95,109 @@
 	yard_end(&y);
 }
 
+#define REFUSAL "HTTP/1.1 503 Full\r\nX-Id: r1\r\nX-Not-Run: 1\r\n"
+#define ENDLESS_BYTES (8 * 1024 * 1024)
+
+/** How one target answers the first request of all; the next ones are served. */
+struct first_answer {
+	const char *head;
+	size_t more; /* bytes of "x" behind it */
+	bool close;
+	bool served;
+};
+
+static void serve_first(void *arg, struct fake_conn *conn,
+			const struct fake_request *request)
+{
+	struct first_answer *first = arg;
+	g_autofree char *more = g_strnfill(first->more, 'x');
+
+	if (first->served) {
+		yard_ok(conn, request, "hello");
+		return;
+	}
+	first->served = true;
+	fake_send_text(conn, first->head);
+	fake_send(conn, more, first->more);
+	if (first->close)
+		fake_close_after(conn);
+}
+
+/* Two targets share the answers; returns the status that the caller gets, and how long
+ * that takes. */
+static int call_before(struct first_answer first, const char *method,
+		       const char *path, int64_t *took_us)
+{
+	int64_t start_us;
+	int status;
+
+	yard_begin(&y);
+	for (int i = 0; i < 2; i++) {
+		yard_target(&y, "list", serve_first, &first);
+		yard_target(&y, "pay", serve_first, &first);
+	}
+	start_us = fs_now_us();
+	status = call_once(method, path, "r1");
+	*took_us = fs_now_us() - start_us;
+	yard_end(&y);
+	return status;
+}
+
+/* Guards against a refusal whose body does not come to its end: callers got a piece of
+ * it, or an answer at the deadline that said nothing, though the head has told that the
+ * request has not run. */
+static void test_refusal_without_an_end(void)
+{
+	const struct first_answer cases[] = {
+		{.head = REFUSAL "Content-Length: 9000000000000\r\n\r\n",
+		 .more = ENDLESS_BYTES},
+		{.head = REFUSAL "Transfer-Encoding: chunked\r\n\r\n800000\r\n",
+		 .more = ENDLESS_BYTES},
+		{.head = REFUSAL "\r\n", .more = ENDLESS_BYTES},
+		{.head = REFUSAL "Content-Length: 10\r\n\r\n"},
+		{.head = REFUSAL "Content-Length: 10\r\n\r\nx", .close = true},
+		{.head = REFUSAL "Transfer-Encoding: chunked\r\n\r\nzz\r\n"},
+		{.head = "HTTP/1.1 421 No\r\nContent-Length: 10\r\n\r\n"},
+	};
+	int64_t took_us;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_assert_cmpint(
+			call_before(cases[i], "GET", "/list/1", &took_us), ==,
+			200);
+		g_assert_cmpint(took_us, <, YARD_TIMEOUT_MS / 3 * FS_US_PER_MS);
+		g_assert_cmpint(
+			call_before(cases[i], "POST", "/pay/1", &took_us), ==,
+			200);
+		g_assert_cmpint(took_us, <, YARD_TIMEOUT_MS / 3 * FS_US_PER_MS);
+	}
+}
+
+/* Guards against framing without end, which libcurl drops without a word: it was read
+ * as fast as it came until the deadline, and the other callers waited. */
+static void test_framing_without_an_end(void)
+{
+	const char *const heads[] = {
+		"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: z\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n5;",
+		"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: z\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n5;",
+	};
+	int64_t took_us;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
+		struct first_answer first = {.head = heads[i],
+					     .more = ENDLESS_BYTES};
+
+		g_assert_cmpint(call_before(first, "POST", "/pay/1", &took_us),
+				==, 502);
+		g_assert_cmpint(took_us, <, YARD_TIMEOUT_MS / 3 * FS_US_PER_MS);
+		g_assert_cmpint(call_before(first, "GET", "/list/1", &took_us),
+				==, 200);
+		g_assert_cmpint(took_us, <, YARD_TIMEOUT_MS / 3 * FS_US_PER_MS);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -103,5 +206,9 @@
 			test_refusal_written_again);
 	g_test_add_func("/gwy_faulty/end_in_the_middle_of_a_head",
 			test_end_in_the_middle_of_a_head);
+	g_test_add_func("/gwy_faulty/refusal_without_an_end",
+			test_refusal_without_an_end);
+	g_test_add_func("/gwy_faulty/framing_without_an_end",
+			test_framing_without_an_end);
 	return g_test_run();
 }
--- a/tests/unit_tgt.c
+++ b/tests/unit_tgt.c
@@ -57,8 +57,12 @@
 	g_byte_array_append(p->body, data, (guint)size);
 }
 
-static const struct tgt_ops ops = {on_stream_started, on_body_available,
-				   on_headers_overdue, on_done};
+static const struct tgt_ops ops = {
+	.stream_started = on_stream_started,
+	.body_available = on_body_available,
+	.headers_overdue = on_headers_overdue,
+	.done = on_done,
+};
 
 static void fixture_begin(struct fixture *p, fake_serve_fn serve, void *arg)
 {
