Match routes by the path as it is sent

The same decoding refused with 400 paths with ";", "%2F", "%25", "//" or dots.

The platform compares paths as they are sent, and so does the gateway now.

--- a/src/ent_check.c
+++ b/src/ent_check.c
@@ -203,6 +203,19 @@
 	return FS_E_BAD_REQUEST;
 }
 
+int ent_check_raw_target(const char *target, char **path)
+{
+	*path = NULL;
+	if (*target != '/')
+		return FS_E_BAD_REQUEST;
+	for (const unsigned char *p = (const unsigned char *)target; *p; p++) {
+		if (*p <= ' ' || *p == 0x7f || *p == '#')
+			return FS_E_BAD_REQUEST;
+	}
+	*path = g_strndup(target, strcspn(target, "?"));
+	return 0;
+}
+
 static bool is_hop_by_hop(const char *name)
 {
 	static const char *const names[] = {
--- a/src/ent_check.h
+++ b/src/ent_check.h
@@ -37,6 +37,14 @@
  */
 int ent_check_target(const char *target, char **path);
 
+/**
+ * Checks a request target for a platform that compares paths as they are sent: bytes
+ * that an HTTP request line can hold, after a slash. Servers read the same bytes.
+ * @param path  out: path without its query, owned by the caller
+ * @return 0 or FS_E_BAD_REQUEST
+ */
+int ent_check_raw_target(const char *target, char **path);
+
 /**
  * Copies the end-to-end header fields: no hop-by-hop fields, none named by
  * Connection, and none that this fleet or HTTP framing sets.
--- a/src/gwy_http.c
+++ b/src/gwy_http.c
@@ -109,7 +109,7 @@
 	if (!err)
 		err = ent_check_headers(version, request->headers, &head);
 	if (!err)
-		err = ent_check_target(req->target, &req->path);
+		err = ent_check_raw_target(req->target, &req->path);
 	if (err)
 		return err;
 	request->host = g_strdup(head.host);
--- a/src/rte.h
+++ b/src/rte.h
@@ -21,7 +21,7 @@
 /**
  * Finds the route of a request.
  * @param host    value of the Host field, with or without a port
- * @param path    path without query, normalised
+ * @param path    path without query, in the spelling of the prefixes
  * @param method  bit of enum cfg_method
  * @param route   out: handle of the route
  * @return 0, FS_E_NO_ROUTE, or FS_E_METHOD if only other methods match
--- a/tests/fleet_gwy.h
+++ b/tests/fleet_gwy.h
@@ -28,10 +28,11 @@
 /** What differs between the configurations of a test. */
 struct yard_config {
 	uint64_t version;
-	int64_t idle_us;    /* limit of idle callers' connections */
-	int64_t header_us;  /* limit of a head; 0: none */
-	int64_t timeout_us; /* of both routes */
-	bool without_pay;   /* has no route to "pay" */
+	int64_t idle_us;      /* limit of idle callers' connections */
+	int64_t header_us;    /* limit of a head; 0: none */
+	int64_t timeout_us;   /* of both routes */
+	bool without_pay;     /* has no route to "pay" */
+	const char *pay_path; /* its prefix; NULL: "/pay/" */
 };
 
 /** One caller's connection. */
--- a/tests/unit_gwy_faulty.c
+++ b/tests/unit_gwy_faulty.c
@@ -198,6 +198,51 @@
 	}
 }
 
+/* Runs each request, and resets the connection in place of an answer. */
+static void serve_reset(void *arg, struct fake_conn *conn,
+			const struct fake_request *request)
+{
+	(void)arg;
+	(void)request;
+	fake_close(conn, true);
+}
+
+static void configure_pay_below_list(const char *path)
+{
+	const struct yard_config config = {
+		.version = 2,
+		.idle_us = 5 * FS_US_PER_S,
+		.timeout_us = YARD_TIMEOUT_MS * FS_US_PER_MS,
+		.pay_path = path,
+	};
+
+	yard_configure(&y, &config);
+}
+
+/* Guards against a path that is matched in another spelling than it is sent in: below
+ * a route whose requests may be repeated, payments of an encoded prefix ran twice. */
+static void test_encoded_prefix(void)
+{
+	static const char *const prefixes[] = {
+		"/list/pr%C3%A9/", "/list/a%2Fb/", "/list/a;b/",
+		"/list/a//b/",	   "/list/./",	   "/list/%41/",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(prefixes); i++) {
+		g_autofree char *path = g_strconcat(prefixes[i], "1", NULL);
+
+		yard_begin(&y);
+		configure_pay_below_list(prefixes[i]);
+		yard_target(&y, "pay", serve_reset, NULL);
+		yard_target(&y, "pay", serve_reset, NULL);
+		yard_target(&y, "list", serve_reset, NULL);
+		yard_target(&y, "list", serve_reset, NULL);
+		g_assert_cmpint(call_once("POST", path, "r1"), ==, 502);
+		g_assert_cmpuint(yard_arrivals(&y), ==, 1);
+		yard_end(&y);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -210,5 +255,6 @@
 			test_refusal_without_an_end);
 	g_test_add_func("/gwy_faulty/framing_without_an_end",
 			test_framing_without_an_end);
+	g_test_add_func("/gwy_faulty/encoded_prefix", test_encoded_prefix);
 	return g_test_run();
 }
