--- a/tests/unit_plf.c
+++ b/tests/unit_plf.c
@@ -461,6 +461,47 @@
 	g_assert_cmpuint(c.era, ==, 6);
 }
 
+/* Guards against calls that keep the address of a store that has moved. */
+static void test_moved_store(void)
+{
+	struct fake *old;
+	struct call c;
+
+	call_begin(&c, 200, "{\"items\":[],\"has_more\":false,\"at_rev\":7}");
+	old = c.fake;
+	c.fake = fake_new(c.loop, serve, &c);
+	plf_store_move(c.store, fake_address(c.fake));
+	c.kvs.ops->range(c.kvs.store, "servers/", NULL, on_page, &c);
+	g_assert_true(fake_run(c.loop, is_done, &c, 3 * FS_US_PER_S));
+	g_assert_cmpint(c.err, ==, 0);
+	g_assert_cmpuint(fake_requests(old)->len, ==, 0);
+	g_assert_cmpuint(fake_requests(c.fake)->len, ==, 1);
+	fake_free(old);
+	call_end(&c);
+}
+
+/* Guards against a watch that is repeated for ever, as more events have come than an
+ * answer may hold: a server's leaving is not heard of. */
+static void test_watch_of_too_many_events(void)
+{
+	g_autofree char *filler = g_strnfill(5 << 20, 'x');
+	g_autofree char *answer = g_strdup_printf(
+		"HTTP/1.1 200 X\r\nContent-Length: %zu\r\n\r\n%s",
+		strlen(filler), filler);
+	struct call c;
+
+	call_begin(&c, 200, "");
+	c.answer = answer;
+	c.kvs.ops->watch(c.kvs.store, "servers/", 7, FS_US_PER_S, on_page, &c);
+	call_end(&c);
+	g_assert_cmpint(c.err, ==, FS_E_STALE);
+	call_begin(&c, 200, "");
+	c.answer = answer;
+	c.kvs.ops->range(c.kvs.store, "servers/", NULL, on_page, &c);
+	call_end(&c);
+	g_assert_cmpint(c.err, ==, FS_E_PROTOCOL);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -482,5 +523,8 @@
 	g_test_add_func("/plf/malformed_era_is_not_stated",
 			test_malformed_era_is_not_stated);
 	g_test_add_func("/plf/era_of_a_write", test_era_of_a_write);
+	g_test_add_func("/plf/moved_store", test_moved_store);
+	g_test_add_func("/plf/watch_of_too_many_events",
+			test_watch_of_too_many_events);
 	return g_test_run();
 }
