--- a/src/dir.c
+++ b/src/dir.c
@@ -5,8 +5,7 @@
 
 /** Tombstone of a removed target. */
 struct tombstone {
-	struct dir_write
-		last;	/* of the server; its start may be DIR_BORN_UNKNOWN */
+	struct dir_write last; /* known; its start may be DIR_BORN_UNKNOWN */
 	struct rev rev; /* of the removal, or of the leftover seen since */
 	int64_t at_us;
 };
--- a/src/fs_json.c
+++ b/src/fs_json.c
@@ -85,19 +85,19 @@
 	return 1;
 }
 
-/* Returns a copy, or NULL if a NUL in the text would cut it. */
+/* Copies a text. A NUL in it must neither cut it nor refuse the whole, which may be a
+ * page of entries: U+FFFD takes its place. */
 static char *copy_text(const unsigned char *text, size_t size)
 {
-	return memchr(text, '\0', size) ? NULL :
-					  g_strndup((const char *)text, size);
+	if (memchr(text, '\0', size))
+		return g_utf8_make_valid((const char *)text, (gssize)size);
+	return g_strndup((const char *)text, size);
 }
 
 static int on_string(void *arg, const unsigned char *text, size_t size)
 {
 	g_autofree char *copy = copy_text(text, size);
 
-	if (!copy)
-		return 0;
 	add(arg, json_node_init_string(json_node_alloc(), copy));
 	return 1;
 }
@@ -106,16 +106,12 @@
 {
 	struct builder *b = arg;
 	JsonObject *object = json_node_get_object(b->open[b->depth - 1]);
-	char *name = copy_text(text, size);
+	char **member = &b->member[b->depth - 1];
 
-	if (!name || json_object_has_member(object, name) ||
-	    json_object_get_size(object) == FS_JSON_MEMBERS_MAX) {
-		g_free(name);
-		return 0;
-	}
-	g_free(b->member[b->depth - 1]);
-	b->member[b->depth - 1] = name;
-	return 1;
+	g_free(*member);
+	*member = copy_text(text, size);
+	return !json_object_has_member(object, *member) &&
+	       json_object_get_size(object) < FS_JSON_MEMBERS_MAX;
 }
 
 static int on_object(void *arg)
--- a/tests/unit_plf_entries.c
+++ b/tests/unit_plf_entries.c
@@ -178,6 +178,20 @@
 	g_assert_true(decode(text, &e));
 }
 
+/* Guards against a NUL that cuts a text, so that an id becomes another server's, or one
+ * that refuses a page with all the entries on it. */
+static void test_nul_in_a_text(void)
+{
+	static const char text[] = "{\"key\":\"a\\u0000b\",\"c\\u0000\":1}";
+	g_autoptr(JsonObject) object = fs_json_parse_object(text, -1);
+
+	g_assert_nonnull(object);
+	g_assert_cmpstr(json_object_get_string_member(object, "key"), ==,
+			"a\xef\xbf\xbd"
+			"b");
+	g_assert_false(json_object_has_member(object, "c"));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -190,5 +204,6 @@
 	g_test_add_func("/plf_entries/limit_of_members", test_limit_of_members);
 	g_test_add_func("/plf_entries/entry_of_a_megabyte",
 			test_entry_of_a_megabyte);
+	g_test_add_func("/plf_entries/nul_in_a_text", test_nul_in_a_text);
 	return g_test_run();
 }
