Allow objects of other writers 64 members instead of 1,024

The bound stands; the work was too much: 64 entries of 16 KB with 480 such names each fit one answer of the store. No object that others write has more than some ten members; reports of the fleet's own nodes to the tool keep 1,024, as they are keyed by service.

--- a/src/cli_http.c
+++ b/src/cli_http.c
@@ -72,7 +72,7 @@
 		     &status, answer) ||
 	    status != 200)
 		return NULL;
-	return fs_json_parse(answer->str, (gssize)answer->len);
+	return fs_json_parse_report(answer->str, (gssize)answer->len);
 }
 
 static int parse_value(const char *json, uint64_t *revision,
--- a/src/fs_json.c
+++ b/src/fs_json.c
@@ -13,6 +13,7 @@
 	JsonNode *open[FS_JSON_DEPTH_MAX]; /* arrays and objects; [0] is owned */
 	char *member[FS_JSON_DEPTH_MAX];   /* of an open object, or NULL */
 	uint32_t depth;
+	uint32_t members_max; /* of an object */
 	JsonNode *root;
 };
 
@@ -111,7 +112,7 @@
 	g_free(*member);
 	*member = copy_text(text, size);
 	return !json_object_has_member(object, *member) &&
-	       json_object_get_size(object) < FS_JSON_MEMBERS_MAX;
+	       json_object_get_size(object) < b->members_max;
 }
 
 static int on_object(void *arg)
@@ -142,10 +143,10 @@
 	.yajl_end_array = close_node,
 };
 
-JsonNode *fs_json_parse(const char *text, gssize size)
+static JsonNode *parse(const char *text, gssize size, uint32_t members_max)
 {
 	size_t length = size < 0 ? strlen(text) : (size_t)size;
-	struct builder b = {0};
+	struct builder b = {.members_max = members_max};
 	yajl_handle parser = yajl_alloc(&callbacks, NULL, &b);
 	bool ok = yajl_parse(parser, (const unsigned char *)text, length) ==
 			  yajl_status_ok &&
@@ -159,6 +160,16 @@
 	return b.root;
 }
 
+JsonNode *fs_json_parse(const char *text, gssize size)
+{
+	return parse(text, size, FS_JSON_MEMBERS_MAX);
+}
+
+JsonNode *fs_json_parse_report(const char *text, gssize size)
+{
+	return parse(text, size, FS_JSON_REPORT_MEMBERS_MAX);
+}
+
 JsonObject *fs_json_parse_object(const char *text, gssize size)
 {
 	g_autoptr(JsonNode) root = fs_json_parse(text, size);
--- a/src/fs_json.h
+++ b/src/fs_json.h
@@ -15,7 +15,9 @@
 #define FS_JSON_DEPTH_MAX 32
 
 /* Of one object. Colliding names make a look-up walk through all of them. */
-#define FS_JSON_MEMBERS_MAX 1024
+#define FS_JSON_MEMBERS_MAX 64
+/* Of an object in a report of the fleet's own nodes, keyed by service. */
+#define FS_JSON_REPORT_MEMBERS_MAX 1024
 
 /**
  * Parses a text.
@@ -25,6 +27,9 @@
  */
 JsonNode *fs_json_parse(const char *text, gssize size);
 
+/** Parses a report of one of the fleet's own nodes; see FS_JSON_REPORT_MEMBERS_MAX. */
+JsonNode *fs_json_parse_report(const char *text, gssize size);
+
 /**
  * Parses a text whose root is an object.
  * @return the object, to be freed with json_object_unref(), or NULL
--- a/tests/unit_plf_entries.c
+++ b/tests/unit_plf_entries.c
@@ -143,6 +143,7 @@
 	g_autoptr(GString) more = g_string_new("{");
 	g_autoptr(GString) twice = g_string_new("{\"a\":1,\"b\":1,\"a\":1}");
 	g_autoptr(JsonObject) object = NULL;
+	g_autoptr(JsonNode) report = NULL;
 	bool valid;
 
 	append_members(most, FS_JSON_MEMBERS_MAX);
@@ -154,6 +155,8 @@
 	g_assert_cmpuint(json_object_get_size(object), ==, FS_JSON_MEMBERS_MAX);
 	parse_us(more, &valid);
 	g_assert_false(valid);
+	report = fs_json_parse_report(more->str, (gssize)more->len);
+	g_assert_nonnull(report);
 	parse_us(twice, &valid);
 	g_assert_false(valid);
 }
