Decode an entry in one place in the adapter's tests

Found in the read-through: three test files wrapped a text into an item of the store in the same way. No program's source is touched.

--- a/tests/unit_plf.c
+++ b/tests/unit_plf.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "fleet_fake.h"
+#include "fleet_plf.h"
 #include "fs_log.h"
 #include "plf_decode.h"
 #include "plf_statement.h"
@@ -71,14 +72,7 @@
 
 static bool decode(const char *key, const char *text, struct dir_entry *out)
 {
-	struct kvs_item item = {
-		.key = key,
-		.value = text,
-		.size = strlen(text),
-		.rev = 9,
-	};
-
-	return plf_decode_target(&item, out);
+	return entry_decode(key, text, strlen(text), out);
 }
 
 static void test_target(void)
--- a/tests/unit_plf_entries.c
+++ b/tests/unit_plf_entries.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "fleet_plf.h"
 #include "fs_json.h"
 #include "fs_log.h"
 #include "plf_decode.h"
@@ -25,14 +26,7 @@
 
 static bool decode(const GString *text, struct dir_entry *out)
 {
-	struct kvs_item item = {
-		.key = "servers/i-other",
-		.value = text->str,
-		.size = text->len,
-		.rev = 9,
-	};
-
-	return plf_decode_target(&item, out);
+	return entry_decode("servers/i-other", text->str, text->len, out);
 }
 
 static void append_times(GString *text, const char *part, int times)
--- a/tests/unit_plf_names.c
+++ b/tests/unit_plf_names.c
@@ -1,6 +1,7 @@
 /* Names and numbers of the platform that the fleet's own texts do not allow. */
 #include <string.h>
 
+#include "fleet_plf.h"
 #include "fs_log.h"
 #include "fs_name.h"
 #include "plf_decode.h"
@@ -40,14 +41,8 @@
 {
 	g_autofree char *key = g_strconcat("servers/", id, NULL);
 	g_autofree char *text = g_strdup_printf(ENTRY, service, domain);
-	struct kvs_item item = {
-		.key = key,
-		.value = text,
-		.size = strlen(text),
-		.rev = 9,
-	};
 
-	return plf_decode_target(&item, out);
+	return entry_decode(key, text, strlen(text), out);
 }
 
 /* Guards against a version that every gateway refuses as a whole for the length of a
