Log how each answer was framed, its bytes, and whether its connection was used before

The line of a request said nothing that tells a masked reset (the end of the connection is the end of the answer) from a copy on a used connection, from framing read in two ways, or from a stream that was ended. No decision changes.

--- a/src/cli_explain_log.c
+++ b/src/cli_explain_log.c
@@ -67,6 +67,14 @@
 		number(t, "took_ms"), number(t, "status"),
 		json_object_get_boolean_member(t, "not_run") ? ", not run" :
 							       "");
+	if (cli_json_text(t, "framing"))
+		g_string_append_printf(
+			out,
+			"    its answer: %" G_GINT64_FORMAT
+			" bytes, end told by: %s; %s connection\n",
+			number(t, "bytes"), text(t, "framing"),
+			json_object_get_boolean_member(t, "reused") ? "used" :
+								      "new");
 	if (belief)
 		g_string_append_printf(out, "    known of it: %s\n", belief);
 }
--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -44,6 +44,9 @@
 	uint32_t status;
 	bool not_run; /* stated by the target, or nothing was written */
 	int64_t took_us;
+	bool reused; /* its connection had been used before */
+	enum tgt_framing framing;
+	int64_t body_bytes; /* of the answer, that were read */
 };
 
 enum gwy_state {
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -382,6 +382,9 @@
 	t->err = result->err;
 	t->status = result->err ? 0 : tgt_status(tgt);
 	t->took_us = result->took_us;
+	t->reused = result->reused;
+	t->framing = result->framing;
+	t->body_bytes = result->body_bytes;
 	if (!streaming)
 		headers = tgt_peek_headers(tgt);
 	t->not_run = !streaming && is_not_run(t, result, headers);
--- a/src/tgt.c
+++ b/src/tgt.c
@@ -19,6 +19,8 @@
 		.err = err,
 		.written = tgt->written,
 		.headers_complete = tgt->headers_complete,
+		.framing = tgt_framing(tgt),
+		.body_bytes = tgt->received,
 	};
 	int64_t until_us = tgt->headers_complete ? tgt->headers_at_us :
 						   fs_now_us();
--- a/src/tgt.h
+++ b/src/tgt.h
@@ -54,6 +54,14 @@
 
 struct tgt;
 
+/** What tells where an answer's body ends. */
+enum tgt_framing {
+	TGT_FRAMING_NONE, /* no head was read, or the answer has no body */
+	TGT_FRAMING_LENGTH,
+	TGT_FRAMING_CHUNKS,
+	TGT_FRAMING_CONNECTION, /* the end of the connection */
+};
+
 /** How an exchange ended. */
 struct tgt_result {
 	int err;      /* 0: a complete answer; FS_E_CONNECT, FS_E_DEADLINE,
@@ -63,6 +71,8 @@
 	bool reused;  /* the connection came from the pool */
 	bool headers_complete; /* the header fields of an answer were read */
 	int64_t took_us;       /* until the header fields, or until the end */
+	enum tgt_framing framing;
+	int64_t body_bytes; /* that were read, without framing */
 };
 
 /** Callbacks to the owner of an exchange; never called inside tgt_start(). */
@@ -148,6 +158,9 @@
 /** Returns the status of the answer. */
 uint32_t tgt_status(const struct tgt *tgt);
 
+/** Returns the name of a framing, for logs. */
+const char *tgt_framing_name(enum tgt_framing framing);
+
 /** Returns a new reference to the header fields. */
 GArray *tgt_peek_headers(struct tgt *tgt);
 
--- a/src/tgt_answer.c
+++ b/src/tgt_answer.c
@@ -9,6 +9,27 @@
 	return !tgt->no_body && tgt->status != 204 && tgt->status != 304;
 }
 
+enum tgt_framing tgt_framing(const struct tgt *tgt)
+{
+	if (!tgt->headers_complete || !tgt_has_body(tgt))
+		return TGT_FRAMING_NONE;
+	if (tgt->chunked)
+		return TGT_FRAMING_CHUNKS;
+	return tgt->length >= 0 ? TGT_FRAMING_LENGTH : TGT_FRAMING_CONNECTION;
+}
+
+const char *tgt_framing_name(enum tgt_framing framing)
+{
+	static const char *const names[] = {
+		[TGT_FRAMING_NONE] = "none",
+		[TGT_FRAMING_LENGTH] = "length",
+		[TGT_FRAMING_CHUNKS] = "chunks",
+		[TGT_FRAMING_CONNECTION] = "connection",
+	};
+
+	return names[framing];
+}
+
 /* Digits only: a list, a sign or two different lengths are invalid. */
 static void read_length(struct tgt *tgt, const char *value)
 {
--- a/src/tgt_impl.h
+++ b/src/tgt_impl.h
@@ -65,6 +65,9 @@
 /** Returns whether the answer has a body by its method and status. */
 bool tgt_has_body(const struct tgt *tgt);
 
+/** Returns the framing that the header fields name. */
+enum tgt_framing tgt_framing(const struct tgt *tgt);
+
 /** Returns whether a header field is for one connection only. */
 bool tgt_is_hop_by_hop(const char *name);
 
