Let nobody but libcurl look at its sockets: a reset stays a reset

Cause: the kernel reports a reset once. tgt_has_unread() peeked with recv() at the socket that libcurl reads from, from two timers (the time at which an answer is overdue, and the deadline). It took ECONNRESET away, libcurl read the end of the stream, and for a body without a length that is a whole answer. The class: a look that changes what it looks at, by one who does not own it.

Why this works: a time limit is no longer judged by asking the socket. The other places that peeked ask poll() and FIONREAD, which take nothing: idle connections of the pool, bytes behind a complete answer, and suspended callers' connections.

--- a/src/htd_gone.c
+++ b/src/htd_gone.c
@@ -1,19 +1,16 @@
 #include "htd_gone.h"
 
-#include <errno.h>
-#include <sys/socket.h>
+#include "net.h"
 
 static void on_readable(struct ev_loop *loop, ev_io *io, int events)
 {
 	struct htd_gone *gone = io->data;
-	char byte;
-	ssize_t got = recv(io->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 
 	(void)events;
-	if (got < 0 && (errno == EAGAIN || errno == EINTR))
+	if (!net_is_readable(io->fd))
 		return;
 	ev_io_stop(loop, io);
-	if (got <= 0)
+	if (!net_unread_bytes(io->fd))
 		gone->fn(gone->arg);
 }
 
--- a/src/net.c
+++ b/src/net.c
@@ -1,5 +1,7 @@
 #include "net.h"
 
+#include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -22,3 +24,17 @@
 	}
 	return fd;
 }
+
+bool net_is_readable(int fd)
+{
+	struct pollfd p = {.fd = fd, .events = POLLIN};
+
+	return poll(&p, 1, 0) > 0;
+}
+
+int net_unread_bytes(int fd)
+{
+	int bytes;
+
+	return ioctl(fd, FIONREAD, &bytes) ? FS_E_IO : bytes;
+}
--- a/src/net.h
+++ b/src/net.h
@@ -1,11 +1,15 @@
 /**
  * @file net.h
- * @brief Listening TCP sockets.
+ * @brief Listening TCP sockets, and what waits at the sockets of others.
+ *
+ * A library that owns a socket is the only one to read from it: also a peek takes an
+ * error from the socket, which the kernel reports once.
  */
 #ifndef NET_H
 #define NET_H
 
 #include <netinet/in.h>
+#include <stdbool.h>
 
 /**
  * Opens a non-blocking, listening TCP socket.
@@ -15,4 +19,11 @@
  */
 int net_listen(const struct sockaddr_in *address, struct sockaddr_in *bound);
 
+/** Returns whether bytes, the end of the stream or an error wait at a socket; takes
+ *  none of them. */
+bool net_is_readable(int fd);
+
+/** Returns the number of bytes that wait at a socket, or FS_E_IO; takes none. */
+int net_unread_bytes(int fd);
+
 #endif
--- a/src/tgt.c
+++ b/src/tgt.c
@@ -1,7 +1,6 @@
+#include "net.h"
 #include "tgt_impl.h"
 
-#include <sys/socket.h>
-
 bool tgt_written(const struct tgt *tgt)
 {
 	return tgt->written;
@@ -36,13 +35,11 @@
 static bool has_trailing_bytes(struct tgt *tgt)
 {
 	curl_socket_t fd = CURL_SOCKET_BAD;
-	char byte;
 
 	if (!tgt->chunked && tgt->raw_received > tgt->received)
 		return true;
 	curl_easy_getinfo(tgt->easy, CURLINFO_ACTIVESOCKET, &fd);
-	return fd != CURL_SOCKET_BAD &&
-	       recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+	return fd != CURL_SOCKET_BAD && net_unread_bytes(fd) > 0;
 }
 
 static int check_complete(struct tgt *tgt)
@@ -211,10 +208,10 @@
 /* Waits a turn of the loop, in which libcurl reads what has arrived. */
 static bool waits_a_turn(struct tgt *tgt)
 {
-	if (tgt->invalid || tgt->body_unneeded ||
-	    tgt->late_turns == TGT_LATE_TURNS_MAX || !tgt_has_unread(tgt))
+	if (tgt->invalid || tgt->body_unneeded || tgt->paused ||
+	    !tgt->written ||
+	    !tgt_late_postpones(&tgt->late, tgt_bytes_read(tgt)))
 		return false;
-	tgt->late_turns++;
 	ev_timer_set(&tgt->timer, 0.0, 0.0);
 	ev_timer_start(crl_loop(tgt->crl), &tgt->timer);
 	return true;
@@ -240,7 +237,6 @@
 	(void)events;
 	if (waits_a_turn(tgt))
 		return;
-	tgt->late_turns = 0;
 	if (now_us < end_us(tgt) && !tgt->headers_complete &&
 	    now_us >= tgt->headers_deadline_us &&
 	    !tgt->ops->headers_overdue(tgt->arg, tgt))
@@ -343,13 +339,9 @@
 	return written;
 }
 
-bool tgt_has_unread(const struct tgt *tgt)
+int64_t tgt_bytes_read(const struct tgt *tgt)
 {
-	char byte;
-
-	/* libcurl tells the socket only after the transfer. */
-	return tgt->written && !tgt->ended && !tgt->paused &&
-	       recv(tgt->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
+	return (int64_t)tgt->header_bytes + tgt->raw_received;
 }
 
 uint32_t tgt_status(const struct tgt *tgt)
--- a/src/tgt_pool.c
+++ b/src/tgt_pool.c
@@ -1,9 +1,10 @@
 #include "tgt_pool.h"
 
-#include <errno.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "net.h"
+
 struct tgt_pool {
 	struct crl *crl;
 	GHashTable *fds;  /* endpoints as text to socket */
@@ -86,11 +87,9 @@
 {
 	g_autofree char *text = format_endpoints(ends);
 	void *value;
-	char byte;
 
 	if (!g_hash_table_lookup_extended(pool->fds, text, NULL, &value))
 		return false;
 	*fd = GPOINTER_TO_INT(value);
-	return recv(*fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-	       (errno == EAGAIN || errno == EWOULDBLOCK);
+	return !net_is_readable(*fd);
 }
