Refuse an answer whose transfer coding libcurl reads in another way

What callers saw: with Transfer-Encoding: identity the framing came as a body, or a cut body as whole; with identity beside chunked an empty one (MIXED).

Cause: the gateway took any Transfer-Encoding for chunks, libcurl only the word itself; for others it reads to the end of the connection. So a head was read in two ways, and the gateway's check of the end relied on the other one.

Evidence: unit_gwy_framing other_transfer_coding failed on (200 with 15 bytes of framing; 200 with 'hel'; 200 with nothing); it passes now. Only one coding, chunked, in HTTP/1.1 is accepted. A head inside a head and a 101 were refused before: those tests passed from the start.

--- a/src/tgt_answer.c
+++ b/src/tgt_answer.c
@@ -44,6 +44,16 @@
 	tgt->length = length;
 }
 
+/* Any other coding, or two, end the body elsewhere than the chunks do. HTTP/1.0 has no
+ * codings: what a server of it means by one is unknown. */
+static void read_transfer_coding(struct tgt *tgt, const char *value)
+{
+	if (g_ascii_strcasecmp(value, "chunked") != 0 || tgt->chunked ||
+	    !tgt->has_codings)
+		tgt->invalid = true;
+	tgt->chunked = true;
+}
+
 /* Rejects an answer to another request, should it arrive on this connection. */
 static void read_request_id(struct tgt *tgt, const char *value)
 {
@@ -62,7 +72,7 @@
 	if (!g_ascii_strcasecmp(name, "Content-Length"))
 		read_length(tgt, value);
 	else if (!g_ascii_strcasecmp(name, "Transfer-Encoding"))
-		tgt->chunked = true;
+		read_transfer_coding(tgt, value);
 	else if (!g_ascii_strcasecmp(name, "Draining"))
 		tgt->draining = !strcmp(value, "1");
 	else if (!g_ascii_strcasecmp(name, request_id_field(tgt)))
@@ -80,6 +90,7 @@
 {
 	const char *space = strchr(line, ' ');
 
+	tgt->has_codings = g_str_has_prefix(line, "HTTP/1.1 ");
 	tgt->status = space ? (uint32_t)strtoul(space + 1, NULL, 10) : 0;
 	tgt->length = -1;
 	tgt->chunked = false;
--- a/src/tgt_impl.h
+++ b/src/tgt_impl.h
@@ -39,6 +39,7 @@
 	bool headers_complete;
 	bool invalid;
 	bool body_unneeded; /* see needs_body() */
+	bool has_codings;   /* its version of HTTP has transfer codings */
 	bool chunked;
 	bool draining;
 	uint32_t status;
