Let a streamed answer wake its request at the deadline alone

Cause: set_timer() counted attempts that are overdue, and gwy_overdue_report() marks them only while a request waits. From then on the timer of a stream was due at once, again and again.

While streaming only the deadline is waited for, and the attempts that lost are cancelled before anything else.

--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -70,7 +70,9 @@
 	lod_in_flight_changed(t->req->gwy->lod, t->target);
 }
 
-static void set_timer(struct gwy_request *req, int64_t now_us)
+/* Returns when a waiting request has to decide anew: an answer is overdue, or it is
+ * time for a hedge. */
+static int64_t next_decision_us(const struct gwy_request *req, int64_t now_us)
 {
 	int64_t at_us = req->deadline_us;
 	int64_t overdue_us = gwy_overdue_us(req);
@@ -78,7 +80,6 @@
 
 	if (now_us < hedge_us)
 		at_us = MIN(at_us, hedge_us);
-
 	for (uint32_t i = 0; i < req->attempt_count; i++) {
 		const struct gwy_attempt *t = &req->attempts[i];
 
@@ -86,7 +87,16 @@
 			at_us = MIN(at_us,
 				    t->started_us + t->wait_us + overdue_us);
 	}
-	gwy_request_timer(req, at_us, now_us);
+	return at_us;
+}
+
+static void set_timer(struct gwy_request *req, int64_t now_us)
+{
+	gwy_request_timer(req,
+			  req->state == GWY_WAITING ?
+				  next_decision_us(req, now_us) :
+				  req->deadline_us,
+			  now_us);
 }
 
 static const struct tgt_ops attempt_ops;
@@ -513,6 +523,8 @@
 
 void gwy_send_timer(struct gwy_request *req, int64_t now_us)
 {
+	if (req->state == GWY_STREAMING)
+		cancel_other_attempts(req);
 	if (req->state == GWY_ENDED || waits_a_turn(req, now_us))
 		return;
 	if (now_us >= req->deadline_us) {
@@ -524,8 +536,6 @@
 		retry_parked(req, now_us);
 		return;
 	}
-	if (req->state == GWY_STREAMING)
-		cancel_other_attempts(req);
 	if (req->state == GWY_WAITING) {
 		gwy_overdue_report(req, now_us);
 		if (gwy_overdue_should_hedge(req, now_us))
--- a/tests/unit_gwy_cut.c
+++ b/tests/unit_gwy_cut.c
@@ -15,6 +15,7 @@
 #define BEFORE_OVERDUE_US (300 * FS_US_PER_MS)
 #define READ_US (20 * FS_US_PER_MS) /* until what was sent is read */
 #define OVER_OVERDUE_US (600 * FS_US_PER_MS)
+#define QUIET_US (200 * FS_US_PER_MS)
 
 static struct yard y;
 static struct yard_caller c;
@@ -78,6 +79,25 @@
 	end();
 }
 
+/* Guards against a timer that is due at once, again and again, while an answer is streamed
+ * for longer than the usual time of one: it took all of a small processor. */
+static void test_stream_without_news_does_not_wake(void)
+{
+	g_autofree char *part = g_strnfill(STREAMED_BYTES, 'x');
+	unsigned int turns;
+
+	begin();
+	fake_send_text(held, HEAD_WITHOUT_LENGTH);
+	fake_send_text(held, part);
+	yard_expect(&y, &c, 200);
+	yard_run(&y, BEFORE_OVERDUE_US + OVER_OVERDUE_US);
+	turns = ev_iteration(y.loop);
+	yard_run(&y, QUIET_US);
+	turns = ev_iteration(y.loop) - turns;
+	g_assert_cmpuint(turns, <=, QUIET_US / FS_US_PER_MS);
+	end();
+}
+
 /* An answer that ends with its connection in order is complete. */
 static void test_end_in_order(void)
 {
@@ -97,6 +117,7 @@
 	fs_log_init("test", 2);
 	ADD(reset_during_a_pause);
 	ADD(reset_of_a_stream);
+	ADD(stream_without_news_does_not_wake);
 	ADD(end_in_order);
 	return g_test_run();
 }
