Split a request's time limits from its attempts

What the one timer of a request waits for, and what is done then, is gwy_timer.c now; moved, with gwy_timer_set(), gwy_timer_passed() and gwy_send_parked() as its seams. No behaviour changes.

--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -192,11 +192,17 @@
 double gwy_send_request_rate(struct gwy_request *req, int64_t now_us);
 /** Starts the first attempt for a complete request. */
 void gwy_send_first(struct gwy_request *req, int64_t now_us);
-/** Handles the deadline, overdue answers and parked requests. */
-void gwy_send_timer(struct gwy_request *req, int64_t now_us);
+/** Sends a parked request, as capacity may be free now, or ends it. */
+void gwy_send_parked(struct gwy_request *req, int64_t now_us);
 /** Frees the slot of an attempt at its target. */
 void gwy_send_release_slot(struct gwy_attempt *t);
 
+/* Time limits (gwy_timer.c) */
+/** Sets the timer of a request with attempts in flight to its next decision. */
+void gwy_timer_set(struct gwy_request *req, int64_t now_us);
+/** Handles the deadline, overdue answers and parked requests. */
+void gwy_timer_passed(struct gwy_request *req, int64_t now_us);
+
 /* Outcomes of attempts (gwy_outcome.c) */
 /** Reports the end of an attempt as evidence on its target. */
 void gwy_outcome_report(struct gwy_attempt *t);
--- a/src/gwy_request.c
+++ b/src/gwy_request.c
@@ -14,7 +14,7 @@
 	if (req->state == GWY_DEFERRED)
 		gwy_http_resume_deferred(req, now_us);
 	else
-		gwy_send_timer(req, now_us);
+		gwy_timer_passed(req, now_us);
 }
 
 /* The caller disconnected: attempts are cancelled and no retry follows. */
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -70,35 +70,6 @@
 	lod_in_flight_changed(t->req->gwy->lod, t->target);
 }
 
-/* Returns when a waiting request has to decide anew: an answer is overdue, or it is
- * time for a hedge. */
-static int64_t next_decision_us(const struct gwy_request *req, int64_t now_us)
-{
-	int64_t at_us = req->deadline_us;
-	int64_t overdue_us = gwy_overdue_us(req);
-	int64_t hedge_us = gwy_overdue_hedge_latest_us(req);
-
-	if (now_us < hedge_us)
-		at_us = MIN(at_us, hedge_us);
-	for (uint32_t i = 0; i < req->attempt_count; i++) {
-		const struct gwy_attempt *t = &req->attempts[i];
-
-		if (t->in_flight && !t->overdue)
-			at_us = MIN(at_us,
-				    t->started_us + t->wait_us + overdue_us);
-	}
-	return at_us;
-}
-
-static void set_timer(struct gwy_request *req, int64_t now_us)
-{
-	gwy_request_timer(req,
-			  req->state == GWY_WAITING ?
-				  next_decision_us(req, now_us) :
-				  req->deadline_us,
-			  now_us);
-}
-
 static const struct tgt_ops attempt_ops;
 
 static bool start_exchange(struct gwy_attempt *t, int64_t now_us)
@@ -273,7 +244,7 @@
 		return true;
 	ctr_count(gwy->node->ctr, "gwy_sent_again", 1);
 	start_attempt(req, &choice, now_us);
-	set_timer(req, now_us);
+	gwy_timer_set(req, now_us);
 	return true;
 }
 
@@ -296,7 +267,7 @@
 	}
 	start_attempt(req, &choice, now_us);
 	if (req->attempts_in_flight)
-		set_timer(req, now_us);
+		gwy_timer_set(req, now_us);
 	else
 		gwy_answer_refuse(
 			req, FS_E_NO_TARGET,
@@ -438,22 +409,6 @@
 	gwy_answer_stream(t, fs_now_us());
 }
 
-/* Cancels the attempts whose answer is not forwarded. libcurl can't remove a
- * transfer inside a callback, where streams start. */
-static void cancel_other_attempts(struct gwy_request *req)
-{
-	for (uint32_t i = 0; i < req->attempt_count; i++) {
-		struct gwy_attempt *t = &req->attempts[i];
-
-		if (t == req->stream_attempt || !t->in_flight)
-			continue;
-		tgt_free(t->tgt);
-		t->tgt = NULL;
-		t->err = FS_E_CANCELLED;
-		gwy_send_release_slot(t);
-	}
-}
-
 static void on_body_available(void *arg, struct tgt *tgt)
 {
 	const struct gwy_attempt *t = arg;
@@ -488,8 +443,7 @@
 	.done = on_done,
 };
 
-/* Retries a parked request, as capacity may be free now. */
-static void retry_parked(struct gwy_request *req, int64_t now_us)
+void gwy_send_parked(struct gwy_request *req, int64_t now_us)
 {
 	if (!req->attempt_count) {
 		send_or_refuse(req, now_us);
@@ -499,47 +453,3 @@
 		return;
 	finish(&req->attempts[req->attempt_count - 1], now_us);
 }
-
-/* Waits a turn of the loop if this process ran late and an answer that came
- * meanwhile may not have been read yet: it is neither overdue nor past the deadline. */
-static bool waits_a_turn(struct gwy_request *req, int64_t now_us)
-{
-	int64_t bytes_read = 0;
-	bool expects_answer = false;
-
-	for (uint32_t i = 0; i < req->attempt_count; i++) {
-		const struct gwy_attempt *t = &req->attempts[i];
-
-		if (!t->in_flight || !tgt_written(t->tgt))
-			continue;
-		expects_answer = true;
-		bytes_read += tgt_bytes_read(t->tgt);
-	}
-	if (!expects_answer || !tgt_late_postpones(&req->late, bytes_read))
-		return false;
-	gwy_request_timer(req, now_us, now_us);
-	return true;
-}
-
-void gwy_send_timer(struct gwy_request *req, int64_t now_us)
-{
-	if (req->state == GWY_STREAMING)
-		cancel_other_attempts(req);
-	if (req->state == GWY_ENDED || waits_a_turn(req, now_us))
-		return;
-	if (now_us >= req->deadline_us) {
-		gwy_deadline_passed(req, now_us);
-		return;
-	}
-	if (req->parked) {
-		gwy_request_park(req, false);
-		retry_parked(req, now_us);
-		return;
-	}
-	if (req->state == GWY_WAITING) {
-		gwy_overdue_report(req, now_us);
-		if (gwy_overdue_should_hedge(req, now_us))
-			gwy_send_retry(req, now_us);
-	}
-	set_timer(req, now_us);
-}
