Ask sockets by poll() whether an answer waits, in place of counting turns

What callers would have seen: after a pause over a deadline, 504 for answers that had come in time, at nodes with many requests in flight.

A turn does not reach all sockets that are readable; an answer whose socket was not among the first two turns' events was given up.

A poll() that fails counts as readable: an idle connection is not used then.

--- a/src/crl.c
+++ b/src/crl.c
@@ -100,8 +100,6 @@
 		s = g_new0(struct crl_socket, 1);
 		s->crl = crl;
 		ev_init(&s->io, on_socket);
-		/* Answers are read before timers judge them, see tgt_late.h. */
-		ev_set_priority(&s->io, EV_MAXPRI);
 		g_hash_table_add(crl->sockets, s);
 		curl_multi_assign(crl->multi, fd, s);
 	}
--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -91,7 +91,7 @@
 	bool stop_prevents_retry;    /* a target was there, and nothing else */
 	const char *no_retry_reason; /* why there was no retry, for the log */
 	ev_timer timer;
-	struct tgt_late late; /* of the timer */
+	unsigned int late_turns; /* see TGT_LATE_TURNS_MAX */
 	/* The caller's connection, while suspended. */
 	struct htd_gone disconnect_watch;
 	/* The answer */
--- a/src/gwy_timer.c
+++ b/src/gwy_timer.c
@@ -45,23 +45,26 @@
 	}
 }
 
-/* Waits a turn of the loop if this process ran late and an answer that came
- * meanwhile may not have been read yet: it is neither overdue nor past the deadline. */
-static bool waits_a_turn(struct gwy_request *req, int64_t now_us)
+static bool has_unread_answer(const struct gwy_request *req)
 {
-	int64_t bytes_read = 0;
-	bool expects_answer = false;
-
 	for (uint32_t i = 0; i < req->attempt_count; i++) {
 		const struct gwy_attempt *t = &req->attempts[i];
 
-		if (!t->in_flight || !tgt_written(t->tgt))
-			continue;
-		expects_answer = true;
-		bytes_read += tgt_bytes_read(t->tgt);
+		if (t->in_flight && tgt_has_unread(t->tgt))
+			return true;
 	}
-	if (!expects_answer || !tgt_late_postpones(&req->late, bytes_read))
+	return false;
+}
+
+/* Waits a turn of the loop if this process ran late and an answer that came
+ * meanwhile was not read yet: it is neither overdue nor past the deadline. */
+static bool waits_a_turn(struct gwy_request *req, int64_t now_us)
+{
+	if (req->late_turns == TGT_LATE_TURNS_MAX || !has_unread_answer(req)) {
+		req->late_turns = 0;
 		return false;
+	}
+	req->late_turns++;
 	gwy_request_timer(req, now_us, now_us);
 	return true;
 }
--- a/src/net.c
+++ b/src/net.c
@@ -29,7 +29,7 @@
 {
 	struct pollfd p = {.fd = fd, .events = POLLIN};
 
-	return poll(&p, 1, 0) > 0;
+	return poll(&p, 1, 0) != 0;
 }
 
 int net_unread_bytes(int fd)
--- a/src/tgt.c
+++ b/src/tgt.c
@@ -208,10 +208,10 @@
 /* Waits a turn of the loop, in which libcurl reads what has arrived. */
 static bool waits_a_turn(struct tgt *tgt)
 {
-	if (tgt->invalid || tgt->body_unneeded || tgt->paused ||
-	    !tgt->written ||
-	    !tgt_late_postpones(&tgt->late, tgt_bytes_read(tgt)))
+	if (tgt->invalid || tgt->body_unneeded ||
+	    tgt->late_turns == TGT_LATE_TURNS_MAX || !tgt_has_unread(tgt))
 		return false;
+	tgt->late_turns++;
 	ev_timer_set(&tgt->timer, 0.0, 0.0);
 	ev_timer_start(crl_loop(tgt->crl), &tgt->timer);
 	return true;
@@ -237,6 +237,7 @@
 	(void)events;
 	if (waits_a_turn(tgt))
 		return;
+	tgt->late_turns = 0;
 	if (now_us < end_us(tgt) && !tgt->headers_complete &&
 	    now_us >= tgt->headers_deadline_us &&
 	    !tgt->ops->headers_overdue(tgt->arg, tgt))
@@ -339,9 +340,11 @@
 	return written;
 }
 
-int64_t tgt_bytes_read(const struct tgt *tgt)
+bool tgt_has_unread(const struct tgt *tgt)
 {
-	return (int64_t)tgt->header_bytes + tgt->raw_received;
+	/* libcurl tells the socket only after the transfer. */
+	return tgt->written && !tgt->ended && !tgt->paused &&
+	       net_is_readable(tgt->fd);
 }
 
 uint32_t tgt_status(const struct tgt *tgt)
--- a/src/tgt.h
+++ b/src/tgt.h
@@ -19,7 +19,7 @@
  * answer itself is complete.
  *
  * A process that was paused or busy over a time limit first reads what arrived
- * meanwhile, so that an answer that came in time is not given up (tgt_late.h).
+ * meanwhile, so that an answer that came in time is not given up.
  *
  * With a dialect (see struct tgt_dialect) some of this differs.
  *
@@ -34,11 +34,11 @@
 #define TGT_H
 
 #include "msg.h"
-#include "tgt_late.h"
 #include "tgt_pool.h"
 
-#define TGT_HEADERS_MAX 128	     /* header fields of an answer */
-#define TGT_CONNECT_MAX_US 1000000LL /* longest time to connect */
+#define TGT_HEADERS_MAX 128		 /* header fields of an answer */
+#define TGT_HEADER_BYTES_MAX (64 * 1024) /* bytes of all of them */
+#define TGT_CONNECT_MAX_US 1000000LL	 /* longest time to connect */
 /* Framing of a body in chunks that libcurl drops: this much, and this much for each
  * byte of the body. A chunk of one byte takes 5 bytes more. */
 #define TGT_FRAMING_BYTES_MAX (256 * 1024)
@@ -47,6 +47,10 @@
  * longer, which costs the connection. */
 #define TGT_UNNEEDED_BODY_MAX_US (20 * FS_US_PER_MS)
 #define TGT_POOL_CONNECTIONS 512 /* idle connections at most */
+/* Turns of the loop after a time limit in which what has arrived is still read:
+ * libcurl reads 16 KiB of an answer in a turn. */
+#define TGT_LATE_TURNS_MAX \
+	((FS_ANSWER_WHOLE_MAX + TGT_HEADER_BYTES_MAX) / (16 * 1024) + 2)
 
 struct tgt;
 
@@ -144,9 +148,9 @@
 /** Returns whether a byte of the request may have reached the target. */
 bool tgt_written(const struct tgt *tgt);
 
-/** Returns the bytes of the answer that were read so far, with its header fields and
- *  framing. */
-int64_t tgt_bytes_read(const struct tgt *tgt);
+/** Returns whether bytes of the answer, or its end, have arrived and were not read yet.
+ *  Takes nothing: libcurl still gets each byte, and an error. */
+bool tgt_has_unread(const struct tgt *tgt);
 
 /** Returns whether the connection came from the pool. */
 bool tgt_reused(const struct tgt *tgt);
--- a/src/tgt_impl.h
+++ b/src/tgt_impl.h
@@ -33,7 +33,7 @@
 	bool ended;
 	bool streaming;
 	bool paused;
-	struct tgt_late late; /* of the timer */
+	unsigned int late_turns; /* see TGT_LATE_TURNS_MAX */
 
 	/* The answer */
 	bool headers_complete;
--- a/tests/fleet_fake.c
+++ b/tests/fleet_fake.c
@@ -92,6 +92,11 @@
 	ev_io_start(conn->fake->loop, &conn->write);
 }
 
+void fake_flush(struct fake_conn *conn)
+{
+	on_write(conn->fake->loop, &conn->write, EV_WRITE);
+}
+
 void fake_close_after(struct fake_conn *conn)
 {
 	conn->close_after = true;
@@ -232,7 +237,7 @@
 	fake->fd =
 		socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (bind(fake->fd, (struct sockaddr *)&address, size) ||
-	    listen(fake->fd, 64) ||
+	    listen(fake->fd, SOMAXCONN) ||
 	    getsockname(fake->fd, (struct sockaddr *)&address, &size))
 		g_error("fake target: %s", g_strerror(errno));
 	snprintf(fake->address, sizeof(fake->address), "127.0.0.1:%u",
--- a/tests/fleet_fake.h
+++ b/tests/fleet_fake.h
@@ -52,6 +52,9 @@
 void fake_send(struct fake_conn *conn, const void *data, size_t size);
 void fake_send_text(struct fake_conn *conn, const char *text);
 
+/** Writes what was sent at once, without a turn of the loop. */
+void fake_flush(struct fake_conn *conn);
+
 /** Sends a text after @p delay_us. */
 void fake_send_later(struct fake_conn *conn, const char *text,
 		     int64_t delay_us);
--- a/tests/unit_gwy_late.c
+++ b/tests/unit_gwy_late.c
@@ -1,6 +1,7 @@
 /* The gateway task when it acts late: it was paused or busy over a deadline or over
  * the end of a planned stop, and what came in time lies unread in its sockets. */
 #include <string.h>
+#include <sys/resource.h>
 
 #include "fleet_gwy.h"
 #include "fs_log.h"
@@ -15,6 +16,7 @@
 #define BEFORE_END_US (700 * FS_US_PER_MS)
 #define PAUSE_US (300 * FS_US_PER_MS)
 #define BUFFERED_BODY (126 * 1024)
+#define CROWD 300 /* requests in flight at once */
 
 static struct yard y;
 static struct yard_caller c;
@@ -131,6 +133,54 @@
 	end();
 }
 
+static void hold_one_more(void *arg, struct fake_conn *conn,
+			  const struct fake_request *request)
+{
+	(void)request;
+	g_ptr_array_add(arg, conn);
+}
+
+/* Guards against answers that are given up because a turn of the loop does not reach all
+ * sockets, though all came in time. */
+static void test_answers_of_many_before_the_time_out_are_passed_on(void)
+{
+	g_autoptr(GPtrArray) conns = g_ptr_array_new();
+	struct yard_caller callers[CROWD];
+	struct rlimit files;
+	struct fake *fake;
+	int64_t start_us;
+
+	getrlimit(RLIMIT_NOFILE, &files);
+	files.rlim_cur = files.rlim_max;
+	setrlimit(RLIMIT_NOFILE, &files);
+	begin();
+	fake = yard_target(&y, "list", hold_one_more, conns);
+	dir_target_find(y.dir, "s0")->entry.slots = 10 * CROWD;
+	start_us = fs_now_us();
+	for (guint i = 0; i < CROWD; i++) {
+		yard_call(&y, &callers[i], LIST_REQUEST);
+		if (i % 4 == 0)
+			yard_run(&y, FS_US_PER_MS);
+	}
+	yard_until(&y, conns->len == CROWD);
+	g_assert_cmpuint(fake_open(fake), ==, CROWD);
+	yard_run(&y, start_us + (YARD_TIMEOUT_MS - 150) * FS_US_PER_MS -
+			     fs_now_us());
+	for (guint i = 0; i < CROWD; i++) {
+		fake_send_text(conns->pdata[i],
+			       "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: z\r\n"
+			       "Content-Length: 5\r\n\r\nhello");
+		fake_flush(conns->pdata[i]);
+	}
+	g_usleep(YARD_TIMEOUT_MS * FS_US_PER_MS);
+	for (guint i = 0; i < CROWD; i++) {
+		yard_expect(&y, &callers[i], 200);
+		yard_hang_up(&callers[i]);
+	}
+	yard_call(&y, &c, "");
+	end();
+}
+
 /* The same on a connection from the pool, whose socket is found otherwise. */
 static void test_answer_on_a_pooled_connection_is_passed_on(void)
 {
@@ -253,6 +303,7 @@
 	ADD(long_answer_before_the_end_is_passed_on);
 	ADD(long_answer_before_the_exit_is_passed_on);
 	ADD(long_answer_before_the_time_out_is_passed_on);
+	ADD(answers_of_many_before_the_time_out_are_passed_on);
 	ADD(answer_on_a_pooled_connection_is_passed_on);
 	ADD(pause_is_no_evidence_against_a_target);
 	ADD(caller_that_left_in_a_pause_is_not_served);
--- a/tests/unit_tgt.c
+++ b/tests/unit_tgt.c
@@ -477,20 +477,6 @@
 	}
 }
 
-/* A limit that has passed is postponed while answers are being read, for so many turns of
- * the loop, and acted upon after one in which nothing was read. */
-static void test_late_limit(void)
-{
-	struct tgt_late late = {0};
-
-	g_assert_true(tgt_late_postpones(&late, 0));
-	g_assert_false(tgt_late_postpones(&late, 0));
-	g_assert_true(tgt_late_postpones(&late, 0));
-	for (int64_t turn = 1; turn < TGT_LATE_TURNS_MAX; turn++)
-		g_assert_true(tgt_late_postpones(&late, turn));
-	g_assert_false(tgt_late_postpones(&late, TGT_LATE_TURNS_MAX));
-}
-
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -509,6 +495,5 @@
 	g_test_add_func("/tgt/headers_timeout", test_headers_timeout);
 	g_test_add_func("/tgt/answer_before_a_pause_is_read",
 			test_answer_before_a_pause_is_read);
-	g_test_add_func("/tgt/late_limit", test_late_limit);
 	return g_test_run();
 }
