Read a head's lines as libcurl does, and refuse names that are no token

What callers would have seen: a part of a body as whole, or framing as a body (MIXED), from a target with such a head.

Cause: a line that begins with HTTP/ began the answer anew in the gateway, wherever it stood; libcurl takes one with a colon for a field. And a name with a blank before its colon was no framing to libcurl nor to the gateway, but is to others.

Evidence: unit_gwy_framing status_line_that_is_a_field and field_name_with_a_blank failed before (200 for what must be refused), and pass now. A status line is the first line of a head, and nothing else; names are tokens, so that folded lines are refused too.

--- a/src/tgt_answer.c
+++ b/src/tgt_answer.c
@@ -69,6 +69,9 @@
 
 static void read_field(struct tgt *tgt, const char *name, const char *value)
 {
+	/* Also a folded line: others might read it as a field of its own. */
+	if (!tgt_is_token(name))
+		tgt->invalid = true;
 	if (!g_ascii_strcasecmp(name, "Content-Length"))
 		read_length(tgt, value);
 	else if (!g_ascii_strcasecmp(name, "Transfer-Encoding"))
@@ -92,6 +95,7 @@
 
 	tgt->has_codings = g_str_has_prefix(line, "HTTP/1.1 ");
 	tgt->status = space ? (uint32_t)strtoul(space + 1, NULL, 10) : 0;
+	tgt->in_head = true;
 	tgt->length = -1;
 	tgt->chunked = false;
 	tgt->request_id_matched = false;
@@ -100,6 +104,7 @@
 
 static void end_header(struct tgt *tgt)
 {
+	tgt->in_head = false;
 	if (tgt->status >= 100 && tgt->status < 200)
 		return;
 	tgt->headers_complete = true;
@@ -135,7 +140,7 @@
 	if (tgt->headers_complete) /* trailer fields are dropped */
 		return tgt->invalid ? 0 : bytes;
 	colon = strchr(line, ':');
-	if (!strncmp(line, "HTTP/", 5)) {
+	if (!tgt->in_head) {
 		begin_answer(tgt, line);
 	} else if (!*line) {
 		end_header(tgt);
--- a/src/tgt_impl.h
+++ b/src/tgt_impl.h
@@ -36,6 +36,7 @@
 	unsigned int late_turns; /* see TGT_LATE_TURNS_MAX */
 
 	/* The answer */
+	bool in_head; /* between a status line and the empty line behind its fields */
 	bool headers_complete;
 	bool invalid;
 	bool body_unneeded; /* see needs_body() */
@@ -69,6 +70,9 @@
 /** Returns the framing that the header fields name. */
 enum tgt_framing tgt_framing(const struct tgt *tgt);
 
+/** Returns whether a text is a token of HTTP: a method or the name of a field. */
+bool tgt_is_token(const char *text);
+
 /** Returns whether a header field is for one connection only. */
 bool tgt_is_hop_by_hop(const char *name);
 
--- a/src/tgt_request.c
+++ b/src/tgt_request.c
@@ -27,7 +27,7 @@
 	return !g_ascii_strncasecmp(name, "Fescuesaddle-", 13);
 }
 
-static bool is_token(const char *text)
+bool tgt_is_token(const char *text)
 {
 	if (!text || !*text)
 		return false;
@@ -62,14 +62,14 @@
 
 bool tgt_request_valid(const struct msg_request *m)
 {
-	if (!is_token(m->method) || !is_target(m->target) || !m->body ||
+	if (!tgt_is_token(m->method) || !is_target(m->target) || !m->body ||
 	    (m->host && !is_value(m->host)))
 		return false;
 	for (guint i = 0; m->headers && i < m->headers->len; i++) {
 		const struct msg_header *h =
 			&g_array_index(m->headers, struct msg_header, i);
 
-		if (!is_token(h->name) || !h->value || !is_value(h->value))
+		if (!tgt_is_token(h->name) || !h->value || !is_value(h->value))
 			return false;
 	}
 	return true;
--- a/tests/unit_gwy_framing.c
+++ b/tests/unit_gwy_framing.c
@@ -69,6 +69,31 @@
 	       502);
 }
 
+/* Guards against a line inside a head that libcurl takes for a field and the gateway for
+ * another head: the length before it was forgotten, and a part came as whole. */
+static void test_status_line_that_is_a_field(void)
+{
+	expect(START "Content-Length: 2\r\nHTTP/1.1 200 OK: x\r\n" FIELDS
+		     "\r\nhello",
+	       502);
+	expect(START
+	       "Transfer-Encoding: chunked\r\nHTTP/1.1 200 OK: x\r\n" FIELDS
+	       "\r\n" IN_CHUNKS,
+	       502);
+	expect(START "HTTP/2: x\r\n\r\nhello", 502);
+}
+
+/* Guards against a framing field that neither library reads as one, for the blank before
+ * its colon: its caller got the chunks' framing as a body. */
+static void test_field_name_with_a_blank(void)
+{
+	expect(START "Transfer-Encoding : chunked\r\n\r\n" IN_CHUNKS, 502);
+	expect(START "Content-Length : 5\r\n\r\nhelloHTTP/1.1", 502);
+	expect(START
+	       "X-Long: 1\r\n Transfer-Encoding: chunked\r\n\r\n" IN_CHUNKS,
+	       502);
+}
+
 /* The bytes behind a switch of protocols, which nobody asked for, are no answer. */
 static void test_switch_of_protocols(void)
 {
@@ -96,6 +121,8 @@
 	fs_log_init("test", 2);
 	ADD(other_transfer_coding);
 	ADD(head_inside_a_head);
+	ADD(status_line_that_is_a_field);
+	ADD(field_name_with_a_blank);
 	ADD(switch_of_protocols);
 	ADD(usual_framings);
 	return g_test_run();
