Keep one copy of the check for tokens of HTTP

ent_check.c and tgt_request.c had the same function; a third user came with the names in targets' heads. It stands beside the header fields now. No behaviour changes.

--- a/src/ent_check.c
+++ b/src/ent_check.c
@@ -2,17 +2,6 @@
 
 #include <string.h>
 
-static bool is_token(const char *text)
-{
-	if (!*text)
-		return false;
-	for (const char *p = text; *p; p++) {
-		if (!g_ascii_isalnum(*p) && !strchr("!#$%&'*+-.^_`|~", *p))
-			return false;
-	}
-	return true;
-}
-
 static bool is_field_value(const char *text)
 {
 	for (const unsigned char *p = (const unsigned char *)text; *p; p++) {
@@ -122,7 +111,7 @@
 		const struct msg_header *h =
 			&g_array_index(headers, struct msg_header, i);
 
-		if (!is_token(h->name) || !is_field_value(h->value))
+		if (!msg_is_token(h->name) || !is_field_value(h->value))
 			return FS_E_BAD_REQUEST;
 		if (!record_single(&fields, h))
 			return FS_E_BAD_REQUEST;
--- a/src/msg.c
+++ b/src/msg.c
@@ -71,6 +71,18 @@
 	return NULL;
 }
 
+bool msg_is_token(const char *text)
+{
+	if (!text || !*text)
+		return false;
+	for (; *text; text++) {
+		if (!g_ascii_isalnum(*text) &&
+		    !strchr("!#$%&'*+-.^_`|~", *text))
+			return false;
+	}
+	return true;
+}
+
 static void request_clear(struct msg_request *request)
 {
 	g_free(request->service);
--- a/src/msg.h
+++ b/src/msg.h
@@ -323,6 +323,9 @@
  * NULL. */
 const char *msg_headers_get(const GArray *headers, const char *name);
 
+/** Returns whether a text is a token of HTTP, as methods and names of fields are. */
+bool msg_is_token(const char *text);
+
 /**
  * Encodes a remote message with msgpack, without frame header.
  * @param out  bytes are appended
--- a/src/tgt_answer.c
+++ b/src/tgt_answer.c
@@ -70,7 +70,7 @@
 static void read_field(struct tgt *tgt, const char *name, const char *value)
 {
 	/* Also a folded line: others might read it as a field of its own. */
-	if (!tgt_is_token(name))
+	if (!msg_is_token(name))
 		tgt->invalid = true;
 	if (!g_ascii_strcasecmp(name, "Content-Length"))
 		read_length(tgt, value);
--- a/src/tgt_impl.h
+++ b/src/tgt_impl.h
@@ -70,9 +70,6 @@
 /** Returns the framing that the header fields name. */
 enum tgt_framing tgt_framing(const struct tgt *tgt);
 
-/** Returns whether a text is a token of HTTP: a method or the name of a field. */
-bool tgt_is_token(const char *text);
-
 /** Returns whether a header field is for one connection only. */
 bool tgt_is_hop_by_hop(const char *name);
 
--- a/src/tgt_request.c
+++ b/src/tgt_request.c
@@ -27,18 +27,6 @@
 	return !g_ascii_strncasecmp(name, "Fescuesaddle-", 13);
 }
 
-bool tgt_is_token(const char *text)
-{
-	if (!text || !*text)
-		return false;
-	for (; *text; text++) {
-		if (!g_ascii_isalnum(*text) &&
-		    !strchr("!#$%&'*+-.^_`|~", *text))
-			return false;
-	}
-	return true;
-}
-
 static bool is_value(const char *text)
 {
 	for (; *text; text++) {
@@ -62,14 +50,14 @@
 
 bool tgt_request_valid(const struct msg_request *m)
 {
-	if (!tgt_is_token(m->method) || !is_target(m->target) || !m->body ||
+	if (!msg_is_token(m->method) || !is_target(m->target) || !m->body ||
 	    (m->host && !is_value(m->host)))
 		return false;
 	for (guint i = 0; m->headers && i < m->headers->len; i++) {
 		const struct msg_header *h =
 			&g_array_index(m->headers, struct msg_header, i);
 
-		if (!tgt_is_token(h->name) || !h->value || !is_value(h->value))
+		if (!msg_is_token(h->name) || !h->value || !is_value(h->value))
 			return false;
 	}
 	return true;
