Close a connection with bytes behind an answer, and read chunks strictly

What callers saw: an answer that looked complete and named their own request, with the body of the request before (or an empty one, or a part), in chunks, with a length or to the end of the connection.

Cause: libcurl drops what it has read behind the last chunk, or behind an answer without a body, and keeps the connection in its pool. Where that was the head of a late second copy, the connection looked idle, and the rest of the copy was taken for the body behind the next answer's head, if a target wrote the two in turn. Beside that, libcurl takes whatever follows the digits of a chunk's size for an extension ("00" and a copy's head end an answer), "\r\r\n" for an empty line and any line that begins with "HTTP/" for a status line.

Now a scanner beside libcurl says where a body in chunks ends; behind an answer without a body, the kernel's count of bytes read says whether more than its head was. Such a connection is not used again. Framing that the scanner doesn't know is invalid.

Ruled out: the masked reset; no connection is reset here and no time limit passes.

--- a/src/tgt.c
+++ b/src/tgt.c
@@ -51,6 +51,10 @@
 		return FS_E_ANSWER_INVALID;
 	if (tgt_has_body(tgt) && !tgt->chunked && tgt->received < tgt->length)
 		return FS_E_TRUNCATED;
+	/* libcurl and tgt_chunks see the same end. */
+	if (tgt_framing(tgt) == TGT_FRAMING_CHUNKS &&
+	    tgt->chunks.part != TGT_CHUNKS_ENDED)
+		return FS_E_ANSWER_INVALID;
 	if (tgt->dialect)
 		return 0;
 	return has_trailing_bytes(tgt) ? FS_E_ANSWER_INVALID : 0;
@@ -128,6 +132,7 @@
 	if (tgt->past_deadline || !is_usable(tgt, &ends))
 		return CURL_PREREQFUNC_ABORT;
 	tgt->written = true;
+	tgt->read_before = tgt_pool_bytes_read(tgt->fd);
 	return CURL_PREREQFUNC_OK;
 }
 
@@ -165,6 +170,32 @@
 			       TGT_FRAMING_PER_BYTE_MAX * tgt->received;
 }
 
+/* A connection with bytes behind the answer is not used again: what follows them would
+ * be taken for a part of the next answer. */
+static void forbid_reuse(struct tgt *tgt)
+{
+	curl_easy_setopt(tgt->easy, CURLOPT_FORBID_REUSE, 1L);
+}
+
+void tgt_check_end_of_headers(struct tgt *tgt)
+{
+	int64_t read = tgt_pool_bytes_read(tgt->fd);
+
+	if (read < 0 || tgt->read_before < 0 ||
+	    read - tgt->read_before > (int64_t)tgt->header_bytes)
+		forbid_reuse(tgt);
+}
+
+static void check_end_of_body(struct tgt *tgt, const char *data, size_t size)
+{
+	if (tgt->chunked && tgt_chunks_read(&tgt->chunks, data, size) < size)
+		forbid_reuse(tgt);
+	if (tgt->chunked && tgt->chunks.part == TGT_CHUNKS_MALFORMED)
+		tgt->invalid = true;
+	if (!tgt->chunked && tgt->raw_received > tgt->length)
+		forbid_reuse(tgt);
+}
+
 /* Counts every byte behind the header fields, also those that libcurl discards. Only
  * the timer can stop a transfer that gives nothing to its callbacks. */
 static int on_debug(CURL *easy, curl_infotype type, char *data, size_t size,
@@ -173,10 +204,10 @@
 	struct tgt *tgt = arg;
 
 	(void)easy;
-	(void)data;
 	if (type != CURLINFO_DATA_IN)
 		return 0;
 	tgt->raw_received += (int64_t)size;
+	check_end_of_body(tgt, data, size);
 	if (!tgt->invalid && is_framing_excessive(tgt)) {
 		tgt->invalid = true;
 		tgt_set_timer(tgt, fs_now_us());
--- a/src/tgt.h
+++ b/src/tgt.h
@@ -15,8 +15,12 @@
  * Content-Length, by chunks, or because it has no body. A body that ends with
  * its connection, is short, or is longer than its Content-Length is an error,
  * and so is an answer that names another request in Fescuesaddle-Request.
- * Bytes behind the last chunk, or behind an answer to HEAD, are discarded: the
- * answer itself is complete.
+ * Bytes behind the last chunk, or behind an answer without a body, are discarded: the
+ * answer itself is complete. The connection is not used again: what follows such
+ * bytes would be taken for a part of the next answer.
+ *
+ * libcurl is lenient with framing. What it takes for a status line, an end of the
+ * header fields or the size of a chunk, and is none, makes an answer invalid.
  *
  * A process that was paused or busy over a time limit first reads what arrived
  * meanwhile, so that an answer that came in time is not given up.
--- a/src/tgt_answer.c
+++ b/src/tgt_answer.c
@@ -75,11 +75,22 @@
 		msg_headers_add(tgt->headers, name, value);
 }
 
+/* libcurl takes any line that begins with "HTTP/" for a success. */
+static bool is_status_line(const char *line)
+{
+	return (g_str_has_prefix(line, "HTTP/1.1 ") ||
+		g_str_has_prefix(line, "HTTP/1.0 ")) &&
+	       g_ascii_isdigit(line[9]) && g_ascii_isdigit(line[10]) &&
+	       g_ascii_isdigit(line[11]) && (!line[12] || line[12] == ' ');
+}
+
 /* An informational answer may precede the final one. */
 static void begin_answer(struct tgt *tgt, const char *line)
 {
 	const char *space = strchr(line, ' ');
 
+	if (!is_status_line(line))
+		tgt->invalid = true;
 	tgt->status = space ? (uint32_t)strtoul(space + 1, NULL, 10) : 0;
 	tgt->length = -1;
 	tgt->chunked = false;
@@ -104,12 +115,19 @@
 	    (!tgt->request_id_matched ||
 	     !msg_headers_get(tgt->headers, tgt->dialect->response_seal)))
 		tgt->invalid = true;
+	if (!tgt_has_body(tgt) || (!tgt->chunked && tgt->length == 0))
+		tgt_check_end_of_headers(tgt);
 	tgt->body_unneeded = !tgt->invalid && tgt->ops->needs_body &&
 			     !tgt->ops->needs_body(tgt->arg, tgt);
 	if (tgt->body_unneeded)
 		tgt_set_timer(tgt, fs_now_us());
 }
 
+static bool is_line_end(const char *data, size_t size)
+{
+	return size == 1 || (size == 2 && *data == '\r');
+}
+
 size_t tgt_read_header(char *data, size_t size, size_t n, void *arg)
 {
 	struct tgt *tgt = arg;
@@ -127,6 +145,7 @@
 	if (!strncmp(line, "HTTP/", 5)) {
 		begin_answer(tgt, line);
 	} else if (!*line) {
+		tgt->invalid |= !is_line_end(data, bytes);
 		end_header(tgt);
 	} else if (colon) {
 		*colon = '\0';
--- a/src/tgt_impl.h
+++ b/src/tgt_impl.h
@@ -6,6 +6,7 @@
 #define TGT_IMPL_H
 
 #include "tgt.h"
+#include "tgt_chunks.h"
 
 struct tgt {
 	struct tgt_pool *pool;
@@ -30,6 +31,7 @@
 	bool past_deadline; /* not written: the deadline had passed */
 	/* Not written: the pooled connection was closed or had unread bytes. */
 	bool connection_stale;
+	int64_t read_before; /* bytes read from the connection before; -1: unknown */
 	bool ended;
 	bool streaming;
 	bool paused;
@@ -47,6 +49,7 @@
 	size_t header_bytes;
 	size_t header_bytes_max;
 	GArray *headers;
+	struct tgt_chunks chunks;
 	GByteArray *buffer;   /* body not read yet */
 	int64_t received;     /* bytes of the body */
 	int64_t raw_received; /* bytes read after the header fields */
@@ -68,6 +71,10 @@
 /** Returns the framing that the header fields name. */
 enum tgt_framing tgt_framing(const struct tgt *tgt);
 
+/** Has the connection closed behind the answer if bytes were read behind its header
+ *  fields, which end it. */
+void tgt_check_end_of_headers(struct tgt *tgt);
+
 /** Returns whether a header field is for one connection only. */
 bool tgt_is_hop_by_hop(const char *name);
 
--- a/src/tgt_pool.c
+++ b/src/tgt_pool.c
@@ -1,6 +1,11 @@
 #include "tgt_pool.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <stddef.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -94,3 +99,18 @@
 	return recv(*fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
 	       (errno == EAGAIN || errno == EWOULDBLOCK);
 }
+
+/* Bytes that arrive between the two calls count as read. */
+int64_t tgt_pool_bytes_read(curl_socket_t fd)
+{
+	struct tcp_info info;
+	socklen_t size = sizeof(info);
+	int unread;
+
+	if (ioctl(fd, SIOCINQ, &unread) ||
+	    getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) ||
+	    size < offsetof(struct tcp_info, tcpi_bytes_received) +
+			    sizeof(info.tcpi_bytes_received))
+		return -1;
+	return (int64_t)info.tcpi_bytes_received - unread;
+}
--- a/tests/fleet_fake.c
+++ b/tests/fleet_fake.c
@@ -19,6 +19,7 @@
 	ev_io accept;
 	char address[48];
 	uint32_t accepted;
+	bool reset_closed;
 	GPtrArray *requests;
 	GHashTable *conns; /* struct fake_conn */
 };
@@ -70,6 +71,21 @@
 	g_hash_table_remove(conn->fake->conns, conn);
 }
 
+void fake_reset_closed(struct fake *fake)
+{
+	fake->reset_closed = true;
+}
+
+void fake_reset_all(struct fake *fake)
+{
+	GHashTableIter iter;
+	void *conn;
+
+	while (g_hash_table_iter_init(&iter, fake->conns),
+	       g_hash_table_iter_next(&iter, &conn, NULL))
+		fake_close(conn, true);
+}
+
 static void on_write(struct ev_loop *loop, ev_io *io, int events)
 {
 	struct fake_conn *conn = io->data;
@@ -176,7 +192,7 @@
 	(void)events;
 	if (n <= 0) {
 		if (n == 0 || errno != EAGAIN)
-			fake_close(conn, false);
+			fake_close(conn, fake->reset_closed);
 		return;
 	}
 	g_byte_array_append(conn->in, data, (guint)n);
--- a/tests/fleet_fake.h
+++ b/tests/fleet_fake.h
@@ -62,6 +62,13 @@
 /** Closes the connection; with a reset if @p reset. */
 void fake_close(struct fake_conn *conn, bool reset);
 
+/** Resets each connection that the other side has closed, so that its port is free at
+ *  once: for thousands of connections. */
+void fake_reset_closed(struct fake *fake);
+
+/** Resets all connections. */
+void fake_reset_all(struct fake *fake);
+
 /** Closes the connection once all that was sent is written. */
 void fake_close_after(struct fake_conn *conn);
 
