--- a/src/tgt_impl.h
+++ b/src/tgt_impl.h
@@ -35,12 +35,13 @@
 	bool ended;
 	bool streaming;
 	bool paused;
-	unsigned int late_turns; /* see TGT_LATE_TURNS_MAX */
+	struct tgt_late late; /* of the timer */
 
 	/* The answer */
 	bool headers_complete;
 	bool invalid;
 	bool body_unneeded; /* see needs_body() */
+	bool has_codings;   /* its version of HTTP has transfer codings */
 	bool chunked;
 	bool draining;
 	uint32_t status;
