Close a connection after an answer that names no request

Cause: only a success had to name its request. A target's failure without an id was passed on, and so was its late second copy, to the next request on the connection: nothing tells the two apart.

Evidence: unit_gwy_faulty failure_without_id_written_again, 404 for 200 in 3 of 3 plays with the condition taken out; passes now. An answer that names no request is still passed on, but ends its connection.

--- a/src/tgt.c
+++ b/src/tgt.c
@@ -167,9 +167,7 @@
 			       TGT_FRAMING_PER_BYTE_MAX * tgt->received;
 }
 
-/* A connection with bytes behind the answer is not used again: what follows them would
- * be taken for a part of the next answer. */
-static void forbid_reuse(struct tgt *tgt)
+void tgt_forbid_reuse(struct tgt *tgt)
 {
 	curl_easy_setopt(tgt->easy, CURLOPT_FORBID_REUSE, 1L);
 }
@@ -180,17 +178,17 @@
 
 	if (read < 0 || tgt->read_before < 0 ||
 	    read - tgt->read_before > (int64_t)tgt->header_bytes)
-		forbid_reuse(tgt);
+		tgt_forbid_reuse(tgt);
 }
 
 static void check_end_of_body(struct tgt *tgt, const char *data, size_t size)
 {
 	if (tgt->chunked && tgt_chunks_read(&tgt->chunks, data, size) < size)
-		forbid_reuse(tgt);
+		tgt_forbid_reuse(tgt);
 	if (tgt->chunked && tgt->chunks.part == TGT_CHUNKS_MALFORMED)
 		tgt->invalid = true;
 	if (!tgt->chunked && tgt->raw_received > tgt->length)
-		forbid_reuse(tgt);
+		tgt_forbid_reuse(tgt);
 }
 
 /* Counts every byte behind the header fields, also those that libcurl discards. Only
--- a/src/tgt_answer.c
+++ b/src/tgt_answer.c
@@ -131,6 +131,9 @@
 	    (!tgt->request_id_matched ||
 	     !msg_headers_get(tgt->headers, tgt->dialect->response_seal)))
 		tgt->invalid = true;
+	/* A second copy of it could not be told from the next answer. */
+	if (tgt->dialect && !tgt->request_id_matched)
+		tgt_forbid_reuse(tgt);
 	if (!tgt_has_body(tgt) || (!tgt->chunked && tgt->length == 0))
 		tgt_check_end_of_headers(tgt);
 	tgt->body_unneeded = !tgt->invalid && tgt->ops->needs_body &&
--- a/src/tgt_impl.h
+++ b/src/tgt_impl.h
@@ -73,7 +73,11 @@
 /** Returns the framing that the header fields name. */
 enum tgt_framing tgt_framing(const struct tgt *tgt);
 
-/** Has the connection closed behind the answer if bytes were read behind its header
+/** Has the connection closed behind the answer, so that nothing which follows on it can
+ *  be taken for a part of the next one. */
+void tgt_forbid_reuse(struct tgt *tgt);
+
+/** Does so if bytes were read behind its header
  *  fields, which end it. */
 void tgt_check_end_of_headers(struct tgt *tgt);
 
--- a/tests/unit_gwy_faulty.c
+++ b/tests/unit_gwy_faulty.c
@@ -73,6 +73,40 @@
 	check_refusal_again("pay", "POST", 2 * AGAIN_US);
 }
 
+/* Fails the request "r1", and writes that once more, late, before the next answer. */
+static void serve_failure_again(void *arg, struct fake_conn *conn,
+				const struct fake_request *request)
+{
+	g_autofree char *id = yard_field(request, "X-Id");
+
+	if (!g_strcmp0(id, "r1") || request->nth > 1)
+		fake_send_text(conn, arg);
+	if (g_strcmp0(id, "r1") != 0)
+		yard_ok(conn, request, "hello");
+}
+
+/* Guards against a late copy of a failure that names no request: the next caller on the
+ * connection got it for an answer to its own. */
+static void test_failure_without_id_written_again(void)
+{
+	static const char *const failures[] = {
+		"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 404 No\r\nContent-Length: 3\r\n\r\none",
+		"HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"3\r\none\r\n0\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(failures); i++) {
+		yard_begin(&y);
+		yard_target(&y, "list", serve_failure_again,
+			    (char *)failures[i]);
+		g_assert_cmpint(call_once("GET", "/list/1", "r1"), >=, 400);
+		yard_run(&y, AGAIN_US);
+		g_assert_cmpint(call_once("GET", "/list/1", "r2"), ==, 200);
+		yard_end(&y);
+	}
+}
+
 /* Writes the first *arg bytes of an answer's head, and closes. */
 static void serve_part_of_head(void *arg, struct fake_conn *conn,
 			       const struct fake_request *request)
@@ -239,6 +273,8 @@
 	fs_log_init("test", 2);
 	g_test_add_func("/gwy_faulty/refusal_written_again",
 			test_refusal_written_again);
+	g_test_add_func("/gwy_faulty/failure_without_id_written_again",
+			test_failure_without_id_written_again);
 	g_test_add_func("/gwy_faulty/end_in_the_middle_of_a_head",
 			test_end_in_the_middle_of_a_head);
 	g_test_add_func("/gwy_faulty/refusal_without_an_end",
