Refuse a caller of HTTP/1.0 a stream whose end it could not see

Cause: a stream that fails ends with an error in libmicrohttpd, which sends no last chunk. To HTTP/1.0 it sends no chunks at all, and closes in order: the end of the connection is the end of the answer there, as on the other side.

Weighed: a reset of the caller's connection at the failure, which needs a call on a socket that the library owns; the refusal (no_chunks, 502) can't look complete.

--- a/src/ent_check.c
+++ b/src/ent_check.c
@@ -96,6 +96,7 @@
 	out->body_length = s->coding ? -1 : 0;
 	if (s->length && !parse_length(s->length, &out->body_length))
 		return FS_E_BAD_REQUEST;
+	out->no_chunks = strcmp(version, "HTTP/1.1") != 0;
 	out->host = s->host ? s->host : "";
 	out->key = s->key;
 	return 0;
--- a/src/ent_check.h
+++ b/src/ent_check.h
@@ -19,6 +19,9 @@
 	const char *host;    /* points into the header fields */
 	const char *key;     /* Idempotency-Key, or NULL */
 	int64_t body_length; /* -1: chunked, 0: no body */
+	/* The caller knows no chunks (HTTP/1.0): an answer without a length would end
+	 * with its connection, cut or not. */
+	bool no_chunks;
 };
 
 /**
--- a/src/ent_stream.c
+++ b/src/ent_stream.c
@@ -71,23 +71,32 @@
 		g_queue_push_tail(&stream->pieces, g_bytes_ref(data));
 }
 
+/* Ends a request whose answer is there and can't be passed on. */
+static void refuse_answer(struct ent_request *req, int err)
+{
+	int64_t now_us = fs_now_us();
+
+	ent_send_cancel(req);
+	ent_record_refusal(req, AUD_R_OUTCOME_UNKNOWN, err, "written", 1,
+			   "cancel_confirmed", 0, now_us);
+	ent_answer_refuse(req, err, FS_UNKNOWN, 0, now_us);
+}
+
 void ent_stream_begin(struct ent_request *req, const struct msg_answer *answer)
 {
-	struct MHD_Response *response = MHD_create_response_from_callback(
+	struct MHD_Response *response;
+
+	if (answer->length < 0 && req->head.no_chunks) {
+		refuse_answer(req, FS_E_NO_CHUNKS);
+		return;
+	}
+	response = MHD_create_response_from_callback(
 		answer->length < 0 ? MHD_SIZE_UNKNOWN :
 				     (uint64_t)answer->length,
 		BLOCK_BYTES, read_body, req, NULL);
-
 	if (!ent_answer_headers(response, answer->headers)) {
-		int64_t now_us = fs_now_us();
-
 		MHD_destroy_response(response);
-		ent_send_cancel(req);
-		ent_record_refusal(req, AUD_R_OUTCOME_UNKNOWN,
-				   FS_E_ANSWER_INVALID, "written", 1,
-				   "cancel_confirmed", 0, now_us);
-		ent_answer_refuse(req, FS_E_ANSWER_INVALID, FS_UNKNOWN, 0,
-				  now_us);
+		refuse_answer(req, FS_E_ANSWER_INVALID);
 		return;
 	}
 	req->state = ENT_STREAMING;
--- a/src/fs_err.c
+++ b/src/fs_err.c
@@ -58,6 +58,8 @@
 	 "The caller closed its connection."},
 	{FS_E_STOPPED, "stopped", 504, FS_UNKNOWN,
 	 "This node exits before the answer."},
+	{FS_E_NO_CHUNKS, "no_chunks", 502, FS_UNKNOWN,
+	 "The answer is long and has no length, which needs HTTP/1.1."},
 	{FS_E_INVALID, "invalid", 500, FS_UNKNOWN,
 	 "An argument or a setting is wrong."},
 	{FS_E_NO_MEMORY, "no_memory", 500, FS_UNKNOWN,
--- a/src/fs_err.h
+++ b/src/fs_err.h
@@ -45,6 +45,8 @@
 	FS_E_ANSWER_INVALID = -34,  /* the answer was not valid HTTP */
 	FS_E_CALLER_GONE = -35,	    /* the caller closed its connection */
 	FS_E_STOPPED = -36,	    /* this node exits before its answer */
+	FS_E_NO_CHUNKS =
+		-37, /* the answer's end can't be shown to this caller */
 	/* Errors inside the fleet and its tools */
 	FS_E_INVALID = -40,	/* an argument or a setting is wrong */
 	FS_E_NO_MEMORY = -41,	/* a bounded table is full */
--- a/src/gwy_answer.c
+++ b/src/gwy_answer.c
@@ -178,7 +178,13 @@
 {
 	struct gwy_request *req = t->req;
 	int64_t length = tgt_length(t->tgt);
-	struct MHD_Response *response = MHD_create_response_from_callback(
+	struct MHD_Response *response;
+
+	if (length < 0 && req->no_chunks) {
+		gwy_answer_refuse(req, FS_E_NO_CHUNKS, 0, now_us);
+		return;
+	}
+	response = MHD_create_response_from_callback(
 		length < 0 ? MHD_SIZE_UNKNOWN : (uint64_t)length, BLOCK_SIZE,
 		read_body, req, NULL);
 
--- a/src/gwy_http.c
+++ b/src/gwy_http.c
@@ -114,6 +114,7 @@
 		return err;
 	request->host = g_strdup(head.host);
 	req->body_length = head.body_length;
+	req->no_chunks = head.no_chunks;
 	return 0;
 }
 
--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -70,6 +70,7 @@
 	char *id;	     /* the caller's request id */
 	char *path;	     /* decoded, for the choice of a route */
 	int64_t body_length; /* Content-Length; -1: unknown */
+	bool no_chunks;	     /* see struct ent_head */
 	struct msg *m; /* MSG_REQUEST: method, host, target, fields, body */
 	GByteArray *body;
 	int64_t started_us;
--- a/tests/unit_ent.c
+++ b/tests/unit_ent.c
@@ -235,6 +235,24 @@
 	end();
 }
 
+/* Guards against a stream that looks complete to a caller of HTTP/1.0 though it is cut:
+ * without a length, and without chunks, only its connection would tell. */
+static void test_stream_to_a_caller_without_chunks(void)
+{
+	static const char request[] =
+		"GET /list?q=1 HTTP/1.0\r\nHost: h\r\n\r\n";
+
+	begin();
+	gate_answer(&g, call(request), "abc", -1, false);
+	gate_until(&g, (gate_read(&c), c.closed));
+	g_assert_nonnull(strstr(c.got->str, " 502 "));
+	gate_hang_up(&c);
+	gate_answer(&g, call(request), "abc", 9, false);
+	gate_until(&g, (gate_read(&c), strstr(c.got->str, "abc")));
+	g_assert_nonnull(strstr(c.got->str, "Content-Length: 9\r\n"));
+	end();
+}
+
 /* Each invalid piece aborts the stream: the connection closes before the
  * announced length or the last chunk, and the dispatcher receives a cancel. */
 static void test_invalid_pieces_abort(void)
@@ -373,6 +391,8 @@
 	g_test_add_func("/ent/moves_when_not_run", test_moves_when_not_run);
 	g_test_add_func("/ent/disconnect_cancels", test_disconnect_cancels);
 	g_test_add_func("/ent/stream", test_stream);
+	g_test_add_func("/ent/stream_to_a_caller_without_chunks",
+			test_stream_to_a_caller_without_chunks);
 	g_test_add_func("/ent/invalid_pieces_abort", test_invalid_pieces_abort);
 	g_test_add_func("/ent/lost_stream_is_aborted",
 			test_lost_stream_is_aborted);
--- a/tests/unit_gwy_cut.c
+++ b/tests/unit_gwy_cut.c
@@ -79,6 +79,32 @@
 	end();
 }
 
+/* Guards against a stream that looks complete to a caller of HTTP/1.0 though its target
+ * cut it: without a length, and without chunks, only its connection would tell. */
+static void test_stream_to_a_caller_without_chunks(void)
+{
+	g_autofree char *part = g_strnfill(STREAMED_BYTES, 'x');
+	const struct fake *target;
+
+	held = NULL;
+	yard_begin(&y);
+	target = yard_target(&y, "list", hold, NULL);
+	yard_call(&y, &c,
+		  "GET /list/1 HTTP/1.0\r\nHost: h\r\nX-Id: r1\r\n"
+		  "X-Left: 9000\r\n\r\n");
+	yard_until(&y, held);
+	fake_send_text(held, HEAD_WITHOUT_LENGTH);
+	fake_send_text(held, part);
+	yard_run(&y, READ_US);
+	if (fake_open(target))
+		fake_close(held, true);
+	yard_until(&y, (yard_read(&c), c.closed));
+	if (!g_str_has_prefix(c.got->str, "HTTP/1.1 502 ") &&
+	    !g_str_has_prefix(c.got->str, "HTTP/1.0 502 "))
+		g_error("expected 502, got: %.20s", c.got->str);
+	end();
+}
+
 /* Guards against a timer that is due at once, again and again, while an answer is streamed
  * for longer than the usual time of one: it took all of a small processor. */
 static void test_stream_without_news_does_not_wake(void)
@@ -117,6 +143,7 @@
 	fs_log_init("test", 2);
 	ADD(reset_during_a_pause);
 	ADD(reset_of_a_stream);
+	ADD(stream_to_a_caller_without_chunks);
 	ADD(stream_without_news_does_not_wake);
 	ADD(end_in_order);
 	return g_test_run();
