--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -65,12 +65,12 @@
 	bool headers_received;
 	bool suspended;
 	bool logged;
+	bool no_chunks; /* see struct ent_head */
 	/* The request */
 	char *target;	     /* path and query as received */
 	char *id;	     /* the caller's request id */
 	char *path;	     /* decoded, for the choice of a route */
 	int64_t body_length; /* Content-Length; -1: unknown */
-	bool no_chunks;	     /* see struct ent_head */
 	struct msg *m; /* MSG_REQUEST: method, host, target, fields, body */
 	GByteArray *body;
 	int64_t started_us;
