Refuse a head that was cut inside a field and goes on with another

What callers would have seen: with a copy's head cut inside a field, the next answer's status line joined that field; a Content-Length before the cut then ended the next answer's body (MIXED).

--- a/src/tgt_answer.c
+++ b/src/tgt_answer.c
@@ -67,10 +67,27 @@
 	return tgt->dialect ? tgt->dialect->request_id : "Fescuesaddle-Request";
 }
 
+/* libcurl takes any line that begins with "HTTP/" for a success. */
+static bool is_status_line(const char *line)
+{
+	return (g_str_has_prefix(line, "HTTP/1.1 ") ||
+		g_str_has_prefix(line, "HTTP/1.0 ")) &&
+	       g_ascii_isdigit(line[9]) && g_ascii_isdigit(line[10]) &&
+	       g_ascii_isdigit(line[11]) && (!line[12] || line[12] == ' ');
+}
+
+/* A head that was cut inside a field and goes on with another one. */
+static bool has_status_line(const char *value)
+{
+	const char *line = strstr(value, "HTTP/1.");
+
+	return line && is_status_line(line);
+}
+
 static void read_field(struct tgt *tgt, const char *name, const char *value)
 {
 	/* Also a folded line: others might read it as a field of its own. */
-	if (!msg_is_token(name))
+	if (!msg_is_token(name) || has_status_line(value))
 		tgt->invalid = true;
 	if (!g_ascii_strcasecmp(name, "Content-Length"))
 		read_length(tgt, value);
@@ -88,15 +105,6 @@
 		msg_headers_add(tgt->headers, name, value);
 }
 
-/* libcurl takes any line that begins with "HTTP/" for a success. */
-static bool is_status_line(const char *line)
-{
-	return (g_str_has_prefix(line, "HTTP/1.1 ") ||
-		g_str_has_prefix(line, "HTTP/1.0 ")) &&
-	       g_ascii_isdigit(line[9]) && g_ascii_isdigit(line[10]) &&
-	       g_ascii_isdigit(line[11]) && (!line[12] || line[12] == ' ');
-}
-
 /* An informational answer may precede the final one. */
 static void begin_answer(struct tgt *tgt, const char *line)
 {
--- a/tests/unit_gwy_framing.c
+++ b/tests/unit_gwy_framing.c
@@ -83,6 +83,18 @@
 	expect(START "HTTP/2: x\r\n\r\nhello", 502);
 }
 
+/* Guards against a copy's head that is cut in the middle of a field and goes on with the
+ * next answer's: the length of the copy ended the body of the other. */
+static void test_head_cut_inside_a_field(void)
+{
+	expect("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Seal: 60" START
+	       "\r\nhello",
+	       502);
+	expect("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Long:" START
+	       "\r\nhello",
+	       502);
+}
+
 /* Guards against a framing field that neither library reads as one, for the blank before
  * its colon: its caller got the chunks' framing as a body. */
 static void test_field_name_with_a_blank(void)
@@ -122,6 +134,7 @@
 	ADD(other_transfer_coding);
 	ADD(head_inside_a_head);
 	ADD(status_line_that_is_a_field);
+	ADD(head_cut_inside_a_field);
 	ADD(field_name_with_a_blank);
 	ADD(switch_of_protocols);
 	ADD(usual_framings);
