Log when bytes came behind an answer, and count read bytes in one place

An on-call engineer who looks for a second copy needs to know on which send it was seen: bytes_behind of each send in the request's line, and in explain. The kernel's count of bytes read moves beside the other questions to sockets (net.h). No decision changes.

--- a/src/cli_explain_log.c
+++ b/src/cli_explain_log.c
@@ -71,10 +71,13 @@
 		g_string_append_printf(
 			out,
 			"    its answer: %" G_GINT64_FORMAT
-			" bytes, end told by: %s; %s connection\n",
+			" bytes, end told by: %s; %s connection%s\n",
 			number(t, "bytes"), text(t, "framing"),
 			json_object_get_boolean_member(t, "reused") ? "used" :
-								      "new");
+								      "new",
+			json_object_get_boolean_member(t, "bytes_behind") ?
+				"; more bytes behind its end" :
+				"");
 	if (belief)
 		g_string_append_printf(out, "    known of it: %s\n", belief);
 }
--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -47,6 +47,7 @@
 	bool reused; /* its connection had been used before */
 	enum tgt_framing framing;
 	int64_t body_bytes; /* of the answer, that were read */
+	bool bytes_behind;  /* see struct tgt_result */
 };
 
 enum gwy_state {
--- a/src/gwy_request.c
+++ b/src/gwy_request.c
@@ -140,14 +140,16 @@
 			out,
 			"%s{\"target\":\"%s\",\"at_ms\":%lld,\"took_ms\":%lld,"
 			"\"status\":%u,\"end\":\"%s\",\"not_run\":%s,"
-			"\"framing\":\"%s\",\"bytes\":%lld,\"reused\":%s}",
+			"\"framing\":\"%s\",\"bytes\":%lld,\"reused\":%s,"
+			"\"bytes_behind\":%s}",
 			i ? "," : "", t->target->entry.id,
 			(long long)((t->started_us - req->started_us) /
 				    FS_US_PER_MS),
 			(long long)(t->took_us / FS_US_PER_MS), t->status,
 			fs_err_name(t->err), t->not_run ? "true" : "false",
 			tgt_framing_name(t->framing), (long long)t->body_bytes,
-			t->reused ? "true" : "false");
+			t->reused ? "true" : "false",
+			t->bytes_behind ? "true" : "false");
 	}
 	g_string_append_c(out, ']');
 }
--- a/src/gwy_send.c
+++ b/src/gwy_send.c
@@ -366,6 +366,7 @@
 	t->reused = result->reused;
 	t->framing = result->framing;
 	t->body_bytes = result->body_bytes;
+	t->bytes_behind = result->bytes_behind;
 	if (!streaming)
 		headers = tgt_peek_headers(tgt);
 	t->not_run = !streaming && is_not_run(t, result, headers);
--- a/src/net.c
+++ b/src/net.c
@@ -1,6 +1,8 @@
 #include "net.h"
 
+#include <linux/tcp.h>
 #include <poll.h>
+#include <stddef.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -38,3 +40,16 @@
 
 	return ioctl(fd, FIONREAD, &bytes) ? FS_E_IO : bytes;
 }
+
+int64_t net_bytes_read(int fd)
+{
+	int unread = net_unread_bytes(fd);
+	struct tcp_info info;
+	socklen_t size = sizeof(info);
+
+	if (unread < 0 || getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) ||
+	    size < offsetof(struct tcp_info, tcpi_bytes_received) +
+			    sizeof(info.tcpi_bytes_received))
+		return FS_E_IO;
+	return (int64_t)info.tcpi_bytes_received - unread;
+}
--- a/src/net.h
+++ b/src/net.h
@@ -10,6 +10,7 @@
 
 #include <netinet/in.h>
 #include <stdbool.h>
+#include <stdint.h>
 
 /**
  * Opens a non-blocking, listening TCP socket.
@@ -26,4 +27,8 @@
 /** Returns the number of bytes that wait at a socket, or FS_E_IO; takes none. */
 int net_unread_bytes(int fd);
 
+/** Returns how many bytes were read from a TCP socket since it was connected, or FS_E_IO.
+ *  Bytes that arrive during the call may count as read. */
+int64_t net_bytes_read(int fd);
+
 #endif
--- a/src/tgt.c
+++ b/src/tgt.c
@@ -20,6 +20,7 @@
 		.headers_complete = tgt->headers_complete,
 		.framing = tgt_framing(tgt),
 		.body_bytes = tgt->received,
+		.bytes_behind = tgt->bytes_behind,
 	};
 	int64_t until_us = tgt->headers_complete ? tgt->headers_at_us :
 						   fs_now_us();
@@ -129,7 +130,7 @@
 	if (tgt->past_deadline || !is_usable(tgt, &ends))
 		return CURL_PREREQFUNC_ABORT;
 	tgt->written = true;
-	tgt->read_before = tgt_pool_bytes_read(tgt->fd);
+	tgt->read_before = net_bytes_read(tgt->fd);
 	return CURL_PREREQFUNC_OK;
 }
 
@@ -172,23 +173,30 @@
 	curl_easy_setopt(tgt->easy, CURLOPT_FORBID_REUSE, 1L);
 }
 
+static void note_bytes_behind(struct tgt *tgt)
+{
+	tgt->bytes_behind = true;
+	tgt_forbid_reuse(tgt);
+}
+
 void tgt_check_end_of_headers(struct tgt *tgt)
 {
-	int64_t read = tgt_pool_bytes_read(tgt->fd);
+	int64_t read = net_bytes_read(tgt->fd);
 
-	if (read < 0 || tgt->read_before < 0 ||
-	    read - tgt->read_before > (int64_t)tgt->header_bytes)
+	if (read < 0 || tgt->read_before < 0)
 		tgt_forbid_reuse(tgt);
+	else if (read - tgt->read_before > (int64_t)tgt->header_bytes)
+		note_bytes_behind(tgt);
 }
 
 static void check_end_of_body(struct tgt *tgt, const char *data, size_t size)
 {
 	if (tgt->chunked && tgt_chunks_read(&tgt->chunks, data, size) < size)
-		tgt_forbid_reuse(tgt);
+		note_bytes_behind(tgt);
 	if (tgt->chunked && tgt->chunks.part == TGT_CHUNKS_MALFORMED)
 		tgt->invalid = true;
 	if (!tgt->chunked && tgt->raw_received > tgt->length)
-		tgt_forbid_reuse(tgt);
+		note_bytes_behind(tgt);
 }
 
 /* Counts every byte behind the header fields, also those that libcurl discards. Only
--- a/src/tgt.h
+++ b/src/tgt.h
@@ -77,6 +77,7 @@
 	int64_t took_us;       /* until the header fields, or until the end */
 	enum tgt_framing framing;
 	int64_t body_bytes; /* that were read, without framing */
+	bool bytes_behind;  /* more was read behind the end of the answer */
 };
 
 /** Callbacks to the owner of an exchange; never called inside tgt_start(). */
--- a/src/tgt_impl.h
+++ b/src/tgt_impl.h
@@ -31,7 +31,8 @@
 	bool past_deadline; /* not written: the deadline had passed */
 	/* Not written: the pooled connection was closed or had unread bytes. */
 	bool connection_stale;
-	int64_t read_before; /* bytes read from the connection before; -1: unknown */
+	int64_t read_before; /* bytes read from the connection before; <0: unknown */
+	bool bytes_behind; /* see struct tgt_result */
 	bool ended;
 	bool streaming;
 	bool paused;
--- a/src/tgt_pool.c
+++ b/src/tgt_pool.c
@@ -1,10 +1,5 @@
 #include "tgt_pool.h"
 
-#include <linux/sockios.h>
-#include <linux/tcp.h>
-#include <netinet/in.h>
-#include <stddef.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -98,18 +93,3 @@
 	*fd = GPOINTER_TO_INT(value);
 	return !net_is_readable(*fd);
 }
-
-/* Bytes that arrive between the two calls count as read. */
-int64_t tgt_pool_bytes_read(curl_socket_t fd)
-{
-	struct tcp_info info;
-	socklen_t size = sizeof(info);
-	int unread;
-
-	if (ioctl(fd, SIOCINQ, &unread) ||
-	    getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) ||
-	    size < offsetof(struct tcp_info, tcpi_bytes_received) +
-			    sizeof(info.tcpi_bytes_received))
-		return -1;
-	return (int64_t)info.tcpi_bytes_received - unread;
-}
--- a/src/tgt_pool.h
+++ b/src/tgt_pool.h
@@ -47,7 +47,4 @@
 bool tgt_pool_is_idle(const struct tgt_pool *pool,
 		      const struct tgt_endpoints *ends, curl_socket_t *fd);
 
-/** Returns how many bytes were read from a connection, or -1 if unknown. */
-int64_t tgt_pool_bytes_read(curl_socket_t fd);
-
 #endif
--- a/tests/unit_cli.c
+++ b/tests/unit_cli.c
@@ -45,7 +45,8 @@
 		"502,\"no_retry\":\"may_have_run\",\"tries\":[{\"target\":"
 		"\"s1\",\"at_ms\":0,\"took_ms\":9,\"status\":0,\"end\":"
 		"\"target_reset\",\"not_run\":false,\"framing\":"
-		"\"connection\",\"bytes\":312,\"reused\":true}]}\n";
+		"\"connection\",\"bytes\":312,\"reused\":true,"
+		"\"bytes_behind\":true}]}\n";
 	g_autofree char *path = NULL;
 	g_autoptr(GString) out = g_string_new(NULL);
 	int fd = g_file_open_tmp("fescuesaddle-XXXXXX", &path, NULL);
@@ -57,7 +58,8 @@
 	g_assert_nonnull(strstr(out->str, "target_reset, status 502"));
 	g_assert_nonnull(
 		strstr(out->str,
-		       "312 bytes, end told by: connection; used connection"));
+		       "312 bytes, end told by: connection; used connection; "
+		       "more bytes behind its end"));
 	g_assert_nonnull(strstr(out->str, "target_suspected"));
 	g_assert_nonnull(strstr(out->str, "not sent again: may_have_run"));
 	g_assert_null(strstr(out->str, "other"));
