Refuse a head that was cut inside its status line as well

Cause: looks for a status line in fields' values only, and only at the first 'HTTP/1.'; 'HTTP/1.1 200 XHTTP/1.1 500 X' passed as a status line.

Each line of a head is looked through behind its start.

--- a/src/tgt_answer.c
+++ b/src/tgt_answer.c
@@ -76,18 +76,10 @@
 	       g_ascii_isdigit(line[11]) && (!line[12] || line[12] == ' ');
 }
 
-/* A head that was cut inside a field and goes on with another one. */
-static bool has_status_line(const char *value)
-{
-	const char *line = strstr(value, "HTTP/1.");
-
-	return line && is_status_line(line);
-}
-
 static void read_field(struct tgt *tgt, const char *name, const char *value)
 {
 	/* Also a folded line: others might read it as a field of its own. */
-	if (!msg_is_token(name) || has_status_line(value))
+	if (!msg_is_token(name))
 		tgt->invalid = true;
 	if (!g_ascii_strcasecmp(name, "Content-Length"))
 		read_length(tgt, value);
@@ -150,6 +142,16 @@
 		tgt_set_timer(tgt, fs_now_us());
 }
 
+/* Returns whether a head was cut inside this line, and another one goes on there. */
+static bool has_another_head(const char *line)
+{
+	while (*line && (line = strstr(line + 1, "HTTP/1."))) {
+		if (is_status_line(line))
+			return true;
+	}
+	return false;
+}
+
 static bool is_line_end(const char *data, size_t size)
 {
 	return size == 1 || (size == 2 && *data == '\r');
@@ -168,6 +170,8 @@
 	g_strchomp(line);
 	if (tgt->headers_complete) /* trailer fields are dropped */
 		return tgt->invalid ? 0 : bytes;
+	if (has_another_head(line))
+		tgt->invalid = true;
 	colon = strchr(line, ':');
 	if (!tgt->in_head) {
 		begin_answer(tgt, line);
--- a/tests/unit_gwy_framing.c
+++ b/tests/unit_gwy_framing.c
@@ -95,6 +95,20 @@
 	       502);
 }
 
+/* Guards against the same inside the status line: a failure came as a success. */
+static void test_head_cut_inside_its_status_line(void)
+{
+	expect("HTTP/1.1 200 XHTTP/1.1 500 X\r\n" FIELDS
+	       "Content-Length: 5\r\n\r\nhello",
+	       502);
+	expect("HTTP/1.1 200 X\rHTTP/1.1 503 X\r\n" FIELDS
+	       "Content-Length: 5\r\n\r\nhello",
+	       502);
+	expect("HTTP/1.1 200 HTTP/1.HTTP/1.1 500 X\r\n" FIELDS
+	       "Content-Length: 5\r\n\r\nhello",
+	       502);
+}
+
 /* Guards against a framing field that neither library reads as one, for the blank before
  * its colon: its caller got the chunks' framing as a body. */
 static void test_field_name_with_a_blank(void)
@@ -135,6 +149,7 @@
 	ADD(head_inside_a_head);
 	ADD(status_line_that_is_a_field);
 	ADD(head_cut_inside_a_field);
+	ADD(head_cut_inside_its_status_line);
 	ADD(field_name_with_a_blank);
 	ADD(switch_of_protocols);
 	ADD(usual_framings);
