--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -22,6 +22,7 @@
         self.ended = None
         self.end = None
         self.whole = None  # of a success: its own whole answer
+        self.bytes, self.framing = None, None  # of the body
         self.sealed = False  # the answer bears a target's seal
         self.held = False  # sent by a Holder
         self.crossed = False  # sent before the caller could know of a close
@@ -97,6 +98,8 @@
         start = "%s %s HTTP/1.1" % (request.method, request.path)
         request.incarnation = request.node.incarnation
         request.crossed = not reader.at_eof()
+        if wire.unread(reader):
+            self.world.report("MIXED", "%s sent bytes behind an answer" % request.node.name)
         request.sent = time.monotonic()
         self.world.requests[request.id] = request
         kept = False
@@ -118,6 +121,7 @@
         start, fields = await wire.read_head(reader)
         body = await wire.read_body(reader, fields, to_end=True)
         request.end = int(start.split(" ")[1])
+        request.bytes, request.framing = len(body), wire.framing(fields)
         request.sealed = fields.get("x-response-seal") == seal_of(request.id)
         if 200 <= request.end < 300:
             request.whole = request.sealed and body == body_of(request.id, request.path)
--- a/tests/soak/lost.py
+++ b/tests/soak/lost.py
@@ -81,6 +81,8 @@
             return "kill or pause"
         if runs and all(r.broken() for r in runs):
             return "target broke off"
+        if runs and all(r.broken() or r.cut_off(request.sent) for r in runs):
+            return "link broke off"
         limits = [s for path, s in ROUTE_LIMIT_S.items() if request.path.startswith(path)]
         limit_s = min([request.deadline_s] + (limits or [4.0]))
         if request.ended - request.sent >= limit_s * LIMIT_SHARE:
