--- a/tests/soak/answer.py
+++ b/tests/soak/answer.py
@@ -11,8 +11,8 @@
 
 
 class Answer:
-    def __init__(self, rng, status, fields, body=b"", old=False, informational=False):
-        self.framing = rng.choice([f for f in FRAMINGS if not (old and f == "chunks")])
+    def __init__(self, rng, status, fields, body=b"", framing=None, old=False, informational=False):
+        self.framing = framing or rng.choice([f for f in FRAMINGS if not (old and f == "chunks")])
         self.closes = self.framing == "connection" or (old and rng.random() < 0.5)
         ahead = {}
         if self.framing == "length":
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,6 +23,7 @@
 import tempfile
 import time
 
+from answer import FRAMINGS
 from caller import LATE_S, Caller
 from holder import AHEAD_S, Holder
 from lost import LostCheck
@@ -417,6 +418,17 @@
         for target in hit:
             target.relay.end()
 
+    async def fault_stutter(self, rng):
+        """All targets answer in pieces, in one framing, and some answers twice."""
+        framing = rng.choice(FRAMINGS)
+        hit = [t for t in self.targets if t.alive]
+        for target in hit:
+            target.framing, target.stutters = framing, True
+            target.share, target.fault = 0.4, "twice"
+        await asyncio.sleep(rng.uniform(2.0, 6.0))
+        for target in hit:
+            target.framing, target.stutters, target.fault = None, False, None
+
     async def fault_cut_in_pause(self, rng):
         """Nodes are paused while targets reset answers that have begun."""
         hit = [t for t in self.targets if t.alive and not t.leaving_at and rng.random() < 0.5]
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -44,6 +44,8 @@
         self.waiting = 0
         self.fault = None  # one of the kinds in FAULTS
         self.share = 1.0  # of requests that the fault hits
+        self.framing = None  # of all answers
+        self.stutters = False  # each answer is written in pieces
         self.leaving_at = None  # when the store took "draining"
         self.leaving_known = False  # the nodes have read it
         self.says = Statement(world, self)
@@ -155,7 +157,7 @@
         link = self.relay.links.get(writer.get_extra_info("peername")[1])
         if not link:
             raise wire.Broken("reset by the relay")
-        return Sender(self.world.rng, writer, link)
+        return Sender(self.world.rng, writer, link, self)
 
     async def _send(self, sender, status, fields, body=b""):
         """Returns if the connection stays open."""
@@ -220,6 +222,7 @@
         gone = asyncio.ensure_future(reader.read(1))
         done, _ = await asyncio.wait([gone], timeout=min(work_s, left_s))
         if done:  # the caller left, or sent what it may not
+            gone.exception()
             return False
         gone.cancel()
         await asyncio.wait([gone])
@@ -238,8 +241,9 @@
                 sender, 200, dict(proved, **{"X-Request-Id": "f" * 16}), b"foreign")
         if fault == "unproved":
             return await self._send(sender, 200, base, whole)
-        answer = Answer(self.world.rng, 200, proved, whole, fault == "old",
-                        fault == "informational")
+        old = fault == "old"
+        answer = Answer(self.world.rng, 200, proved, whole, None if old else self.framing,
+                        old, fault == "informational")
         run.framing = answer.framing
         # Without a length, an end in order is the end of the answer.
         if fault in ("cut", "reset_within"):
