--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -47,6 +47,7 @@
 	bool reused; /* its connection had been used before */
 	enum tgt_framing framing;
 	int64_t body_bytes; /* of the answer, that were read */
+	bool bytes_behind;  /* see struct tgt_result */
 };
 
 enum gwy_state {
@@ -65,6 +66,7 @@
 	bool headers_received;
 	bool suspended;
 	bool logged;
+	bool no_chunks; /* see struct ent_head */
 	/* The request */
 	char *target;	     /* path and query as received */
 	char *id;	     /* the caller's request id */
