Play a fleet's callers on x86-64 as on arm64 in unit_lim

unit_lim ran for over 300 s on an x86-64 machine (0.2 s on arm64): the play converted a negative double to uint32_t, which is undefined; arm64 makes it 0, x86-64 wraps it to some four billion callers. The test was wrong, not lim. A negative rest now gives no callers, which is what arm64 played: the same checks and bounds.

--- a/tests/unit_lim.c
+++ b/tests/unit_lim.c
@@ -95,7 +95,7 @@
 
 		tell_all(now_us);
 		due += s.demand * TICK_US / SECOND;
-		callers = (uint32_t)(2 * due * next_fraction());
+		callers = (uint32_t)(2 * MAX(due, 0) * next_fraction());
 		due -= callers;
 		for (uint32_t i = 0; i < callers; i++)
 			try_send(
