--- a/src/tgt_impl.h
+++ b/src/tgt_impl.h
@@ -33,9 +33,10 @@
 	bool ended;
 	bool streaming;
 	bool paused;
-	struct tgt_late late; /* of the timer */
+	unsigned int late_turns; /* see TGT_LATE_TURNS_MAX */
 
 	/* The answer */
+	bool in_head; /* between a status line and the empty line behind its fields */
 	bool headers_complete;
 	bool invalid;
 	bool body_unneeded; /* see needs_body() */
