--- a/src/tgt_answer.c
+++ b/src/tgt_answer.c
@@ -88,11 +88,22 @@
 		msg_headers_add(tgt->headers, name, value);
 }
 
+/* libcurl takes any line that begins with "HTTP/" for a success. */
+static bool is_status_line(const char *line)
+{
+	return (g_str_has_prefix(line, "HTTP/1.1 ") ||
+		g_str_has_prefix(line, "HTTP/1.0 ")) &&
+	       g_ascii_isdigit(line[9]) && g_ascii_isdigit(line[10]) &&
+	       g_ascii_isdigit(line[11]) && (!line[12] || line[12] == ' ');
+}
+
 /* An informational answer may precede the final one. */
 static void begin_answer(struct tgt *tgt, const char *line)
 {
 	const char *space = strchr(line, ' ');
 
+	if (!is_status_line(line))
+		tgt->invalid = true;
 	tgt->has_codings = g_str_has_prefix(line, "HTTP/1.1 ");
 	tgt->status = space ? (uint32_t)strtoul(space + 1, NULL, 10) : 0;
 	tgt->in_head = true;
@@ -120,12 +131,22 @@
 	    (!tgt->request_id_matched ||
 	     !msg_headers_get(tgt->headers, tgt->dialect->response_seal)))
 		tgt->invalid = true;
+	/* A second copy of it could not be told from the next answer. */
+	if (tgt->dialect && !tgt->request_id_matched)
+		tgt_forbid_reuse(tgt);
+	if (!tgt_has_body(tgt) || (!tgt->chunked && tgt->length == 0))
+		tgt_check_end_of_headers(tgt);
 	tgt->body_unneeded = !tgt->invalid && tgt->ops->needs_body &&
 			     !tgt->ops->needs_body(tgt->arg, tgt);
 	if (tgt->body_unneeded)
 		tgt_set_timer(tgt, fs_now_us());
 }
 
+static bool is_line_end(const char *data, size_t size)
+{
+	return size == 1 || (size == 2 && *data == '\r');
+}
+
 size_t tgt_read_header(char *data, size_t size, size_t n, void *arg)
 {
 	struct tgt *tgt = arg;
@@ -143,6 +164,7 @@
 	if (!tgt->in_head) {
 		begin_answer(tgt, line);
 	} else if (!*line) {
+		tgt->invalid |= !is_line_end(data, bytes);
 		end_header(tgt);
 	} else if (colon) {
 		*colon = '\0';
