Close a connection after an answer with trailer fields

Cause: a first copy in chunks that is cut inside a trailer field goes on with the second copy's head, as more trailer fields; the empty line behind that head ends the answer, nothing is behind it, and the connection was kept.

Evidence: unit_gwy_copies head_of_a_copy_inside_a_trailer got 'first' for 'the second' before; passes now. Trailers are rare: an answer that has any costs its connection, whatever stands in them.

--- a/src/tgt_answer.c
+++ b/src/tgt_answer.c
@@ -168,8 +168,12 @@
 	if (tgt->header_bytes > tgt->header_bytes_max || strlen(line) != bytes)
 		tgt->invalid = true;
 	g_strchomp(line);
-	if (tgt->headers_complete) /* trailer fields are dropped */
+	if (tgt->headers_complete) { /* trailer fields are dropped */
+		/* The head of a copy may go on in one, and end the answer. */
+		if (*line)
+			tgt_forbid_reuse(tgt);
 		return tgt->invalid ? 0 : bytes;
+	}
 	if (has_another_head(line))
 		tgt->invalid = true;
 	colon = strchr(line, ':');
--- a/tests/unit_gwy_copies.c
+++ b/tests/unit_gwy_copies.c
@@ -108,6 +108,24 @@
 	}
 }
 
+/* Guards against the same where the first copy is cut inside a trailer field: the head of
+ * the second one went on there, as trailer fields. */
+static void test_head_of_a_copy_inside_a_trailer(void)
+{
+	struct script script = {
+		"GET",
+		HEAD("r1") CHUNKED "5\r\nfirst\r\n0\r\nX-T: 1" HEAD("r1") CHUNKED,
+		200,
+		HEAD("r2") CHUNKED,
+		FIRST_CHUNKS,
+		SECOND_CHUNKS,
+	};
+	g_autofree char *answer = play(&script);
+
+	g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200 "));
+	g_assert_true(g_str_has_suffix(answer, "\r\n\r\nthe second"));
+}
+
 /* Guards against a cut size of a chunk that ends an answer: the whole copy went on
  * behind its first digits, which libcurl takes for an extension. */
 static void test_copy_behind_the_digits_of_a_size(void)
@@ -178,6 +196,7 @@
 	g_test_init(&argc, &argv, NULL);
 	fs_log_init("test", 2);
 	ADD(head_of_a_copy_behind_an_answer);
+	ADD(head_of_a_copy_inside_a_trailer);
 	ADD(copy_behind_the_digits_of_a_size);
 	ADD(lines_that_libcurl_takes_for_others);
 	ADD(connection_is_used_again);
