--- a/src/tgt_chunks.c
+++ b/src/tgt_chunks.c
@@ -2,7 +2,7 @@
 
 #include <glib.h>
 
-#define DIGITS_MAX 15
+#define DIGITS_MAX 16 /* as many as libcurl reads */
 
 /* Behind the digits: spaces, an extension, or the end of the line. */
 static enum tgt_chunks_part part_after_size(char byte)
--- a/tests/unit_gwy_framing.c
+++ b/tests/unit_gwy_framing.c
@@ -133,6 +133,11 @@
 	expect(START "Transfer-Encoding: chunked\r\n\r\n" IN_CHUNKS, 200);
 	expect(START "transfer-encoding:  Chunked \r\n\r\n" IN_CHUNKS, 200);
 	expect(START "\r\nhello", 200);
+	expect(START
+	       "Transfer-Encoding: chunked\r\n\r\n0000000000000005\r\nhello\r\n"
+	       "0000000000000000\r\n\r\n",
+	       200);
+	expect(START "Via: HTTP/1.1 a\r\nContent-Length: 5\r\n\r\nhello", 200);
 	expect("HTTP/1.0 200 OK\r\n" FIELDS "\r\nhello", 200);
 	expect("HTTP/1.1 103 Early\r\nLink: x\r\n\r\n" START
 	       "Content-Length: 5\r\n\r\nhello",
