End an exchange at once when a chunk's size is malformed

Cause: the scanner marked the answer invalid, but only the limit on framing set the timer that ends such a transfer, and that was skipped for invalid ones.

--- a/src/tgt.c
+++ b/src/tgt.c
@@ -183,19 +183,26 @@
 {
 	int64_t read = net_bytes_read(tgt->fd);
 
-	if (read < 0 || tgt->read_before < 0)
+	int64_t behind = read - tgt->read_before - (int64_t)tgt->header_bytes;
+
+	/* The kernel counts the end of the stream as a byte. */
+	if (read < 0 || tgt->read_before < 0 || behind < 0 || behind == 1)
 		tgt_forbid_reuse(tgt);
-	else if (read - tgt->read_before > (int64_t)tgt->header_bytes)
+	else if (behind)
 		note_bytes_behind(tgt);
 }
 
 static void check_end_of_body(struct tgt *tgt, const char *data, size_t size)
 {
-	if (tgt->chunked && tgt_chunks_read(&tgt->chunks, data, size) < size)
-		note_bytes_behind(tgt);
-	if (tgt->chunked && tgt->chunks.part == TGT_CHUNKS_MALFORMED)
+	bool is_whole = true;
+
+	if (tgt->chunked)
+		is_whole = tgt_chunks_read(&tgt->chunks, data, size) == size;
+	else if (tgt->length >= 0)
+		is_whole = tgt->raw_received <= tgt->length;
+	if (tgt->chunks.part == TGT_CHUNKS_MALFORMED)
 		tgt->invalid = true;
-	if (!tgt->chunked && tgt->raw_received > tgt->length)
+	else if (!is_whole)
 		note_bytes_behind(tgt);
 }
 
@@ -205,16 +212,17 @@
 		    void *arg)
 {
 	struct tgt *tgt = arg;
+	bool was_invalid = tgt->invalid;
 
 	(void)easy;
 	if (type != CURLINFO_DATA_IN)
 		return 0;
 	tgt->raw_received += (int64_t)size;
 	check_end_of_body(tgt, data, size);
-	if (!tgt->invalid && is_framing_excessive(tgt)) {
+	if (is_framing_excessive(tgt))
 		tgt->invalid = true;
+	if (tgt->invalid && !was_invalid)
 		tgt_set_timer(tgt, fs_now_us());
-	}
 	return 0;
 }
 
--- a/tests/unit_gwy_faulty.c
+++ b/tests/unit_gwy_faulty.c
@@ -211,6 +211,8 @@
 		"Transfer-Encoding: chunked\r\n\r\n5;",
 		"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: z\r\n"
 		"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n5;",
+		"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: z\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n5x",
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
@@ -222,6 +224,19 @@
 	}
 }
 
+/* Guards against a size of a chunk that is none: its request waited until the deadline, as
+ * libcurl waits for the end of the line. */
+static void test_malformed_size_without_an_end(void)
+{
+	struct first_answer first = {
+		.head = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: z\r\n"
+			"Transfer-Encoding: chunked\r\n\r\n5x",
+	};
+
+	expect_soon(first, "POST", "/pay/1", 502);
+	expect_soon(first, "GET", "/list/1", 200);
+}
+
 /* Runs each request, and resets the connection in place of an answer. */
 static void serve_reset(void *arg, struct fake_conn *conn,
 			const struct fake_request *request)
@@ -281,6 +296,8 @@
 			test_refusal_without_an_end);
 	g_test_add_func("/gwy_faulty/framing_without_an_end",
 			test_framing_without_an_end);
+	g_test_add_func("/gwy_faulty/malformed_size_without_an_end",
+			test_malformed_size_without_an_end);
 	g_test_add_func("/gwy_faulty/encoded_prefix", test_encoded_prefix);
 	return g_test_run();
 }
