--- a/src/tgt.h
+++ b/src/tgt.h
@@ -17,7 +17,8 @@
  * and so is an answer that names another request in Fescuesaddle-Request.
  * Bytes behind the last chunk, or behind an answer without a body, are discarded: the
  * answer itself is complete. The connection is not used again: what follows such
- * bytes would be taken for a part of the next answer.
+ * bytes would be taken for a part of the next answer. The same holds after trailer
+ * fields and, with a dialect, after an answer that names no request.
  *
  * libcurl is lenient with framing. What it takes for a status line, an end of the
  * header fields or the size of a chunk, and is none, makes an answer invalid.
--- a/src/tgt_chunks.h
+++ b/src/tgt_chunks.h
@@ -1,6 +1,6 @@
 /**
  * @file tgt_chunks.h
- * @brief Where a body in chunks ends, by its raw bytes.
+ * @brief Where a body in chunks ends, by its raw bytes. Pure.
  *
  * libcurl takes any bytes behind the digits of a chunk's size for an extension, and
  * drops what it has read behind the last chunk without a word. This tells both.
