Act on a refusal's head also if its body is malformed

What callers would have seen: 502 for a request that a target had refused as not run, in place of a second attempt.

--- a/src/tgt.c
+++ b/src/tgt.c
@@ -182,7 +182,6 @@
 void tgt_check_end_of_headers(struct tgt *tgt)
 {
 	int64_t read = net_bytes_read(tgt->fd);
-
 	int64_t behind = read - tgt->read_before - (int64_t)tgt->header_bytes;
 
 	/* The kernel counts the end of the stream as a byte. */
@@ -265,10 +264,11 @@
 /* Returns how an exchange ends that a time limit stops. */
 static int time_limit_err(const struct tgt *tgt, int64_t now_us)
 {
-	if (tgt->invalid)
-		return FS_E_ANSWER_INVALID;
+	/* What the head says holds, also if the body is malformed. */
 	if (tgt->body_unneeded)
 		return 0;
+	if (tgt->invalid)
+		return FS_E_ANSWER_INVALID;
 	return tgt->written || now_us >= tgt->deadline_us ? FS_E_DEADLINE :
 							    FS_E_CONNECT;
 }
--- a/tests/unit_gwy_faulty.c
+++ b/tests/unit_gwy_faulty.c
@@ -193,6 +193,7 @@
 		{.head = REFUSAL "Content-Length: 10\r\n\r\n"},
 		{.head = REFUSAL "Content-Length: 10\r\n\r\nx", .close = true},
 		{.head = REFUSAL "Transfer-Encoding: chunked\r\n\r\nzz\r\n"},
+		{.head = REFUSAL "Transfer-Encoding: chunked\r\n\r\n5x"},
 		{.head = "HTTP/1.1 421 No\r\nContent-Length: 10\r\n\r\n"},
 	};
 
