Keep the first turn whose copy is on a connection of the soak's targets

The check excuses a request whose connection carries the second copy of an earlier answer, but a target that answered twice again on the connection forgot the earlier turn.

The excuse is the one that was meant; nothing else is excused.

--- a/tests/soak/sender.py
+++ b/tests/soak/sender.py
@@ -20,7 +20,7 @@
         self.target = target
         self.turn = 0  # of the run in progress
         self.answering = False  # an answer is being written
-        self.spoiled = None  # the turn whose second copy is on the connection
+        self.spoiled = None  # the first turn whose second copy is on the connection
         # Held by an answer in which a copy would pass for a part of its body.
         self.closed_body = asyncio.Lock()
 
@@ -68,7 +68,8 @@
         pieces = answer.pieces if whole else answer.cut(self.rng.randrange(1, len(answer)))
         pieces, _ = self._drawn(pieces)
         at_once = self.rng.random() < 0.4
-        self.spoiled = self.turn
+        if self.spoiled is None:
+            self.spoiled = self.turn
         await self.send(answer, pieces[0] if at_once else b"")
         return asyncio.ensure_future(self._repeat(pieces[1:] if at_once else pieces))
 
