Count an answer as delivered when its caller has confirmed it

Cause: an answer counted as delivered when its last byte was in the kernel's send buffer. All that followed went by that: the stop exited when no request was open, the sockets of closed connections were kept for 3 s and no more than 64 of them, the idle time began while a caller still read, and what the kernel kept was counted nowhere. The kernel drops it when a connection that is closed receives a request that was sent ahead.

Now a delivery lasts until the caller's side has confirmed all bytes (SIOCOUTQ), on open and on closed connections: htd_delivery, dlv. The stop waits for that one count, until the grace time ends; what is given up then, or after the idle limit without any progress, has a log line and a counter. The bytes are held memory (hld), kept sockets count as connections.

A longer fixed time or a larger number leaves the same loss to a slower caller.

--- a/src/ent.c
+++ b/src/ent.c
@@ -86,6 +86,7 @@
 		.idle_s = FS_CALLER_IDLE_S,
 		.connection_memory = CONNECTION_MEMORY_BYTES,
 	};
+	const struct htd_accounts accounts = {.ctr = node->ctr};
 	struct ent *ent = g_new0(struct ent, 1);
 
 	ent->node = node;
@@ -97,7 +98,7 @@
 	ent->random =
 		g_rand_new_with_seed((guint32)(node->self ^ node->incarnation));
 	ent->htd = htd_start(node->loop, &node->set.caller_listen, &limits,
-			     &ent_http_ops, ent, &node->caller);
+			     &accounts, &ent_http_ops, ent, &node->caller);
 	if (!ent->htd) {
 		fs_log_event("ent", G_LOG_LEVEL_CRITICAL, "listen_failed", "");
 		ent_free(ent);
--- a/src/gwy.c
+++ b/src/gwy.c
@@ -81,13 +81,15 @@
 static void write_status(const void *task, GString *out, int64_t now_us)
 {
 	const struct gwy *gwy = task;
+	struct htd_undelivered left = htd_undelivered(gwy->htd, now_us);
 
 	g_string_append_printf(out,
 			       "{\"requests\":%u,\"connections\":%u,"
-			       "\"stopping\":%s,\"held\":",
+			       "\"undelivered\":{\"connections\":%u,"
+			       "\"bytes\":%zu},\"stopping\":%s,\"held\":",
 			       g_hash_table_size(gwy->requests),
-			       htd_connections(gwy->htd),
-			       gwy->stopping ? "true" : "false");
+			       htd_connections(gwy->htd), left.connections,
+			       left.bytes, gwy->stopping ? "true" : "false");
 	gwy_held_write_status(gwy, out);
 	g_string_append(out, ",\"quotas\":");
 	gwy_quota_status(gwy, out, now_us);
@@ -112,6 +114,7 @@
 {
 	const struct htd_limits limits = connection_limits(&node->set);
 	struct gwy *gwy = g_new0(struct gwy, 1);
+	const struct htd_accounts accounts = {node->ctr, &gwy->hld};
 
 	gwy->node = node;
 	gwy->fields = *fields;
@@ -137,7 +140,7 @@
 	gwy->lod = lod_new(node, dir);
 	if (gwy->lod)
 		gwy->htd = htd_start(node->loop, &node->set.caller_listen,
-				     &limits, &gwy_http_ops, gwy,
+				     &limits, &accounts, &gwy_http_ops, gwy,
 				     &node->caller);
 	if (!gwy->htd) {
 		fs_log_event("gwy", G_LOG_LEVEL_CRITICAL, "listen_failed", "");
--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -148,6 +148,7 @@
 	int64_t ending_us; /* of the first tick after last_answer_us; 0: none */
 	ev_timer stop_timer;
 	bool quiesced;
+	bool delivering; /* the stop waits for callers that still read */
 };
 
 /* Callers (gwy_http.c) */
--- a/src/gwy_stop.c
+++ b/src/gwy_stop.c
@@ -15,6 +15,19 @@
 /* The exit comes this much before the kill. */
 #define EXIT_MARGIN_US (100 * FS_US_PER_MS)
 
+/* An answer that was written is lost with the process if its caller sends more. */
+static bool waits_for_callers(struct gwy *gwy, int64_t now_us)
+{
+	struct htd_undelivered left = htd_undelivered(gwy->htd, now_us);
+
+	if (left.connections && !gwy->delivering)
+		fs_log_eventf("gwy", G_LOG_LEVEL_MESSAGE, "stop_waits",
+			      "\"undelivered\":%u,\"bytes\":%zu",
+			      left.connections, left.bytes);
+	gwy->delivering = left.connections > 0;
+	return gwy->delivering;
+}
+
 static bool is_drained(struct gwy *gwy, int64_t now_us)
 {
 	int64_t since_us = now_us - gwy->stop_us;
@@ -32,13 +45,15 @@
 		gwy->quiesced = true;
 	}
 	return !g_hash_table_size(gwy->requests) &&
-	       since_us >= ACCEPT_US + CLOSE_GRACE_US;
+	       since_us >= ACCEPT_US + CLOSE_GRACE_US &&
+	       !waits_for_callers(gwy, now_us);
 }
 
 static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct gwy *gwy = timer->data;
 	int64_t now_us = fs_now_us();
+	struct htd_undelivered left;
 	struct msg *m;
 
 	(void)events;
@@ -48,8 +63,11 @@
 	/* Requests are still read until the loop ends, in the next turn, which
 	 * is too late to pass one on. */
 	gwy->last_answer_us = MIN(gwy->last_answer_us, now_us);
+	left = htd_undelivered(gwy->htd, now_us);
 	fs_log_eventf("gwy", G_LOG_LEVEL_MESSAGE, "gateway_stopped",
-		      "\"requests_left\":%u", g_hash_table_size(gwy->requests));
+		      "\"requests_left\":%u,\"undelivered\":%u,\"bytes\":%zu",
+		      g_hash_table_size(gwy->requests), left.connections,
+		      left.bytes);
 	m = msg_new(MSG_STOPPED, gwy->node->self, MSG_TASK_NODE);
 	m->stopped.task = MSG_TASK_ENTRY;
 	bus_send(gwy->node->bus, m);
--- a/src/htd.c
+++ b/src/htd.c
@@ -8,8 +8,9 @@
 #include <glib.h>
 
 #include "fs_log.h"
+#include "htd_delivery.h"
 #include "htd_gone.h"
-#include "htd_linger.h"
+#include "htd_idle.h"
 #include "msg.h"
 #include "net.h"
 
@@ -28,29 +29,19 @@
 	int listen_fd;
 	bool listening;
 	size_t connection_memory;
+	unsigned int connections_max;
 	unsigned int idle_s;	 /* in force; open connections may have more */
 	GHashTable *connections; /* struct MHD_Connection, open */
 	struct htd_gone_set *gone;
-	struct htd_linger_set *linger;
+	struct htd_delivery_set *deliveries;
+	struct ctr *ctr;
+	const struct htd_ops *ops;
+	void *arg; /* of the operations */
 	ev_io io;
 	ev_timer timer;
 	int64_t due_us; /* when a connection's time is up; 0: none waits */
 };
 
-static void set_idle(struct MHD_Connection *connection, unsigned int idle_s)
-{
-	MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
-				  idle_s);
-}
-
-static unsigned int idle_of(struct MHD_Connection *connection)
-{
-	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-		connection, MHD_CONNECTION_INFO_CONNECTION_TIMEOUT);
-
-	return info ? info->connection_timeout : 0;
-}
-
 /* Lets the idle time of all connections begin anew. The library closes those
  * whose time is up before it reads what arrived during a pause. */
 static void restart_idle(struct htd *htd)
@@ -59,13 +50,8 @@
 	void *connection;
 
 	g_hash_table_iter_init(&iter, htd->connections);
-	while (g_hash_table_iter_next(&iter, &connection, NULL)) {
-		unsigned int idle_s = idle_of(connection);
-
-		/* The time starts when a limit is set where there was none. */
-		set_idle(connection, 0);
-		set_idle(connection, idle_s);
-	}
+	while (g_hash_table_iter_next(&iter, &connection, NULL))
+		htd_idle_restart(connection);
 }
 
 /* Runs the library, then waits as long as it says: without that timer idle
@@ -128,22 +114,6 @@
 	return MAX(htd->connection_memory, used + 1) - used;
 }
 
-static void extend_idle(struct MHD_Connection *connection, unsigned int idle_s)
-{
-	if (idle_of(connection) < idle_s)
-		set_idle(connection, idle_s);
-}
-
-/* Behind the last answer of a connection nothing is read. */
-static void linger(struct htd *htd, struct MHD_Connection *connection)
-{
-	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-		connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-
-	if (info)
-		htd_linger_keep(htd->linger, info->connect_fd);
-}
-
 /* The library tells of a closed connection before MHD_run() returns, so that
  * all in the set may be changed outside of it. */
 static void on_connection(void *arg, struct MHD_Connection *connection,
@@ -155,23 +125,53 @@
 	(void)context;
 	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
 		g_hash_table_remove(htd->connections, connection);
-		linger(htd, connection);
+		htd_delivery_closed(htd->deliveries, connection, fs_now_us());
 		return;
 	}
 	g_hash_table_add(htd->connections, connection);
-	extend_idle(connection, htd->idle_s);
+	htd_idle_extend(connection, htd->idle_s);
+}
+
+/* Sockets that are kept for their callers count as connections. The library knows of
+ * its own alone. */
+static enum MHD_Result on_accept(void *arg, const struct sockaddr *address,
+				 socklen_t size)
+{
+	const struct htd *htd = arg;
+	unsigned int kept = htd_delivery_kept(htd->deliveries);
+
+	(void)address;
+	(void)size;
+	if (g_hash_table_size(htd->connections) + kept < htd->connections_max)
+		return MHD_YES;
+	ctr_count(htd->ctr, "htd_connections_refused", 1);
+	fs_log_eventf("htd", G_LOG_LEVEL_WARNING, "connection_refused",
+		      "\"kept\":%u,\"limit\":%u", kept, htd->connections_max);
+	return MHD_NO;
+}
+
+static void on_completed(void *arg, struct MHD_Connection *connection,
+			 void **context, enum MHD_RequestTerminationCode code)
+{
+	struct htd *htd = arg;
+
+	if (htd->ops->completed)
+		htd->ops->completed(htd->arg, connection, context, code);
+	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
+		htd_delivery_written(htd->deliveries, connection, fs_now_us());
 }
 
 static void free_htd(struct htd *htd)
 {
 	g_hash_table_unref(htd->connections);
 	htd_gone_set_free(htd->gone);
-	htd_linger_set_free(htd->linger);
+	htd_delivery_set_free(htd->deliveries);
 	g_free(htd);
 }
 
 struct htd *htd_start(struct ev_loop *loop, const struct sockaddr_in *bind,
 		      const struct htd_limits *limits,
+		      const struct htd_accounts *accounts,
 		      const struct htd_ops *ops, void *arg,
 		      struct sockaddr_in *bound)
 {
@@ -181,18 +181,24 @@
 	htd->loop = loop;
 	htd->idle_s = limits->idle_s;
 	htd->connection_memory = limits->connection_memory;
+	htd->connections_max = limits->connections;
+	htd->ctr = accounts->ctr;
+	htd->ops = ops;
+	htd->arg = arg;
 	htd->connections = g_hash_table_new(NULL, NULL);
 	htd->gone = htd_gone_set_new(loop);
-	htd->linger = htd_linger_set_new(loop);
+	htd->deliveries =
+		htd_delivery_set_new(loop, accounts->hld, accounts->ctr);
+	htd_delivery_set_idle(htd->deliveries, limits->idle_s);
 	htd->listen_fd = net_listen(bind, bound);
 	if (htd->listen_fd < 0) {
 		free_htd(htd);
 		return NULL;
 	}
 	htd->daemon = MHD_start_daemon(
-		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, on_accept, htd,
 		ops->access, arg, MHD_OPTION_LISTEN_SOCKET, htd->listen_fd,
-		MHD_OPTION_NOTIFY_COMPLETED, ops->completed, arg,
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, htd,
 		MHD_OPTION_NOTIFY_CONNECTION, on_connection, htd,
 		MHD_OPTION_URI_LOG_CALLBACK, ops->target, arg,
 		MHD_OPTION_CONNECTION_LIMIT, limits->connections,
@@ -251,16 +257,17 @@
 	void *connection;
 
 	htd->idle_s = idle_s;
+	htd_delivery_set_idle(htd->deliveries, idle_s);
 	g_hash_table_iter_init(&iter, htd->connections);
 	while (g_hash_table_iter_next(&iter, &connection, NULL))
-		extend_idle(connection, idle_s);
+		htd_idle_extend(connection, idle_s);
 	htd_kick(htd);
 }
 
 void htd_renew_idle(struct htd *htd, struct MHD_Connection *connection)
 {
-	if (idle_of(connection) != htd->idle_s)
-		set_idle(connection, htd->idle_s);
+	if (htd_idle_get(connection) != htd->idle_s)
+		htd_idle_set(connection, htd->idle_s);
 }
 
 /* Closing the listener would reset the connections that wait at it, with the
@@ -317,6 +324,11 @@
 	return htd->gone;
 }
 
+struct htd_undelivered htd_undelivered(struct htd *htd, int64_t now_us)
+{
+	return htd_delivery_left(htd->deliveries, now_us);
+}
+
 unsigned int htd_connections(struct htd *htd)
 {
 	const union MHD_DaemonInfo *info = MHD_get_daemon_info(
--- a/src/htd.h
+++ b/src/htd.h
@@ -12,6 +12,8 @@
 
 #include <glib.h>
 
+#include "htd_delivery.h"
+
 struct htd;
 struct htd_gone_set;
 
@@ -27,11 +29,17 @@
 
 /** Limits of one interface. */
 struct htd_limits {
-	unsigned int connections;
+	unsigned int connections; /* open, or kept until their answers arrive */
 	unsigned int idle_s;	  /* idle and slow connections are closed */
 	size_t connection_memory; /* bytes, bounds the header fields */
 };
 
+/** What an interface counts in; outlives it. */
+struct htd_accounts {
+	struct ctr *ctr;
+	struct hld *hld; /* of answers that callers have not confirmed, or NULL */
+};
+
 /**
  * Starts an HTTP server.
  * @param bind   address; port 0 lets the kernel choose
@@ -40,6 +48,7 @@
  */
 struct htd *htd_start(struct ev_loop *loop, const struct sockaddr_in *bind,
 		      const struct htd_limits *limits,
+		      const struct htd_accounts *accounts,
 		      const struct htd_ops *ops, void *arg,
 		      struct sockaddr_in *bound);
 
@@ -81,6 +90,10 @@
 /** Returns the set in which suspended connections are watched. */
 struct htd_gone_set *htd_gone_set_of(const struct htd *htd);
 
+/** Returns what callers have not confirmed of their answers. An answer counts as
+ *  delivered then, not when it was written. */
+struct htd_undelivered htd_undelivered(struct htd *htd, int64_t now_us);
+
 /** Returns how many connections are open. */
 unsigned int htd_connections(struct htd *htd);
 
--- a/src/opi.c
+++ b/src/opi.c
@@ -236,11 +236,12 @@
 		.connection_memory = CONNECTION_MEMORY,
 	};
 	static const struct htd_ops http_ops = {.access = on_access};
+	const struct htd_accounts accounts = {.ctr = node->ctr};
 	struct opi *opi = g_new0(struct opi, 1);
 
 	opi->node = node;
 	opi->http = htd_start(node->loop, &node->set.operator_listen, &limits,
-			      &http_ops, opi, &node->operator);
+			      &accounts, &http_ops, opi, &node->operator);
 	if (!opi->http) {
 		fs_log_event("opi", G_LOG_LEVEL_CRITICAL, "bind_failed", "");
 		g_free(opi);
--- a/tests/fleet_gwy.h
+++ b/tests/fleet_gwy.h
@@ -46,6 +46,8 @@
 };
 
 void yard_begin(struct yard *y);
+/** The same, of a process that may have so many files open. */
+void yard_begin_with_fds(struct yard *y, uint32_t max_fds);
 void yard_end(struct yard *y);
 void yard_run(struct yard *y, int64_t us);
 
