Let the daemon's stop wait for callers that still read

Now the entry waits for the deliveries of its interface, until stop_grace_s less a margin, or 30 s if none is set.

unit_ent stop_waits_for_slow_reader failed before (the task had stopped after 0.6 s); stop_ends_beside_caller_that_never_reads guards the bound.

--- a/src/ent.h
+++ b/src/ent.h
@@ -45,6 +45,11 @@
 /* Without an open request before the stop. */
 #define ENT_IDLE_BEFORE_STOP_US (200 * FS_US_PER_MS)
 
+/* Callers may read their last answers for so long, if no grace time is set. */
+#define ENT_STOP_GRACE_US (30 * FS_US_PER_S)
+/* The stop ends this much before the grace time. */
+#define ENT_STOP_MARGIN_US (500 * FS_US_PER_MS)
+
 enum ent_state {
 	ENT_READING,	/* receiving from the caller */
 	ENT_SENT,	/* sent to a dispatcher */
@@ -124,7 +129,8 @@
 	uint32_t open_requests; /* requests that MHD has not completed */
 	size_t body_bytes;
 	int64_t stop_us; /* answers with this node expire; 0: not stopping */
-	int64_t idle_since_us; /* since when no request is open */
+	int64_t idle_since_us;	  /* since when no request is open */
+	int64_t deliver_until_us; /* of the stop: callers may read until then */
 	bool stopped;
 	ev_timer stop_timer;
 };
--- a/src/ent_stop.c
+++ b/src/ent_stop.c
@@ -3,6 +3,12 @@
 
 #define CHECK_INTERVAL_S 0.05
 
+static bool is_delivered(struct ent *ent, int64_t now_us)
+{
+	return now_us >= ent->deliver_until_us ||
+	       !htd_undelivered(ent->htd, now_us).connections;
+}
+
 /* Callers cache the address of this node for the TTL of the answer, and peers
  * return it until they have received that this node leaves. */
 static bool is_drained(struct ent *ent, int64_t now_us)
@@ -12,7 +18,8 @@
 		return false;
 	}
 	htd_quiesce(ent->htd);
-	return now_us - ent->idle_since_us >= ENT_IDLE_BEFORE_STOP_US;
+	return now_us - ent->idle_since_us >= ENT_IDLE_BEFORE_STOP_US &&
+	       is_delivered(ent, now_us);
 }
 
 static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
@@ -33,8 +40,13 @@
 
 void ent_stop_begin(struct ent *ent, int64_t now_us)
 {
+	int64_t grace_us = ent->node->set.stop_grace_us;
+
 	if (ent->stop_us)
 		return;
+	if (grace_us <= 0)
+		grace_us = ENT_STOP_GRACE_US;
+	ent->deliver_until_us = now_us + grace_us - ENT_STOP_MARGIN_US;
 	ent->stop_us = now_us + ent->node->set.answer_ttl_us +
 		       ENT_LEAVE_PROPAGATION_US;
 	ent->idle_since_us = now_us;
--- a/tests/unit_ent.c
+++ b/tests/unit_ent.c
@@ -10,6 +10,8 @@
 #define PAY                                                                    \
 	"POST /pay HTTP/1.1\r\nHost: h\r\nConnection: X-Drop\r\nX-Drop: 1\r\n" \
 	"X-Keep: 1\r\nContent-Length: 3\r\n\r\na=1"
+#define LONG_BYTES 120000
+#define RECEIVE_BUFFER (32 * 1024)
 #define LIST "GET /list?q=1 HTTP/1.1\r\nHost: h\r\n\r\n"
 
 static struct gate g;
@@ -371,6 +373,44 @@
 	end();
 }
 
+/* Answers more than the caller's socket holds, and begins a stop. */
+static void stop_with_unread_answer(int64_t grace_us)
+{
+	g_autofree char *body = g_strnfill(LONG_BYTES, 'x');
+	const int size = RECEIVE_BUFFER;
+	const struct msg *m;
+
+	begin();
+	g.node.set.answer_ttl_us = -ENT_LEAVE_PROPAGATION_US;
+	g.node.set.stop_grace_us = grace_us;
+	m = call(LIST);
+	setsockopt(c.fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	gate_answer(&g, m, body, LONG_BYTES, true);
+	gate_until(&g, !g.ent->open_requests);
+	bus_send(g.node.bus, msg_new(MSG_STOP, g.node.self, MSG_TASK_ENTRY));
+}
+
+/* Guards against a planned stop that exits while a caller still reads: its next request
+ * resets the connection, and the kernel drops the rest of the answer. */
+static void test_stop_waits_for_slow_reader(void)
+{
+	stop_with_unread_answer(0);
+	gate_run(&g, 3 * ENT_IDLE_BEFORE_STOP_US);
+	g_assert_false(g.stopped);
+	gate_until(&g, (gate_read(&c), c.got->len > LONG_BYTES));
+	gate_until(&g, g.stopped);
+	end();
+}
+
+/* Guards against a caller that never reads and keeps a node from ending in time. */
+static void test_stop_ends_beside_caller_that_never_reads(void)
+{
+	stop_with_unread_answer(FS_US_PER_S);
+	gate_run(&g, FS_US_PER_S);
+	g_assert_true(g.stopped);
+	end();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -400,5 +440,9 @@
 	g_test_add_func("/ent/planned_stop", test_planned_stop);
 	g_test_add_func("/ent/request_after_the_stop_is_refused",
 			test_request_after_the_stop_is_refused);
+	g_test_add_func("/ent/stop_waits_for_slow_reader",
+			test_stop_waits_for_slow_reader);
+	g_test_add_func("/ent/stop_ends_beside_caller_that_never_reads",
+			test_stop_ends_beside_caller_that_never_reads);
 	return g_test_run();
 }
