Let a caller's reading count as activity while an answer is written

Callers would have seen: an answer that is longer than the kernel's send buffer ended with its connection although they went on reading. Found by looking for what else ends a connection while its caller reads.

Cause: the library's idle time runs from its last write, and the kernel reports room only when a third of the buffer is free. With a buffer of megabytes and a slow caller that takes longer than the idle limit; the log said "timeout" with status 200.

Now each block of a streamed answer puts its connection among the deliveries, whose progress restarts the idle time; the daemon's streams do the same.

unit_gwy_deliver idle_time_spares_long_answers failed before, with outcome "timeout" after 2.1 s of 8 MB read at some 100 kB a second, idle limit 1 s.

--- a/src/ent_stream.c
+++ b/src/ent_stream.c
@@ -53,8 +53,10 @@
 	n = read_pieces(stream, buf, max);
 	stream->unreported_bytes += (uint32_t)n;
 	send_credit(req);
-	if (n)
+	if (n) {
+		htd_watch_delivery(req->ent->htd, req->connection, fs_now_us());
 		return (ssize_t)n;
+	}
 	if (stream->last)
 		return MHD_CONTENT_READER_END_OF_STREAM;
 	ent_request_suspend(req);
--- a/src/gwy_answer.c
+++ b/src/gwy_answer.c
@@ -170,6 +170,7 @@
 			       MHD_CONTENT_READER_END_WITH_ERROR;
 	size = tgt_copy_body(tgt, buf, max);
 	if (size) {
+		htd_watch_delivery(req->gwy->htd, req->connection, fs_now_us());
 		gwy_held_update(req);
 		tgt_resume(tgt);
 		return (ssize_t)size;
--- a/src/htd.c
+++ b/src/htd.c
@@ -324,6 +324,12 @@
 	return htd->gone;
 }
 
+void htd_watch_delivery(struct htd *htd, struct MHD_Connection *connection,
+			int64_t now_us)
+{
+	htd_delivery_written(htd->deliveries, connection, now_us);
+}
+
 struct htd_undelivered htd_undelivered(struct htd *htd, int64_t now_us)
 {
 	return htd_delivery_left(htd->deliveries, now_us);
--- a/src/htd.h
+++ b/src/htd.h
@@ -90,6 +90,11 @@
 /** Returns the set in which suspended connections are watched. */
 struct htd_gone_set *htd_gone_set_of(const struct htd *htd);
 
+/** A part of an answer is written: from now on its caller's reading counts as activity
+ *  of the connection. */
+void htd_watch_delivery(struct htd *htd, struct MHD_Connection *connection,
+			int64_t now_us);
+
 /** Returns what callers have not confirmed of their answers. An answer counts as
  *  delivered then, not when it was written. */
 struct htd_undelivered htd_undelivered(struct htd *htd, int64_t now_us);
--- a/tests/unit_gwy_deliver.c
+++ b/tests/unit_gwy_deliver.c
@@ -13,6 +13,7 @@
 #define LAST_REQUEST \
 	"GET /list/1 HTTP/1.1\r\nConnection: close\r\n" FIELDS "\r\n"
 #define ANSWER_BYTES (256 * 1024) /* more than sockets of RECEIVE_BUFFER hold */
+#define LONG_ANSWER_BYTES (8 << 20)
 #define RECEIVE_BUFFER (32 * 1024)
 #define STEP_US (20 * FS_US_PER_MS)
 #define SEND_EVERY_US (300 * FS_US_PER_MS)
@@ -242,6 +243,28 @@
 	end(1);
 }
 
+/* Guards against an idle time that ends an answer of which the kernel holds much: the
+ * library hears of room only after a third of that was read. */
+static void test_idle_time_spares_long_answers(void)
+{
+	char buffer[ANSWER_BYTES / 64];
+	int64_t since_us;
+
+	begin(FS_US_PER_S, 1024);
+	answer_bytes = LONG_ANSWER_BYTES;
+	begin_call(c, REQUEST);
+	since_us = fs_now_us();
+	while (fs_now_us() - since_us < READ_US) {
+		ssize_t n = recv(c->fd, buffer, sizeof(buffer), 0);
+
+		if (n > 0)
+			g_string_append_len(c->got, buffer, n);
+		yard_run(&y, 2 * STEP_US);
+	}
+	yard_until(&y, (yard_read(c), !missing(c)));
+	end(1);
+}
+
 /* Guards against sockets that are kept for good: a caller that reads nothing for the
  * idle limit is given up, and what it held is free again. */
 static void test_stalled_caller_is_given_up(void)
@@ -315,6 +338,8 @@
 			test_many_closed_connections);
 	g_test_add_func("/gwy_deliver/idle_time_begins_when_answer_is_read",
 			test_idle_time_begins_when_answer_is_read);
+	g_test_add_func("/gwy_deliver/idle_time_spares_long_answers",
+			test_idle_time_spares_long_answers);
 	g_test_add_func("/gwy_deliver/stalled_caller_is_given_up",
 			test_stalled_caller_is_given_up);
 	g_test_add_func("/gwy_deliver/unconfirmed_answers_are_held",
