Teach the soak callers that read slowly and send ahead

Now six such callers are at each node that is about to stop, and others at any node: each reads a download of up to 282 KB in 2 to 5.5 s through a small receive buffer and sends a safe request every 0.4 s behind it.

The route of downloads has 7 s instead of 4 s, so that a slow read is not excused by its route's time-out; the check of lost requests uses the same.

--- a/tests/soak/lost.py
+++ b/tests/soak/lost.py
@@ -10,7 +10,7 @@
 
 NEAR_S = 3.0  # unplanned disruption so long before a request excuses it
 LIMIT_SHARE = 0.95  # of its time; then its deadline was reached
-ROUTE_LIMIT_S = {"/long": 7.0}  # time-outs of routes, others 4 s
+ROUTE_LIMIT_S = {"/long": 7.0, "/export": 7.0}  # time-outs of routes, others 4 s
 LAST_SIXTH_S = GRACE_S * 5 / 6  # work that lasts until then may be cut ...
 EARLY_S = 3.0  # ... if it was sent no later than this after the SIGTERM
 SLACK_S = 0.25  # a request that was not read may cross a close for so long
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -34,6 +34,7 @@
 from relay import Relay
 from restoration import Restoration
 from run import Run
+from slow import Slow
 from store import Store
 from target import Target, body_of
 
@@ -80,6 +81,7 @@
         self.names = 0
         self.begun = time.monotonic()
         self.organisations = Organisations(self) if args.organisations else None
+        self.slow = Slow(self)
 
     # Checks
 
@@ -197,7 +199,7 @@
         rows = [
             ["r-list", "h.example", "/list/", "safe", "list", 4000, 1000, 3, 1],
             ["r-pay", "h.example", "/pay/", "unsafe", "pay", 4000, 1000, 3, 0],
-            ["r-export", "h.example", "/export/", "download", "export", 4000, 1500, 2, 2],
+            ["r-export", "h.example", "/export/", "download", "export", 7000, 1500, 2, 2],
             ["r-longget", "h.example", "/longget/", "safe", "long", 7000, 6000, 3, 1],
             ["r-longpay", "h.example", "/longpay/", "unsafe", "long", 7000, 6000, 3, 1],
             ["r-moved", "h.example", "/moved/", "safe", moved, 4000, 1000, 2, 2],
@@ -348,8 +350,8 @@
     async def stop_node(self, rng, node, again=True):
         """A planned stop under callers that hold on to the node, mixed with other
         planned work, and a start if there is to be one."""
-        holders = asyncio.ensure_future(Holder(self, node).run())
-        self.tasks.add(holders)
+        self.tasks.add(asyncio.ensure_future(Holder(self, node).run()))
+        self.tasks.add(asyncio.ensure_future(self.slow.hold(node)))
         await asyncio.sleep(AHEAD_S)
         if node.expected_end:
             return  # another fault has taken it meanwhile
@@ -558,7 +560,7 @@
         ends = time.monotonic() + self.args.seconds
         watch = asyncio.ensure_future(self.watch())
         load = asyncio.ensure_future(self.load())
-        ahead = asyncio.ensure_future(Ahead(self).run())
+        ahead = asyncio.ensure_future(asyncio.gather(Ahead(self).run(), self.slow.run()))
         await self.faults(ends - CALM_END_S - 6.0)
         calm = time.monotonic() + 4.0
         self.ends = max(ends, calm + CALM_MIN_S)
