Make room for answers to requests with many cookies or parameters

Cause: the library builds an answer's head in what a request leaves of a connection's 40 KB. The estimate of that left out cookies, which the library copies and takes apart, so an answer that did not fit was passed on; and a request that left no room at all was sent nevertheless.

Now cookies are counted, the memory is 64 KB, and a request that leaves less than 1 KB for its answer's head is refused with 431 before it is sent.

--- a/src/gwy.c
+++ b/src/gwy.c
@@ -4,8 +4,9 @@
 
 #include "fs_log.h"
 
-/* Holds header fields of up to the configured limit in both directions. */
-#define CONNECTION_MEMORY (40 * 1024) /* bytes */
+/* Holds the header fields of a request, with what the library makes of its cookies and
+ * parameters, and those of its answer. An open connection takes all of it. */
+#define CONNECTION_MEMORY (64 * 1024) /* bytes */
 /* File descriptors reserved for targets, peers, the store and files. */
 #define RESERVED_FDS 700
 #define CONNECTIONS_MIN 64
@@ -98,12 +99,16 @@
 
 static struct htd_limits connection_limits(const struct set *set)
 {
-	unsigned int fds = set->max_fds > RESERVED_FDS + CONNECTIONS_MIN ?
-				   set->max_fds - RESERVED_FDS :
-				   CONNECTIONS_MIN;
+	uint32_t fds =
+		set->max_fds > RESERVED_FDS ? set->max_fds - RESERVED_FDS : 0;
+	uint64_t memory = set->memory_bytes > HLD_PROCESS_BYTES ?
+				  set->memory_bytes - HLD_PROCESS_BYTES :
+				  0;
+	uint64_t connections = MIN(fds, memory / CONNECTION_MEMORY);
 
 	return (struct htd_limits){
-		.connections = MIN(fds, FS_CALLER_CONNECTIONS_MAX),
+		.connections = (unsigned int)CLAMP(connections, CONNECTIONS_MIN,
+						   FS_CALLER_CONNECTIONS_MAX),
 		.idle_s = FS_CALLER_IDLE_S,
 		.connection_memory = CONNECTION_MEMORY,
 	};
--- a/src/gwy_http.c
+++ b/src/gwy_http.c
@@ -5,6 +5,9 @@
 #include "org.h"
 #include "rte.h"
 
+/* Room in a connection's memory for the head of an ordinary answer, in bytes. Without it
+ * a request is not sent, as its answer would be lost after the run. */
+#define ANSWER_HEAD_MIN 1024
 /* Longest request id of a caller that is forwarded, in bytes; a longer one is
  * replaced. */
 #define REQUEST_ID_MAX 128
@@ -234,6 +237,14 @@
 			  now_us);
 }
 
+static int check_answer_room(const struct gwy_request *req)
+{
+	size_t room = htd_answer_head_max(req->gwy->htd, req->connection);
+	bool is_known = room > 0;
+
+	return is_known && room < ANSWER_HEAD_MIN ? FS_E_HEADERS_TOO_LARGE : 0;
+}
+
 /* Starts the first attempt of a completely received request. */
 static void dispatch(struct gwy_request *req, int64_t now_us)
 {
@@ -244,6 +255,8 @@
 		}
 		req->err = resolve_route(req);
 	}
+	if (!req->err)
+		req->err = check_answer_room(req);
 	if (!req->err)
 		req->err = gwy_held_reserve(req);
 	if (req->err) {
--- a/src/htd.c
+++ b/src/htd.c
@@ -14,8 +14,8 @@
 #include "msg.h"
 #include "net.h"
 
-/* What the library takes from a connection's memory, in bytes: for a record of
- * each field of a request, and for its own part of an answer's head. */
+/* What the library takes from a connection's memory, in bytes: for a record of each
+ * field, cookie and parameter of a request, and for its own part of an answer's head. */
 #define FIELD_MEMORY 96
 #define OWN_HEAD_MEMORY 1024
 
@@ -86,13 +86,18 @@
 	run(timer->data);
 }
 
-static enum MHD_Result count_field(void *arg, enum MHD_ValueKind kind,
-				   const char *name, const char *value)
+static enum MHD_Result add_value_memory(void *arg, enum MHD_ValueKind kind,
+					const char *name, size_t name_size,
+					const char *value, size_t value_size)
 {
-	(void)kind;
-	(void)name;
+	size_t *bytes = arg;
+
+	(void)name_size;
 	(void)value;
-	++*(size_t *)arg;
+	*bytes += FIELD_MEMORY;
+	/* It is copied, and taken apart in the copy. */
+	if (kind == MHD_HEADER_KIND && !g_ascii_strcasecmp(name, "Cookie"))
+		*bytes += value_size + 1;
 	return MHD_YES;
 }
 
@@ -101,15 +106,15 @@
 {
 	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
 		connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
-	size_t fields = 0;
-	size_t used;
+	size_t used = OWN_HEAD_MEMORY;
 
 	if (!info)
 		return 0;
-	MHD_get_connection_values(connection,
-				  MHD_HEADER_KIND | MHD_GET_ARGUMENT_KIND,
-				  count_field, &fields);
-	used = info->header_size + fields * FIELD_MEMORY + OWN_HEAD_MEMORY;
+	used += info->header_size;
+	MHD_get_connection_values_n(connection,
+				    MHD_HEADER_KIND | MHD_COOKIE_KIND |
+					    MHD_GET_ARGUMENT_KIND,
+				    add_value_memory, &used);
 	/* At least one byte, which no answer fits in: 0 says "not known". */
 	return MAX(htd->connection_memory, used + 1) - used;
 }
