Refuse requests whose framing stands on a folded line

Cause: the library appends a folded value to the name of a field that has none before it ("content-length63") and reads no body. Such names, and those of Transfer-Encoding, are refused with 400 now, which closes the connection, so that nothing behind them is read. Both the gateway and the daemon check fields here.

unit_gwy_heads folded_framing, four forms, failed before: the outer payment ran and was answered with 200.

--- a/src/ent_check.c
+++ b/src/ent_check.c
@@ -102,6 +102,22 @@
 	return 0;
 }
 
+/* The library appends the value on a folded line to the name of a field that has none
+ * before it, and then does not know how long the body is. */
+static bool hides_framing(const char *name)
+{
+	static const char *const framing[] = {"Content-Length",
+					      "Transfer-Encoding"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(framing); i++) {
+		size_t size = strlen(framing[i]);
+
+		if (!g_ascii_strncasecmp(name, framing[i], size) && name[size])
+			return true;
+	}
+	return false;
+}
+
 int ent_check_headers(const char *version, const GArray *headers,
 		      struct ent_head *out)
 {
@@ -112,7 +128,8 @@
 		const struct msg_header *h =
 			&g_array_index(headers, struct msg_header, i);
 
-		if (!msg_is_token(h->name) || !is_field_value(h->value))
+		if (!msg_is_token(h->name) || !is_field_value(h->value) ||
+		    hides_framing(h->name))
 			return FS_E_BAD_REQUEST;
 		if (!record_single(&fields, h))
 			return FS_E_BAD_REQUEST;
--- a/tests/unit_gwy_heads.c
+++ b/tests/unit_gwy_heads.c
@@ -106,6 +106,31 @@
 	end();
 }
 
+/* Guards against a request that is smuggled inside the body of another one, whose length
+ * stands on a folded line. */
+static void check_folded(const char *folded)
+{
+	g_autofree char *text =
+		g_strdup_printf("POST /pay/1 HTTP/1.1\r\n" FIELDS "%s\r\n\r\n"
+				"3f\r\n" PLAIN_PAYMENT "0\r\n\r\n",
+				folded);
+
+	begin();
+	yard_call(&y, &c, text);
+	yard_expect(&y, &c, 400);
+	yard_until(&y, (yard_read(&c), c.closed));
+	g_assert_cmpuint(yard_arrivals(&y), ==, 0);
+	end();
+}
+
+static void test_folded_framing(void)
+{
+	check_folded("Content-Length:\r\n 63");
+	check_folded("Content-Length: \r\n\t63");
+	check_folded("Content-Length: 6\r\n 3");
+	check_folded("Transfer-Encoding:\r\n chunked");
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -114,5 +139,6 @@
 	g_test_add_func("/gwy_heads/many_parameters", test_many_parameters);
 	g_test_add_func("/gwy_heads/no_room_for_an_answer",
 			test_no_room_for_an_answer);
+	g_test_add_func("/gwy_heads/folded_framing", test_folded_framing);
 	return g_test_run();
 }
