Run the tests of deliveries and of full heads under the sanitizers

Both modules keep sockets and records beyond the life of what they were made for: a connection that the library has closed, a request that is over.

--- a/Makefile
+++ b/Makefile
@@ -129,6 +129,7 @@
 	unit_tgt unit_tgt_copies unit_dsp_once unit_dsp_stream unit_flr unit_aud unit_cfg \
 	unit_gwy unit_gwy_copies unit_gwy_cut unit_gwy_framing unit_gwy_keys unit_gwy_late \
 	unit_gwy_leave unit_gwy_reload unit_gwy_stop unit_gwy_ahead unit_gwy_slow \
+	unit_gwy_deliver unit_gwy_heads \
 	unit_hld \
 	unit_dir unit_org unit_plf unit_plf_entries unit_plf_names \
 	unit_plf_organisations \
