Copy what the HTTP interface calls at the end of a request

Since the interface kept a pointer to the caller's table of operations; the stand-in's table is on the stack of the function that starts it. The users' and the product's programs have static tables and were not hit.

Now the one operation that is called later is copied, as before the library did. run_input failed before and passes.

--- a/src/htd.c
+++ b/src/htd.c
@@ -35,8 +35,8 @@
 	struct htd_gone_set *gone;
 	struct htd_delivery_set *deliveries;
 	struct ctr *ctr;
-	const struct htd_ops *ops;
-	void *arg; /* of the operations */
+	MHD_RequestCompletedCallback completed; /* may be NULL */
+	void *arg;				/* its own */
 	ev_io io;
 	ev_timer timer;
 	int64_t due_us; /* when a connection's time is up; 0: none waits */
@@ -160,8 +160,8 @@
 {
 	struct htd *htd = arg;
 
-	if (htd->ops->completed)
-		htd->ops->completed(htd->arg, connection, context, code);
+	if (htd->completed)
+		htd->completed(htd->arg, connection, context, code);
 	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
 		htd_delivery_written(htd->deliveries, connection, fs_now_us());
 }
@@ -188,7 +188,7 @@
 	htd->connection_memory = limits->connection_memory;
 	htd->connections_max = limits->connections;
 	htd->ctr = accounts->ctr;
-	htd->ops = ops;
+	htd->completed = ops->completed;
 	htd->arg = arg;
 	htd->connections = g_hash_table_new(NULL, NULL);
 	htd->gone = htd_gone_set_new(loop);
