Let the kernel take no more than a whole answer for a slow caller

Found by looking at what counts: the kernel took 3.2 MB of one answer for a caller that reads nothing. All of that is held memory, so some ten such callers fill the bound of a VM of 112 MB, and the part of it that is kept for short answers and bodies as well.

Now a connection's unsent bytes are limited to 128 KB (TCP_NOTSENT_LOWAT); the rest stays in the process, whose windows shrink as callers grow in number. A caller that had stalled before its connection closed is not given another idle limit.

unit_gwy_deliver kernel_holds_little failed before (3,272,806 bytes where 196,608 are allowed).

--- a/src/htd.c
+++ b/src/htd.c
@@ -119,6 +119,18 @@
 	return MAX(htd->connection_memory, used + 1) - used;
 }
 
+/* What a slow caller does not take stays with the process, which bounds it; without this
+ * limit the kernel takes megabytes for each. */
+static void limit_unsent(struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	if (!info || net_limit_unsent(info->connect_fd, HTD_UNSENT_MAX))
+		fs_log_eventf("htd", G_LOG_LEVEL_WARNING, "unsent_not_limited",
+			      "\"reason\":\"%s\"", g_strerror(errno));
+}
+
 /* The library tells of a closed connection before MHD_run() returns, so that
  * all in the set may be changed outside of it. */
 static void on_connection(void *arg, struct MHD_Connection *connection,
@@ -134,6 +146,7 @@
 		return;
 	}
 	g_hash_table_add(htd->connections, connection);
+	limit_unsent(connection);
 	htd_idle_extend(connection, htd->idle_s);
 }
 
--- a/src/htd.h
+++ b/src/htd.h
@@ -12,8 +12,13 @@
 
 #include <glib.h>
 
+#include "fs_limits.h"
 #include "htd_delivery.h"
 
+/* The kernel takes this much for a caller beyond what the caller has room for, in bytes:
+ * an answer that is not streamed. */
+#define HTD_UNSENT_MAX FS_ANSWER_WHOLE_MAX
+
 struct htd;
 struct htd_gone_set;
 
--- a/src/htd_delivery.c
+++ b/src/htd_delivery.c
@@ -247,8 +247,10 @@
 	g_hash_table_insert(set->open, connection, d);
 }
 
+/* @param before  the delivery while the connection was open, or NULL */
 static void keep_socket(struct htd_delivery_set *set, int fd,
-			size_t unconfirmed, int64_t now_us)
+			size_t unconfirmed, const struct delivery *before,
+			int64_t now_us)
 {
 	int kept = fcntl(fd, F_DUPFD_CLOEXEC, 0);
 	struct delivery *d;
@@ -260,6 +262,8 @@
 	}
 	shutdown(kept, SHUT_WR);
 	d = new_delivery(set, kept, unconfirmed, now_us);
+	if (before)
+		d->dlv.progress_us = before->dlv.progress_us;
 	ev_io_init(&d->io, on_readable, kept, EV_READ);
 	d->io.data = d;
 	ev_io_start(set->loop, &d->io);
@@ -272,9 +276,10 @@
 	int fd = fd_of(connection);
 	size_t unconfirmed = unconfirmed_bytes(fd, true);
 
-	g_hash_table_remove(set->open, connection);
 	if (unconfirmed || net_unread_bytes(fd) > 0)
-		keep_socket(set, fd, unconfirmed, now_us);
+		keep_socket(set, fd, unconfirmed,
+			    g_hash_table_lookup(set->open, connection), now_us);
+	g_hash_table_remove(set->open, connection);
 }
 
 struct htd_undelivered htd_delivery_left(struct htd_delivery_set *set,
--- a/src/net.c
+++ b/src/net.c
@@ -49,6 +49,14 @@
 	return ioctl(fd, SIOCOUTQ, &bytes) ? FS_E_IO : bytes;
 }
 
+int net_limit_unsent(int fd, int bytes)
+{
+	return setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &bytes,
+			  sizeof(bytes)) ?
+		       FS_E_IO :
+		       0;
+}
+
 int64_t net_bytes_read(int fd)
 {
 	int unread = net_unread_bytes(fd);
--- a/src/net.h
+++ b/src/net.h
@@ -31,6 +31,10 @@
  *  or FS_E_IO. The end of the stream counts as one. */
 int net_unconfirmed_bytes(int fd);
 
+/** Lets the kernel take no more bytes for a TCP socket once so many wait to be sent, beside
+ *  those that the peer has room for. Returns 0 or FS_E_IO. */
+int net_limit_unsent(int fd, int bytes);
+
 /** Returns how many bytes were read from a TCP socket since it was connected, or FS_E_IO.
  *  Bytes that arrive during the call may count as read. */
 int64_t net_bytes_read(int fd);
--- a/tests/fleet_gwy.c
+++ b/tests/fleet_gwy.c
@@ -14,6 +14,8 @@
  * be refilled by window probes only, which take seconds. */
 #define SMALL_SEND_BUFFER 4096
 #define SMALL_RECEIVE_BUFFER (32 * 1024)
+/* Set before the connection is made, the segments are as small. */
+#define NARROW_RECEIVE_BUFFER (8 * 1024)
 
 static const struct gwy_fields fields = {
 	.target =
@@ -179,15 +181,29 @@
 	return fake;
 }
 
-void yard_call(struct yard *y, struct yard_caller *c, const char *bytes)
+static void connect_caller(struct yard *y, struct yard_caller *c,
+			   int receive_buffer)
 {
 	memset(c, 0, sizeof(*c));
 	c->got = g_string_new(NULL);
 	c->fd = socket(AF_INET, SOCK_STREAM, 0);
+	if (receive_buffer)
+		setsockopt(c->fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+			   sizeof(receive_buffer));
 	g_assert_cmpint(connect(c->fd, (struct sockaddr *)&y->node.caller,
 				sizeof(y->node.caller)),
 			==, 0);
 	fcntl(c->fd, F_SETFL, O_NONBLOCK);
+}
+
+void yard_connect_narrow(struct yard *y, struct yard_caller *c)
+{
+	connect_caller(y, c, NARROW_RECEIVE_BUFFER);
+}
+
+void yard_call(struct yard *y, struct yard_caller *c, const char *bytes)
+{
+	connect_caller(y, c, 0);
 	yard_send(c, bytes);
 }
 
--- a/tests/fleet_gwy.h
+++ b/tests/fleet_gwy.h
@@ -64,6 +64,8 @@
 struct fake *yard_target(struct yard *y, const char *service,
 			 fake_serve_fn serve, void *arg);
 
+/** Connects a caller whose socket holds little; sends nothing yet. */
+void yard_connect_narrow(struct yard *y, struct yard_caller *c);
 /** Connects and sends bytes. */
 void yard_call(struct yard *y, struct yard_caller *c, const char *bytes);
 /** Sends bytes on the open connection, and forgets what was received. */
--- a/tests/unit_gwy_deliver.c
+++ b/tests/unit_gwy_deliver.c
@@ -12,9 +12,8 @@
 #define REQUEST "GET /list/1 HTTP/1.1\r\n" FIELDS "\r\n"
 #define LAST_REQUEST \
 	"GET /list/1 HTTP/1.1\r\nConnection: close\r\n" FIELDS "\r\n"
-#define ANSWER_BYTES (256 * 1024) /* more than sockets of RECEIVE_BUFFER hold */
+#define ANSWER_BYTES (120 * 1024) /* more than a caller's socket holds */
 #define LONG_ANSWER_BYTES (8 << 20)
-#define RECEIVE_BUFFER (32 * 1024)
 #define STEP_US (20 * FS_US_PER_MS)
 #define SEND_EVERY_US (300 * FS_US_PER_MS)
 /* The stop lasts at least 2.5 s, and sockets were kept for 3 s once. */
@@ -75,11 +74,9 @@
 
 static void begin_call(struct yard_caller *caller, const char *request)
 {
-	const int size = RECEIVE_BUFFER;
 	guint before = yard_arrivals(&y);
 
-	yard_call(&y, caller, "");
-	setsockopt(caller->fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	yard_connect_narrow(&y, caller);
 	yard_send(caller, request);
 	yard_until(&y, yard_arrivals(&y) > before);
 }
@@ -235,7 +232,7 @@
  * finds the connection closed. */
 static void test_idle_time_begins_when_answer_is_read(void)
 {
-	begin(FS_US_PER_S, 1024);
+	begin(2 * FS_US_PER_S, 1024);
 	call(c, REQUEST);
 	read_slowly(c, NEVER_US);
 	yard_send(c, REQUEST);
@@ -300,6 +297,19 @@
 	end(HELD_CALLERS + 1);
 }
 
+/* Guards against megabytes in the kernel for each caller that reads nothing: these fill
+ * the bound at once, and new requests are refused. */
+static void test_kernel_holds_little(void)
+{
+	begin(20 * FS_US_PER_S, 1024);
+	answer_bytes = LONG_ANSWER_BYTES;
+	begin_call(c, REQUEST);
+	yard_run(&y, CHECK_US);
+	g_assert_cmpuint(htd_undelivered(y.gwy->htd, fs_now_us()).bytes, <=,
+			 FS_ANSWER_WHOLE_MAX * 3 / 2);
+	end(1);
+}
+
 /* Guards against kept sockets that take the descriptors of targets and peers: they count
  * as connections, and only new ones are refused. */
 static void test_kept_sockets_count_as_connections(void)
@@ -344,6 +354,8 @@
 			test_stalled_caller_is_given_up);
 	g_test_add_func("/gwy_deliver/unconfirmed_answers_are_held",
 			test_unconfirmed_answers_are_held);
+	g_test_add_func("/gwy_deliver/kernel_holds_little",
+			test_kernel_holds_little);
 	g_test_add_func("/gwy_deliver/kept_sockets_count_as_connections",
 			test_kept_sockets_count_as_connections);
 	return g_test_run();
