Do not take a caller for stalled that reads what is written meanwhile

On an open connection whose caller confirms as much as is written, the number of unconfirmed bytes never falls, so the clock stood at its beginning; such a caller could have been given up at the first check after the close.

Now any change of the number restarts the clock, and the delivery of a closed connection begins with an update. unit_dlv writes_hide_what_is_read failed before.

--- a/src/dlv.c
+++ b/src/dlv.c
@@ -12,7 +12,8 @@
 	size_t before = dlv->unconfirmed;
 
 	dlv->unconfirmed = unconfirmed;
-	if (unconfirmed < before)
+	/* More was written: what was confirmed meanwhile can't be told. */
+	if (unconfirmed != before)
 		dlv->progress_us = now_us;
 	if (!unconfirmed)
 		return DLV_CONFIRMED;
--- a/src/dlv.h
+++ b/src/dlv.h
@@ -14,14 +14,14 @@
 /** What a connection has written and its caller has not confirmed. */
 struct dlv {
 	size_t unconfirmed;  /* bytes */
-	int64_t progress_us; /* when the caller confirmed some, or all */
+	int64_t progress_us; /* when that last changed */
 };
 
 enum dlv_state {
-	DLV_WAITING,   /* nothing was confirmed since the last update */
+	DLV_WAITING,   /* no progress was seen since the last update */
 	DLV_MOVING,    /* the caller is reading */
 	DLV_CONFIRMED, /* nothing is left */
-	DLV_STALLED,   /* nothing was confirmed for too long */
+	DLV_STALLED,   /* nothing has changed for too long */
 };
 
 /** Begins with bytes that were just written. */
@@ -29,7 +29,7 @@
 
 /**
  * Takes in how many bytes are unconfirmed now; more may have been written.
- * @param stall_us  without progress for so long, a delivery has stalled
+ * @param stall_us  without a change for so long, a delivery has stalled
  */
 enum dlv_state dlv_update(struct dlv *dlv, size_t unconfirmed, int64_t stall_us,
 			  int64_t now_us);
--- a/src/htd_delivery.c
+++ b/src/htd_delivery.c
@@ -262,8 +262,10 @@
 	}
 	shutdown(kept, SHUT_WR);
 	d = new_delivery(set, kept, unconfirmed, now_us);
-	if (before)
-		d->dlv.progress_us = before->dlv.progress_us;
+	if (before) {
+		d->dlv = before->dlv;
+		dlv_update(&d->dlv, unconfirmed, set->stall_us, now_us);
+	}
 	ev_io_init(&d->io, on_readable, kept, EV_READ);
 	d->io.data = d;
 	ev_io_start(set->loop, &d->io);
--- a/tests/unit_dlv.c
+++ b/tests/unit_dlv.c
@@ -41,7 +41,23 @@
 			==, DLV_STALLED);
 }
 
-/* What is written meanwhile is no progress of the caller's, and hides none for good. */
+/* Guards against a caller that is taken for stalled although it reads: as much is written
+ * as it confirms, for longer than a stall, and then no more. */
+static void test_writes_hide_what_is_read(void)
+{
+	int64_t now_us = BEGIN_US;
+
+	dlv_begin(&dlv, 1000, now_us);
+	for (size_t left = 1001; left < 1100; left++) {
+		now_us += STEP_US;
+		g_assert_cmpint(dlv_update(&dlv, left, STALL_US, now_us), ==,
+				DLV_WAITING);
+	}
+	g_assert_cmpint(dlv_update(&dlv, 1099, STALL_US, now_us + STEP_US), ==,
+			DLV_WAITING);
+}
+
+/* What is written is no progress of the caller's, and hides none for good. */
 static void test_more_is_written(void)
 {
 	dlv_begin(&dlv, 1000, BEGIN_US);
@@ -61,6 +77,8 @@
 	g_test_add_func("/dlv/steady_reader_never_stalls",
 			test_steady_reader_never_stalls);
 	g_test_add_func("/dlv/silent_caller_stalls", test_silent_caller_stalls);
+	g_test_add_func("/dlv/writes_hide_what_is_read",
+			test_writes_hide_what_is_read);
 	g_test_add_func("/dlv/more_is_written", test_more_is_written);
 	return g_test_run();
 }
