Leave long answers that a stop can't deliver to another node

The node had begun it, though its deadline lay beyond the node's end and any other node had time for it.

Cause: a stop judges a request by its target's service time; how long a caller reads is not part of it, and can't be told.

unit_gwy_stop long_answer_is_left_to_another_node failed before (200).

--- a/src/gwy_impl.h
+++ b/src/gwy_impl.h
@@ -311,8 +311,8 @@
 /** Returns the Retry-After of a refusal for a lack of this node: the caller of a
  *  stopping node goes to another one. */
 int64_t gwy_stop_retry_after(const struct gwy *gwy, int64_t usual_us);
-/** Returns whether a request was read after callers were to use other nodes: none
- *  that the exit might break off is begun then. */
+/** Returns whether a request was read after callers were to use other nodes, or during
+ *  the stop if its answer is long: none that the exit might break off is begun then. */
 bool gwy_stop_is_late(const struct gwy_request *req);
 
 /* Returns whether the deadline of a request is the end of a planned stop. */
--- a/src/gwy_stop.c
+++ b/src/gwy_stop.c
@@ -12,6 +12,8 @@
 /* Requests in flight end this much before the process is killed, so that their
  * answers can still be sent. */
 #define LAST_ANSWER_MARGIN_US (350 * FS_US_PER_MS)
+/* Answers up to this arrive within a few round trips, whatever the caller's link. */
+#define LONG_ANSWER_BYTES (16 * 1024)
 /* The exit comes this much before the kill. */
 #define EXIT_MARGIN_US (100 * FS_US_PER_MS)
 
@@ -89,8 +91,11 @@
 bool gwy_stop_is_late(const struct gwy_request *req)
 {
 	const struct gwy *gwy = req->gwy;
+	/* How long its caller reads can't be told. */
+	bool is_long = gwy_answer_mean_bytes(req) > LONG_ANSWER_BYTES;
 
-	return gwy->stopping && req->read_us - gwy->stop_us > ACCEPT_US;
+	return gwy->stopping &&
+	       req->read_us - gwy->stop_us > (is_long ? 0 : ACCEPT_US);
 }
 
 /* Requests in flight decide anew with the time that is left. */
--- a/tests/unit_gwy_stop.c
+++ b/tests/unit_gwy_stop.c
@@ -187,6 +187,31 @@
 	end();
 }
 
+static void serve_long_at_once(void *arg, struct fake_conn *conn,
+			       const struct fake_request *request)
+{
+	g_autofree char *body = g_strnfill(STREAM_BYTES, 'x');
+
+	(void)arg;
+	yard_ok(conn, request, body);
+}
+
+/* Guards against a long answer that is begun in a stop and whose caller reads past the
+ * exit: another node has time for it. */
+static void test_long_answer_is_left_to_another_node(void)
+{
+	begin();
+	yard_target(&y, "list", serve_long_at_once, NULL);
+	serve_one(LIST_REQUEST);
+	yard_stop(&y);
+	yard_call(&y, &c, LIST_REQUEST);
+	yard_expect(&y, &c, 503);
+	g_assert_nonnull(strstr(c.got->str, "Retry-After: "));
+	expect_whole(503, "\"stopping\"");
+	g_assert_cmpuint(yard_arrivals(&y), ==, 1);
+	end();
+}
+
 /* Answers only the first request of all, after WORK_US. */
 static void serve_first_only(void *arg, struct fake_conn *conn,
 			     const struct fake_request *request)
@@ -608,6 +633,8 @@
 			test_slow_body_is_answered);
 	g_test_add_func("/gwy_stop/late_request_is_refused_as_not_run",
 			test_late_request_is_refused_as_not_run);
+	g_test_add_func("/gwy_stop/long_answer_is_left_to_another_node",
+			test_long_answer_is_left_to_another_node);
 	g_test_add_func("/gwy_stop/early_request_is_served",
 			test_early_request_is_served);
 	g_test_add_func("/gwy_stop/late_retry_is_not_begun",
