--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -187,7 +187,8 @@
         self.record = Record(folder)
         self.temp = tempfile.TemporaryDirectory()
         self.store = Store(random.Random(1))
-        self.runs, self.gateways, self.held = [], [], []
+        self.runs, self.gateways = [], []
+        self.children = []  # other processes of a case
         self.version = 0
 
     def config(self, routes, services, **more):
@@ -216,6 +217,10 @@
         return g
 
     async def close(self):
+        for child in self.children:
+            if child.returncode is None:
+                child.kill()
+                await child.wait()
         for g in self.gateways:
             g.end()
         self.store.close()
